Build the whole path as separate processes

Cause: the design needs one path in its final shape before any part grows. Ruled out: monkey-patching by gevent (each library in use has gevent sockets of its own) and an HTTP writer of our own for targets (geventhttpclient's pool is connected before the request is written, which tells a failed connection from a broken one).

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and measurements, run by hand or in CI."""
--- /dev/null
+++ b/gentianhub/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line: `python -m gentianhub`."""
+
+from gentianhub.cli import run
+
+run()
--- /dev/null
+++ b/gentianhub/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line."""
+
+from gentianhub.cli.main import run
+
+__all__ = ["run"]
--- /dev/null
+++ b/gentianhub/cli/main.py
@@ -0,0 +1,41 @@
+"""The `gentianhub` command."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from gentianhub.cli.development import development
+from gentianhub.core import SettingsError
+from gentianhub.entry.process import EntryProcess
+from gentianhub.observability import configure_logging
+from gentianhub.settings import load_settings, select_process
+
+EXIT_BAD_SETTINGS = 2
+
+app = typer.Typer(
+    help="Dispatcher for sub-second tasks.", no_args_is_help=True, add_completion=False
+)
+app.add_typer(development, name="development")
+
+
+@app.command("entry")
+def run_entry(
+    settings: Annotated[Path, typer.Option(help="Settings file of the host.")],
+    process: Annotated[str, typer.Option(help="Name of the process to run.")],
+) -> None:
+    """Run one entry process until SIGTERM."""
+    try:
+        host = load_settings(settings)
+        selected = select_process(host, process)
+    except SettingsError as error:
+        print(f"{error.peer}:\n  {error.reason}", file=sys.stderr)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from None
+    configure_logging(process=f"{host.data_centre}.{process}", level=host.log_level)
+    EntryProcess(host=host, process=selected).run()
+
+
+def run() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/gentianhub/client/__init__.py
@@ -0,0 +1,1 @@
+"""Library for callers; its peer is the entry process."""
--- /dev/null
+++ b/gentianhub/core/__init__.py
@@ -0,0 +1,80 @@
+"""Types shared by every package: ids, jobs, outcomes, messages and mailboxes."""
+
+from gentianhub.core.clock import read_monotonic_s
+from gentianhub.core.errors import (
+    GentianhubError,
+    PlatformError,
+    Refusal,
+    RefusalKind,
+    RunState,
+    SettingsError,
+    Step,
+)
+from gentianhub.core.ids import (
+    Incarnation,
+    JobId,
+    ProcessName,
+    TaskId,
+    draw_incarnation,
+    parse_job_id,
+)
+from gentianhub.core.jobs import MAX_TASKS_PER_JOB, Job, JobRequest, Task
+from gentianhub.core.mailbox import Mailbox, Silence, spawn_task
+from gentianhub.core.outcomes import (
+    Complete,
+    Failed,
+    JobAnswer,
+    JobComplete,
+    JobFailed,
+    JobPending,
+    JobState,
+    NotRun,
+    TaskOutcome,
+    Unknown,
+)
+from gentianhub.core.table import (
+    ServiceRow,
+    Table,
+    TargetAddress,
+    TargetRow,
+    TeamRow,
+)
+
+__all__ = [
+    "MAX_TASKS_PER_JOB",
+    "Complete",
+    "Failed",
+    "GentianhubError",
+    "Incarnation",
+    "Job",
+    "JobAnswer",
+    "JobComplete",
+    "JobFailed",
+    "JobId",
+    "JobPending",
+    "JobRequest",
+    "JobState",
+    "Mailbox",
+    "NotRun",
+    "PlatformError",
+    "ProcessName",
+    "Refusal",
+    "RefusalKind",
+    "RunState",
+    "ServiceRow",
+    "SettingsError",
+    "Silence",
+    "Step",
+    "Table",
+    "TargetAddress",
+    "TargetRow",
+    "Task",
+    "TaskId",
+    "TaskOutcome",
+    "TeamRow",
+    "Unknown",
+    "draw_incarnation",
+    "parse_job_id",
+    "read_monotonic_s",
+    "spawn_task",
+]
--- /dev/null
+++ b/gentianhub/core/events.py
@@ -0,0 +1,158 @@
+"""Events that the dispatcher takes; times are given beside them, never inside.
+
+`reply_to` is opaque to the decisions: they return it in a `Reply` effect.
+"""
+
+from typing import Any
+
+from attrs import frozen
+
+from gentianhub.core.ids import Incarnation, JobId, TaskId
+from gentianhub.core.jobs import JobRequest
+from gentianhub.core.outcomes import TaskOutcome
+from gentianhub.core.table import Table, TargetAddress
+
+
+@frozen(kw_only=True)
+class IssueIds:
+    """Reserve a block of job ids."""
+
+    count: int
+    reply_to: Any
+
+
+@frozen(kw_only=True)
+class SubmitJob:
+    """Accept a job; without an id a new one is issued."""
+
+    request: JobRequest
+    reply_to: Any
+    job_id: JobId | None = None
+
+
+@frozen(kw_only=True)
+class WatchJob:
+    """Reply with the job's state now, or with its answer once it has ended."""
+
+    job_id: JobId
+    reply_to: Any
+    until_answer: bool = False
+
+
+@frozen(kw_only=True)
+class UnwatchJob:
+    """Stop waiting for a job's answer; the watcher's deadline has passed."""
+
+    job_id: JobId
+    reply_to: Any
+
+
+@frozen(kw_only=True)
+class CancelJob:
+    """Start no further task of the job."""
+
+    job_id: JobId
+    reply_to: Any
+
+
+@frozen(kw_only=True)
+class TaskEnded:
+    """A target connection has the outcome of one attempt."""
+
+    task_id: TaskId
+    target: str
+    outcome: TaskOutcome
+    leaving: bool = False
+
+
+@frozen(kw_only=True)
+class TargetsSeen:
+    """The platform's host list was read."""
+
+    targets: tuple[TargetAddress, ...]
+
+
+@frozen(kw_only=True)
+class TableAdopted:
+    """A version of the table of weights and limits was received."""
+
+    table: Table
+
+
+@frozen(kw_only=True)
+class Tick:
+    """Time has passed."""
+
+
+@frozen(kw_only=True)
+class DrainBegun:
+    """Accept no new job; let accepted ones end."""
+
+
+@frozen(kw_only=True)
+class DescribeState:
+    """Reply with a description of the whole state."""
+
+    reply_to: Any
+
+
+@frozen(kw_only=True)
+class HomesChanged:
+    """The live entry processes of the data centre, this one among them."""
+
+    processes: tuple[Incarnation, ...]
+
+
+@frozen(kw_only=True)
+class SlotDemand:
+    """A borrower's total wish for slots, in place of its earlier wishes."""
+
+    borrower: Incarnation
+    wanted: int
+
+
+@frozen(kw_only=True)
+class SlotGrant:
+    """A home lends `count` slots of a target for `lease_s` from the demand."""
+
+    home: Incarnation
+    target: str
+    count: int
+    lease_s: float
+    contended: bool
+
+
+@frozen(kw_only=True)
+class SlotReturn:
+    """A borrower gives back `count` slots of a target."""
+
+    borrower: Incarnation
+    target: str
+    count: int
+
+
+@frozen(kw_only=True)
+class SlotsHeld:
+    """A borrower's full list of slots of one home's targets that it holds."""
+
+    borrower: Incarnation
+    counts: tuple[tuple[str, int], ...]
+
+
+SlotMessage = SlotDemand | SlotGrant | SlotReturn | SlotsHeld
+
+Event = (
+    IssueIds
+    | SubmitJob
+    | WatchJob
+    | UnwatchJob
+    | CancelJob
+    | TaskEnded
+    | TargetsSeen
+    | TableAdopted
+    | Tick
+    | DrainBegun
+    | DescribeState
+    | HomesChanged
+    | SlotMessage
+)
--- /dev/null
+++ b/gentianhub/core/mailbox.py
@@ -0,0 +1,68 @@
+"""Bounded queues between greenlets."""
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+import gevent
+from attrs import define, field, frozen
+from gevent.queue import Empty, Full, Queue
+
+T = TypeVar("T")
+
+
+@frozen(kw_only=True)
+class Silence:
+    """Sentinel: no message arrived within the time allowed."""
+
+    waited_s: float
+
+
+@define(kw_only=True, eq=False)
+class Mailbox(Generic[T]):
+    """A bounded queue of messages that one greenlet takes from.
+
+    Parameters
+    ----------
+    limit : int
+        Messages held at most; `put` blocks and `offer` declines beyond it.
+    """
+
+    limit: int
+    _queue: Queue = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._queue = Queue(maxsize=self.limit)
+
+    def __len__(self) -> int:
+        return self._queue.qsize()
+
+    def put(self, message: T) -> None:
+        """Add a message; block while the mailbox is full."""
+        self._queue.put(message)
+
+    def offer(self, message: T) -> bool:
+        """Add a message unless the mailbox is full; return whether it was added."""
+        try:
+            self._queue.put_nowait(message)
+        except Full:
+            return False
+        return True
+
+    def take(self, timeout_s: float | None = None) -> T | Silence:
+        """Return the next message, or `Silence` after `timeout_s` seconds."""
+        try:
+            return self._queue.get(timeout=timeout_s)
+        except Empty:
+            return Silence(waited_s=timeout_s)
+
+    def drain_messages(self) -> Iterator[T]:
+        """Yield messages for ever; block while there is none."""
+        while True:
+            yield self._queue.get()
+
+
+def spawn_task(run, *args) -> gevent.Greenlet:
+    """Start a greenlet named after its function."""
+    task = gevent.spawn(run, *args)
+    task.name = getattr(run, "__qualname__", repr(run))
+    return task
--- /dev/null
+++ b/gentianhub/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of one entry process."""
--- /dev/null
+++ b/gentianhub/observability/__init__.py
@@ -0,0 +1,6 @@
+"""Logs as JSON lines, metrics, and state dumps."""
+
+from gentianhub.observability.logs import configure_logging
+from gentianhub.observability.metrics import Metrics
+
+__all__ = ["Metrics", "configure_logging"]
--- /dev/null
+++ b/gentianhub/operators/__init__.py
@@ -0,0 +1,5 @@
+"""Peer: operators, who read the state and edit the table."""
+
+from gentianhub.operators.server import OperatorPort, serve_operators
+
+__all__ = ["OperatorPort", "serve_operators"]
--- /dev/null
+++ b/gentianhub/operators/server.py
@@ -0,0 +1,76 @@
+"""The operator port: state dump, metrics and drain."""
+
+import json
+import logging
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import cattrs
+from attrs import frozen
+
+from gentianhub.core import Mailbox
+from gentianhub.core.events import DescribeState
+from gentianhub.entry.messages import RenderMetrics
+from gentianhub.web import (
+    BodyError,
+    Request,
+    Response,
+    build_application,
+    open_server,
+)
+
+MAX_BODY_BYTES = 1024 * 1024
+MAX_CONNECTIONS = 32
+LOG_LEVELS = frozenset({"debug", "info", "warning", "error"})
+
+
+@frozen(kw_only=True)
+class OperatorPort:
+    """Answers operators' requests."""
+
+    dispatcher: Mailbox
+    begin_drain: Callable[[], None]
+
+    def handle(self, request: Request) -> Response:
+        """Return the response to one request."""
+        match (request.method, *request.segments):
+            case ("GET", "dump"):
+                state = self._ask(lambda to: DescribeState(reply_to=to))
+                return _build_json(200, cattrs.unstructure(state))
+            case ("GET", "metrics"):
+                text = self._ask(lambda to: RenderMetrics(reply_to=to))
+                return Response(status=200, body=text, headers={})
+            case ("POST", "drain"):
+                self.begin_drain()
+                return _build_json(202, {"state": "draining"})
+            case ("POST", "log-level", level) if level in LOG_LEVELS:
+                logging.getLogger().setLevel(level.upper())
+                return _build_json(200, {"log_level": level})
+            case _:
+                expected = "GET /dump, GET /metrics, POST /drain, POST /log-level/LEVEL"
+                return _build_json(404, {"error": {"expected": expected}})
+
+    def _ask(self, build_message):
+        replies = Mailbox(limit=1)
+        self.dispatcher.put(build_message(replies))
+        return replies.take()
+
+
+def _build_json(status: int, content) -> Response:
+    return Response(
+        status=status,
+        body=json.dumps(content, indent=2).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+
+
+def _refuse_body(error: BodyError) -> Response:
+    return _build_json(error.status, {"error": {"reason": error.reason}})
+
+
+@contextmanager
+def serve_operators(address: tuple[str, int], port: OperatorPort) -> Iterator[None]:
+    """Serve the operator port while the context is open."""
+    application = build_application(port.handle, _refuse_body, MAX_BODY_BYTES)
+    with open_server(address, application, MAX_CONNECTIONS):
+        yield
--- /dev/null
+++ b/gentianhub/settings/loader.py
@@ -0,0 +1,80 @@
+"""Reading and checking of settings files: JSON with comments."""
+
+from pathlib import Path
+
+import cattrs
+import pyjson5
+from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
+from cattrs.v import transform_error
+
+from gentianhub.core import SettingsError, Step
+from gentianhub.settings.model import HostSettings, ProcessSettings
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+@_converter.register_structure_hook
+def _structure_int(value, _) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
+
+
+@_converter.register_structure_hook
+def _structure_float(value, _) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not a number")
+    return float(value)
+
+
+@_converter.register_structure_hook
+def _structure_str(value, _) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a string")
+    return value
+
+
+def load_settings(path: Path) -> HostSettings:
+    """Return the checked settings in a file.
+
+    Raises
+    ------
+    SettingsError
+        With the file, the key path and what was expected, one line for each
+        fault.
+    """
+    try:
+        content = pyjson5.decode(path.read_text())
+    except OSError as error:
+        raise _build_error(path, [str(error)]) from None
+    except pyjson5.Json5Exception as error:
+        raise _build_error(path, [f"not JSON with comments: {error}"]) from None
+    try:
+        return _converter.structure(content, HostSettings)
+    except ClassValidationError as error:
+        raise _build_error(path, transform_error(error, "$", _describe)) from None
+
+
+def select_process(settings: HostSettings, name: str) -> ProcessSettings:
+    """Return the settings of the named process."""
+    for process in settings.processes:
+        if process.name == name:
+            return process
+    names = ", ".join(process.name for process in settings.processes)
+    raise _build_error(Path("--process"), [f"{name!r} is not one of: {names}"])
+
+
+def _describe(error: BaseException, expected_type: type | None) -> str:
+    match error:
+        case ForbiddenExtraKeysError(extra_fields=names):
+            return "unknown key " + ", ".join(sorted(names))
+        case KeyError(args=(name,)):
+            return f"missing key {name}"
+        case _:
+            return str(error.args[0]) if error.args else repr(error)
+
+
+def _build_error(path: Path, faults: list[str]) -> SettingsError:
+    return SettingsError(
+        step=Step.READ_SETTINGS, peer=str(path), reason="\n  ".join(faults)
+    )
--- /dev/null
+++ b/gentianhub/siblings/__init__.py
@@ -0,0 +1,1 @@
+"""Peer: the other entry processes."""
--- /dev/null
+++ b/gentianhub/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform and for targets."""
--- /dev/null
+++ b/gentianhub/stand_ins/processes.py
@@ -0,0 +1,238 @@
+"""Local deployment of separate processes for demonstrations and tests.
+
+The daemons themselves never start a process; this module does so for the
+development commands and the tests, and ends only what it started.
+"""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import gevent
+from attrs import define, frozen
+from geventhttpclient import HTTPClient
+
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 40.0
+FIRST_POLL_S = 0.05
+
+
+@frozen(kw_only=True)
+class TargetPlan:
+    """A stand-in target: its data centre, slots and speed (1.0 is normal)."""
+
+    name: str
+    data_centre: str = "olten"
+    slots: int = 8
+    speed: float = 1.0
+
+
+@frozen(kw_only=True)
+class EntryPlan:
+    """An entry process and its data centre."""
+
+    name: str
+    data_centre: str = "olten"
+
+
+@define(kw_only=True, eq=False)
+class Child:
+    """A process that this one started, with its ports by purpose."""
+
+    name: str
+    popen: subprocess.Popen
+    ports: dict[str, int]
+    data_centre: str = ""
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        self.popen.send_signal(number)
+
+    def call(self, purpose: str, method: str, path: str, content=None):
+        """Return the status and the decoded JSON of one HTTP request."""
+        return call_http(self.ports[purpose], method, path, content)
+
+
+@define(kw_only=True, eq=False)
+class Deployment:
+    """The children of one local deployment."""
+
+    platform: Child
+    targets: dict[str, Child]
+    entries: dict[str, Child]
+
+
+def call_http(port: int, method: str, path: str, content=None, timeout_s=90.0):
+    """Return the status and the decoded JSON reply of one request on loopback."""
+    client = HTTPClient(LOOPBACK, port, network_timeout=timeout_s)
+    try:
+        body = b"" if content is None else json.dumps(content).encode()
+        response = client.request(method, path, body=body)
+        reply = bytes(response.read())
+        return response.status_code, json.loads(reply) if reply else None
+    finally:
+        client.close()
+
+
+def reserve_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that are free now."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((LOOPBACK, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+@contextmanager
+def start_child(
+    name: str, arguments: list[str], ports: dict[str, int], data_centre: str = ""
+) -> Iterator[Child]:
+    """Run `python -m gentianhub ARGUMENTS`; end it when the context closes."""
+    popen = subprocess.Popen([sys.executable, "-m", "gentianhub", *arguments])
+    try:
+        for port in ports.values():
+            wait_for_port(port, popen)
+        yield Child(name=name, popen=popen, ports=ports, data_centre=data_centre)
+    finally:
+        _stop(popen)
+
+
+def wait_for_port(port: int, popen: subprocess.Popen) -> None:
+    """Block until a port accepts connections."""
+    with gevent.Timeout(START_TIMEOUT_S):
+        while True:
+            try:
+                socket.create_connection((LOOPBACK, port), timeout=1).close()
+                return
+            except OSError:
+                if popen.poll() is not None:
+                    raise RuntimeError(f"child ended with {popen.returncode}") from None
+                gevent.sleep(FIRST_POLL_S)
+
+
+def _stop(popen: subprocess.Popen) -> None:
+    if popen.poll() is None:
+        popen.send_signal(signal.SIGCONT)
+        popen.terminate()
+    try:
+        popen.wait(timeout=STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        popen.kill()
+        popen.wait()
+
+
+@contextmanager
+def start_deployment(
+    *,
+    targets: list[TargetPlan],
+    entries: list[EntryPlan],
+    table_rows: list[dict],
+) -> Iterator[Deployment]:
+    """Run a platform, targets and entry processes, one process each."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        (platform_port,) = reserve_ports(1)
+        platform = stack.enter_context(
+            start_child(
+                "platform",
+                ["development", "platform", "--port", str(platform_port)],
+                {"platform": platform_port},
+            )
+        )
+        target_children = {
+            plan.name: stack.enter_context(start_target(plan)) for plan in targets
+        }
+        ports = {plan.name: reserve_ports(3) for plan in entries}
+        fill_platform(platform, entries, ports, targets, target_children, table_rows)
+        entry_children = {
+            plan.name: stack.enter_context(
+                start_entry(plan, ports[plan.name], platform_port, folder)
+            )
+            for plan in entries
+        }
+        yield Deployment(
+            platform=platform, targets=target_children, entries=entry_children
+        )
+
+
+def start_target(plan: TargetPlan):
+    """Return the context of one stand-in target process."""
+    (port,) = reserve_ports(1)
+    arguments = ["development", "target", "--port", str(port), "--name", plan.name]
+    arguments += ["--slots", str(plan.slots), "--speed", str(plan.speed)]
+    return start_child(plan.name, arguments, {"target": port}, plan.data_centre)
+
+
+def start_entry(plan: EntryPlan, ports: list[int], platform_port: int, folder: Path):
+    """Return the context of one entry process with its own settings file."""
+    path = folder / f"{plan.name}.json"
+    purposes = dict(zip(("callers", "siblings", "operators"), ports, strict=True))
+    process = {
+        purpose: {"host": LOOPBACK, "port": port} for purpose, port in purposes.items()
+    }
+    settings = {
+        "data_centre": plan.data_centre,
+        "platform": {"host": LOOPBACK, "port": platform_port},
+        "processes": [{"name": plan.name, **process}],
+        "log_level": "warning",
+    }
+    path.write_text(json.dumps(settings))
+    arguments = ["entry", "--settings", str(path), "--process", plan.name]
+    waited = {name: port for name, port in purposes.items() if name != "siblings"}
+    return start_child(plan.name, arguments, waited, plan.data_centre)
+
+
+def fill_platform(
+    platform: Child,
+    entries: list[EntryPlan],
+    ports: dict[str, list[int]],
+    targets: list[TargetPlan],
+    children: dict[str, Child],
+    table_rows: list[dict],
+) -> None:
+    """Write the host list and the first version of the table."""
+    hosts = {
+        "entry_processes": [
+            {
+                "name": plan.name,
+                "data_centre": plan.data_centre,
+                "host": LOOPBACK,
+                "port": ports[plan.name][1],
+                "state": "live",
+            }
+            for plan in entries
+        ],
+        "targets": [
+            {
+                "name": plan.name,
+                "data_centre": plan.data_centre,
+                "host": LOOPBACK,
+                "port": children[plan.name].ports["target"],
+                "state": "live",
+            }
+            for plan in targets
+        ],
+    }
+    platform.call("platform", "PUT", "/hosts", hosts)
+    change = {
+        "version": 1,
+        "change_id": "first",
+        "author": "development",
+        "reason": "first version",
+        "rows": table_rows,
+        "removals": [],
+    }
+    writes = [
+        {"key": "table/head", "value": {"version": 1}},
+        {"key": "table/change/000000000001", "value": change},
+    ]
+    platform.call(
+        "platform", "POST", "/table/transact", {"checks": [], "writes": writes}
+    )
--- /dev/null
+++ b/gentianhub/targets/exchange.py
@@ -0,0 +1,144 @@
+"""One HTTP exchange with a target and what it means for the task."""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from attrs import define, field, frozen
+from geventhttpclient import HTTPClient
+
+from gentianhub.core import (
+    Complete,
+    Failed,
+    NotRun,
+    Step,
+    TargetAddress,
+    TaskOutcome,
+    Unknown,
+    read_monotonic_s,
+)
+from gentianhub.core.effects import StartTask
+
+CONNECT_TIMEOUT_S = 1.0
+# A task that started before its job's deadline may end after it.
+REPLY_GRACE_S = 30.0
+MAX_RESULT_BYTES = 8 * 1024 * 1024
+NOT_RUN_STATUSES = frozenset({429, 503})
+
+
+@frozen(kw_only=True)
+class Exchange:
+    """Outcome of one attempt and whether the target said that it is leaving."""
+
+    outcome: TaskOutcome
+    leaving: bool = False
+
+
+@define(kw_only=True, eq=False)
+class TargetClient:
+    """One HTTP connection to one target.
+
+    The connection is made before the request is written, so that a failure to
+    connect is told apart from a failure after the first byte.
+    """
+
+    address: TargetAddress
+    _client: HTTPClient = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._client = HTTPClient(
+            self.address.host,
+            self.address.port,
+            concurrency=1,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=None,
+        )
+
+    def run_task(self, start: StartTask) -> Exchange:
+        """Send a task and wait for its whole reply."""
+        refusal = self._connect()
+        if refusal is not None:
+            return Exchange(outcome=refusal)
+        remaining_s = start.deadline_at_s - read_monotonic_s()
+        if remaining_s <= 0:
+            return Exchange(outcome=self._build_not_run("the job's deadline passed"))
+        try:
+            with gevent.Timeout(remaining_s + REPLY_GRACE_S, TimeoutError):
+                return self._post(start, remaining_s)
+        except (OSError, EOFError, ValueError, TimeoutError) as error:
+            self.close()
+            return Exchange(outcome=self._build_unknown(error))
+
+    def _connect(self) -> NotRun | None:
+        pool = self._client._connection_pool
+        try:
+            sock = pool.get_socket()
+        except (OSError, gevent.Timeout) as error:
+            return self._build_not_run(f"no connection: {error}")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pool.return_socket(sock)
+        return None
+
+    def _post(self, start: StartTask, remaining_s: float) -> Exchange:
+        sent_s = read_monotonic_s()
+        # POST is never sent again by the client when the connection breaks.
+        response = self._client.post(
+            "/run",
+            body=start.task.body,
+            headers={
+                "Gentianhub-Task": str(start.task_id),
+                "Gentianhub-Service": start.service,
+                "Gentianhub-Kind": start.task.kind,
+                "Gentianhub-Deadline-Ms": str(round(remaining_s * 1000)),
+            },
+        )
+        body = response.read(MAX_RESULT_BYTES + 1)
+        return self._judge_reply(response, bytes(body), read_monotonic_s() - sent_s)
+
+    def _judge_reply(self, response, body: bytes, run_s: float) -> Exchange:
+        status = response.status_code
+        leaving = response.get("gentianhub-leaving") == "1"
+        expected = response.get("content-length")
+        is_refusal = response.get("gentianhub-not-run") == "1"
+        if status in NOT_RUN_STATUSES and is_refusal:
+            outcome = self._build_not_run(f"the target refused with {status}")
+        elif len(body) > MAX_RESULT_BYTES:
+            self.close()
+            outcome = self._build_failed(
+                f"reply over {MAX_RESULT_BYTES} bytes", run_s=run_s
+            )
+        elif expected is not None and len(body) != int(expected):
+            self.close()
+            outcome = self._build_unknown("the reply was cut short")
+        elif 200 <= status < 300:
+            outcome = Complete(result=body, run_s=run_s)
+        else:
+            outcome = self._build_failed(f"the target replied {status}", run_s=run_s)
+        return Exchange(outcome=outcome, leaving=leaving)
+
+    def _build_not_run(self, reason: str) -> NotRun:
+        return NotRun(step=Step.CONNECT_TARGET, peer=self.address.name, reason=reason)
+
+    def _build_failed(self, reason: str, run_s: float) -> Failed:
+        return Failed(
+            step=Step.AWAIT_REPLY, peer=self.address.name, reason=reason, run_s=run_s
+        )
+
+    def _build_unknown(self, error: object) -> Unknown:
+        reason = f"no whole reply after the task was sent: {error!r:.200}"
+        return Unknown(step=Step.AWAIT_REPLY, peer=self.address.name, reason=reason)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+
+@contextmanager
+def open_target_client(address: TargetAddress) -> Iterator[TargetClient]:
+    """Own one connection to a target; close it at the end."""
+    client = TargetClient(address=address)
+    try:
+        yield client
+    finally:
+        client.close()
--- /dev/null
+++ b/gentianhub/web/server.py
@@ -0,0 +1,152 @@
+"""HTTP server plumbing shared by the caller port, operator port and stand-ins."""
+
+import logging
+import socket
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from urllib.parse import parse_qs, unquote
+
+from attrs import Factory, frozen
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+SOCKET_TIMEOUT_S = 30.0
+STATUS_TEXTS = {
+    200: "200 OK",
+    202: "202 Accepted",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    408: "408 Request Timeout",
+    409: "409 Conflict",
+    410: "410 Gone",
+    413: "413 Content Too Large",
+    429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+
+logger = logging.getLogger(__name__)
+
+
+@frozen(kw_only=True)
+class Request:
+    """One HTTP request with its whole body."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    peer: str
+
+    @property
+    def segments(self) -> tuple[str, ...]:
+        """Path split at slashes, decoded."""
+        return tuple(unquote(part) for part in self.path.strip("/").split("/"))
+
+
+@frozen(kw_only=True)
+class Response:
+    """One HTTP response."""
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] = Factory(dict)
+
+
+@frozen(kw_only=True)
+class BodyError:
+    """Sentinel: the request body could not be read."""
+
+    status: int
+    reason: str
+
+
+class _NoDelayServer(WSGIServer):
+    """WSGI server whose connections send at once and time out when silent."""
+
+    def handle(self, sock, address):
+        # Nagle's algorithm delays keep-alive replies by 40 ms.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(SOCKET_TIMEOUT_S)
+        super().handle(sock, address)
+
+
+def read_body(environ: Mapping, max_bytes: int) -> bytes | BodyError:
+    """Return the whole request body, or say why it cannot be used."""
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length and int(length) > max_bytes:
+        return BodyError(status=413, reason=f"body over {max_bytes} bytes")
+    try:
+        body = environ["wsgi.input"].read(int(length) if length else max_bytes + 1)
+    except TimeoutError:
+        return BodyError(status=408, reason=f"body not sent in {SOCKET_TIMEOUT_S} s")
+    except OSError as error:
+        return BodyError(status=400, reason=f"body not readable: {error}")
+    if len(body) > max_bytes:
+        return BodyError(status=413, reason=f"body over {max_bytes} bytes")
+    if length and len(body) < int(length):
+        return BodyError(status=400, reason="body shorter than its Content-Length")
+    return body
+
+
+def build_application(
+    handle: Callable[[Request], Response],
+    refuse: Callable[[BodyError], Response],
+    max_body_bytes: int,
+):
+    """Return a WSGI application that calls `handle` with whole requests."""
+
+    def application(environ, start_response) -> list[bytes]:
+        body = read_body(environ, max_body_bytes)
+        match body:
+            case BodyError():
+                response = refuse(body)
+                headers = {"Connection": "close", **response.headers}
+            case _:
+                response = handle(_build_request(environ, body))
+                headers = response.headers
+        start_response(
+            STATUS_TEXTS[response.status],
+            [("Content-Length", str(len(response.body))), *headers.items()],
+        )
+        return [response.body]
+
+    return application
+
+
+def _build_request(environ: Mapping, body: bytes) -> Request:
+    query = parse_qs(environ.get("QUERY_STRING", ""))
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ.get("PATH_INFO", "/"),
+        query={name: values[-1] for name, values in query.items()},
+        headers={
+            name[5:].replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        },
+        body=body,
+        peer=environ.get("REMOTE_ADDR", "unknown"),
+    )
+
+
+@contextmanager
+def open_server(
+    address: tuple[str, int], application, max_connections: int
+) -> Iterator[WSGIServer]:
+    """Serve a WSGI application; requests in flight end before it closes."""
+    server = _NoDelayServer(
+        address,
+        application,
+        spawn=Pool(max_connections),
+        log=None,
+        error_log=logger,
+        backlog=1024,
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(timeout=5)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that set the project up and run its tests."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,8 @@
+"""Sets up the environment, then runs every test with nose2."""
+
+import sys
+
+from environment import run_module
+
+if __name__ == "__main__":
+    sys.exit(run_module("tools.tests", *sys.argv[1:]))
