Number slot demands, so that a lease runs from the moment of asking

Cause: a grant alone does not tell the borrower when the lease began; a grant delayed on the link would lengthen it. Change: demands carry a number and a weight, grants name the demand.

--- a/gentianhub/core/events.py
+++ b/gentianhub/core/events.py
@@ -105,19 +105,30 @@
 
 @frozen(kw_only=True)
 class SlotDemand:
-    """A borrower's total wish for slots, in place of its earlier wishes."""
+    """A borrower's total wish for slots, in place of its earlier wishes.
+
+    `number` counts the borrower's demands; `weight` is the summed weight of the
+    teams whose work waits there.
+    """
 
     borrower: Incarnation
+    number: int
     wanted: int
+    weight: float = 1.0
 
 
 @frozen(kw_only=True)
 class SlotGrant:
-    """A home lends `count` slots of a target for `lease_s` from the demand."""
+    """A home lends `count` slots of a target.
+
+    The lease runs `lease_s` seconds from the moment the borrower sent the demand
+    with number `demand_number`, on the borrower's monotonic clock.
+    """
 
     home: Incarnation
     target: str
     count: int
+    demand_number: int
     lease_s: float
     contended: bool
 
