Add the client library, commands for callers and the demonstration

Cause: callers need ids, resubmission and honest outcomes done once, in a library; the whole path needs a load to be seen under. Ruled out: submission by POST in the library (PUT under an issued id may be sent again by any HTTP layer without harm). Change: client package, submit, status, cancel and dump commands, a seeded mixed load through real processes, the glossary. A connection closed by a killed target is an expected outcome now, not an unexpected exception.

--- /dev/null
+++ b/gentianhub/cli/demo.py
@@ -0,0 +1,123 @@
+"""The demonstration: a local deployment under a mixed load, and its results."""
+
+from collections import Counter
+from typing import Annotated
+
+import gevent
+import typer
+
+from gentianhub.client import EntryAddress
+from gentianhub.stand_ins.load import JobKind, LoadPlan, LoadTally, run_load
+from gentianhub.stand_ins.processes import (
+    LOOPBACK,
+    Deployment,
+    EntryPlan,
+    TargetPlan,
+    start_deployment,
+    wait_until_serving,
+)
+
+TARGETS = [
+    TargetPlan(name="slow", speed=0.5),
+    TargetPlan(name="even", speed=1.0),
+    TargetPlan(name="good", speed=1.5),
+    TargetPlan(name="fast", speed=2.0),
+]
+ENTRIES = [EntryPlan(name=f"e{number}") for number in (1, 2, 3)]
+TABLE_ROWS = [
+    {"sheet": "teams", "name": "hospitals", "weight": 2.0},
+    {"sheet": "teams", "name": "sales", "weight": 1.0},
+    {"sheet": "services", "name": "stock-check", "team": "hospitals", "weight": 2.0},
+    {"sheet": "services", "name": "refill", "team": "hospitals", "weight": 1.0},
+    {"sheet": "services", "name": "report", "team": "sales", "weight": 1.0},
+]
+JOB_KINDS = (
+    JobKind(
+        service="stock-check",
+        share=0.7,
+        task_counts=(1, 8),
+        run_ms=(50, 200),
+        deadline_s=5,
+    ),
+    JobKind(
+        service="refill",
+        share=0.25,
+        task_counts=(1, 20),
+        run_ms=(100, 400),
+        deadline_s=8,
+    ),
+    JobKind(
+        service="report",
+        share=0.05,
+        task_counts=(1, 4),
+        run_ms=(1000, 3000),
+        deadline_s=20,
+    ),
+)
+COLUMNS = ("complete", "failed", "not run", "unknown")
+
+
+def run_demo(
+    duration_s: Annotated[float, typer.Option(min=5, help="Seconds of load.")] = 20.0,
+    jobs_per_s: Annotated[float, typer.Option(min=0.1)] = 17.0,
+    peak_factor: Annotated[float, typer.Option(min=1)] = 4.0,
+    seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
+    kill_target: Annotated[
+        bool, typer.Option(help="Kill one target with SIGKILL during the load.")
+    ] = False,
+) -> None:
+    """Run a mixed load through 3 entry processes and 4 uneven targets."""
+    speeds = [target.speed for target in TARGETS]
+    plan = LoadPlan(
+        kinds=JOB_KINDS,
+        duration_s=duration_s,
+        jobs_per_s=jobs_per_s,
+        peak_factor=peak_factor,
+        slots=sum(target.slots for target in TARGETS),
+        mean_speed=sum(speeds) / len(speeds),
+        seed=seed,
+    )
+    print(f"seed {seed}; starting 1 platform, {len(TARGETS)} targets, 3 entries")
+    with start_deployment(
+        targets=TARGETS, entries=ENTRIES, table_rows=TABLE_ROWS
+    ) as deployment:
+        wait_until_serving(deployment)
+        if kill_target:
+            gevent.spawn_later(duration_s / 3, deployment.targets["good"].popen.kill)
+        addresses = tuple(
+            EntryAddress(host=LOOPBACK, port=entry.ports["callers"])
+            for entry in deployment.entries.values()
+        )
+        tally = run_load(plan, addresses)
+        starts, refused = _count_starts(deployment)
+    _print_results(tally, starts, refused)
+
+
+def _count_starts(deployment: Deployment) -> tuple[Counter, int]:
+    starts: Counter = Counter()
+    refused = 0
+    for target in deployment.targets.values():
+        if target.popen.poll() is None:
+            _, content = target.call("target", "GET", "/starts")
+            starts.update(content["starts"])
+            refused += content["refused"]
+    return starts, refused
+
+
+def _print_results(tally: LoadTally, starts: Counter, refused: int) -> None:
+    services = [kind.service for kind in JOB_KINDS]
+    heading = "".join(f"{name:>10}" for name in COLUMNS)
+    print(f"\n{'service':<14}{heading}   response over ideal p50 / p99")
+    for service in services:
+        counts = "".join(f"{tally.told[(service, name)]:>10}" for name in COLUMNS)
+        p50, p99 = (tally.read_ratio(service, q) or 0.0 for q in (50.0, 99.0))
+        print(f"{service:<14}{counts}   {p50:>14.2f} / {p99:.2f}")
+    peak = sum(tally.peak_told.values())
+    share = tally.peak_told["complete"] / peak if peak else 0.0
+    print(f"\nat the peak: {share:.1%} of {peak} jobs complete")
+    sent = sum(starts.values()) + refused
+    print(f"messages sent to targets: {sent}, refused as full: {refused / sent:.2%}")
+    doubles = sum(1 for count in starts.values() if count > 1)
+    print(f"tasks started twice: {doubles}")
+    if doubles:
+        raise typer.Exit(1)
--- a/gentianhub/cli/development.py
+++ b/gentianhub/cli/development.py
@@ -7,11 +7,13 @@
 import typer
 from gevent.event import Event
 
+from gentianhub.cli.demo import run_demo
 from gentianhub.observability import configure_logging
 from gentianhub.stand_ins.platform import PlatformStandIn, serve_platform
 from gentianhub.stand_ins.target import TargetStandIn, serve_target
 
 development = typer.Typer(help="Stand-ins for development and tests.")
+development.command("demo")(run_demo)
 
 Port = Annotated[int, typer.Option(min=1, max=65535, help="Port on 127.0.0.1.")]
 
--- a/gentianhub/cli/main.py
+++ b/gentianhub/cli/main.py
@@ -5,19 +5,25 @@
 from typing import Annotated
 
 import typer
+from geventhttpclient import HTTPClient
 
 from gentianhub.cli.development import development
+from gentianhub.cli.jobs import cancel_job, show_job, submit_job
 from gentianhub.core import SettingsError
 from gentianhub.entry.process import EntryProcess
 from gentianhub.observability import configure_logging
 from gentianhub.settings import load_settings, select_process
 
 EXIT_BAD_SETTINGS = 2
+EXIT_UNREACHABLE = 1
 
 app = typer.Typer(
     help="Dispatcher for sub-second tasks.", no_args_is_help=True, add_completion=False
 )
 app.add_typer(development, name="development")
+app.command("submit")(submit_job)
+app.command("status")(show_job)
+app.command("cancel")(cancel_job)
 
 
 @app.command("entry")
@@ -36,6 +42,22 @@
     EntryProcess(host=host, process=selected).run()
 
 
+@app.command("dump")
+def print_dump(
+    operators: Annotated[str, typer.Argument(help="HOST:PORT of an operator port.")],
+) -> None:
+    """Print the state of one entry process as JSON."""
+    host, _, port = operators.rpartition(":")
+    client = HTTPClient(host, int(port))
+    try:
+        print(bytes(client.get("/dump").read()).decode())
+    except OSError as error:
+        print(f"{operators}: {error}", file=sys.stderr)
+        raise typer.Exit(EXIT_UNREACHABLE) from None
+    finally:
+        client.close()
+
+
 def run() -> None:
     """Run the command line."""
     app()
--- a/gentianhub/entry/tests/test_whole_path.py
+++ b/gentianhub/entry/tests/test_whole_path.py
@@ -6,6 +6,7 @@
     EntryPlan,
     TargetPlan,
     start_deployment,
+    wait_until_serving,
 )
 
 ROWS = [
@@ -30,13 +31,7 @@
         )
         self.deployment = self.enterContext(deployment)
         self.entry = self.deployment.entries["e1"]
-        self.wait_for_table()
-
-    def wait_for_table(self):
-        while True:
-            _, dump = self.entry.call("operators", "GET", "/dump")
-            if dump["table_version"] and dump["slots_held"]:
-                return
+        wait_until_serving(self.deployment)
 
     def count_starts(self) -> dict[str, int]:
         starts: dict[str, int] = {}
--- a/gentianhub/platform/client.py
+++ b/gentianhub/platform/client.py
@@ -8,10 +8,19 @@
 import gevent
 from attrs import define, frozen
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from gentianhub.core import PlatformError, Step
 
 REQUEST_TIMEOUT_S = 1.0
+EXCHANGE_ERRORS = (
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    HTTPConnectionClosed,
+    HTTPParseError,
+)
 
 
 @frozen(kw_only=True)
@@ -69,7 +78,7 @@
                 response = self._client.request(method, path, body=body)
                 reply = bytes(response.read())
                 status = response.status_code
-        except (OSError, EOFError, ValueError, TimeoutError) as error:
+        except EXCHANGE_ERRORS as error:
             self._client.close()
             raise PlatformError(step=step, peer=self.peer, reason=repr(error)) from None
         if status not in (200, 409):
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -162,6 +162,19 @@
         )
 
 
+def wait_until_serving(deployment: Deployment) -> None:
+    """Block until each entry process has a table and slots of targets."""
+    for entry in deployment.entries.values():
+        with gevent.Timeout(START_TIMEOUT_S):
+            while not _is_serving(entry):
+                gevent.sleep(FIRST_POLL_S)
+
+
+def _is_serving(entry: Child) -> bool:
+    _, dump = entry.call("operators", "GET", "/dump")
+    return bool(dump["table_version"] and dump["slots_held"])
+
+
 def start_target(plan: TargetPlan):
     """Return the context of one stand-in target process."""
     (port,) = reserve_ports(1)
--- a/gentianhub/targets/exchange.py
+++ b/gentianhub/targets/exchange.py
@@ -7,6 +7,7 @@
 import gevent
 from attrs import define, field, frozen
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from gentianhub.core import (
     Complete,
@@ -25,6 +26,14 @@
 REPLY_GRACE_S = 30.0
 MAX_RESULT_BYTES = 8 * 1024 * 1024
 NOT_RUN_STATUSES = frozenset({429, 503})
+EXCHANGE_ERRORS = (
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    HTTPConnectionClosed,
+    HTTPParseError,
+)
 
 
 @frozen(kw_only=True)
@@ -66,7 +75,7 @@
         try:
             with gevent.Timeout(remaining_s + REPLY_GRACE_S, TimeoutError):
                 return self._post(start, remaining_s)
-        except (OSError, EOFError, ValueError, TimeoutError) as error:
+        except EXCHANGE_ERRORS as error:
             self.close()
             return Exchange(outcome=self._build_unknown(error))
 
