Add the load driver for the decisions

Cause: policies can only be kept or dropped on figures, and figures need one seeded load for all of them. The dispatcher takes `choose_target` as a field and reads the host list in sorted order, since the order of a set changes with the hash seed.

--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,138 @@
+"""Figures of a run, as ratios within the run or between runs of one seed."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from attrs import frozen
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.driver import Attempt, JobTrace, LoadRun
+from benchmarks.workload import LoadPlan
+
+RATIO_UNIT = 1000
+HIGHEST = 10_000_000
+SIGNIFICANT_FIGURES = 3
+RECOVERY_WINDOW_S = 0.5
+RECOVERY_FACTOR = 1.5
+
+
+@frozen(kw_only=True)
+class Quantiles:
+    """Quantiles of a ratio or of a time."""
+
+    p50: float
+    p99: float
+    p999: float
+    count: int
+
+
+def measure_quantiles(values: Iterable[float]) -> Quantiles:
+    """Return the quantiles of values, with three significant figures."""
+    histogram = HdrHistogram(1, HIGHEST, SIGNIFICANT_FIGURES)
+    for value in values:
+        histogram.record_value(min(HIGHEST, max(1, round(value * RATIO_UNIT))))
+    p50, p99, p999 = (
+        histogram.get_value_at_percentile(q) / RATIO_UNIT for q in (50, 99, 99.9)
+    )
+    return Quantiles(p50=p50, p99=p99, p999=p999, count=histogram.get_total_count())
+
+
+def compute_ideal_s(plan: LoadPlan, trace: JobTrace) -> float:
+    """Return the response time of the job alone on idle targets of mean speed."""
+    arrival = trace.arrival
+    longest_s = max(arrival.runs_s)
+    return max(longest_s, arrival.work_s / plan.slots) / plan.mean_speed
+
+
+def measure_responses(run: LoadRun) -> dict[str, Quantiles]:
+    """Return response over ideal per service, and under "all" of all jobs.
+
+    Jobs that were refused or failed are not in the quantiles; `measure_answered`
+    gives their share.
+    """
+    ratios = defaultdict(list)
+    for trace in run.traces:
+        if trace.is_complete:
+            ratio = trace.response_s / compute_ideal_s(run.plan, trace)
+            ratios[trace.arrival.service].append(ratio)
+            ratios["all"].append(ratio)
+    return {name: measure_quantiles(values) for name, values in ratios.items()}
+
+
+def measure_answered(run: LoadRun, service: str | None = None) -> float:
+    """Return jobs complete within their deadline over jobs submitted."""
+    traces = [t for t in run.traces if service in (None, t.arrival.service)]
+    return sum(trace.in_deadline for trace in traces) / max(1, len(traces))
+
+
+def measure_wasted(run: LoadRun) -> float:
+    """Return attempts sent over attempts needed, less 1.
+
+    Needed is one attempt for each task of a job that was answered completely.
+    """
+    sent = sum(len(trace.attempts) for trace in run.traces)
+    needed = sum(len(t.arrival.runs_s) for t in run.traces if t.is_complete)
+    return sent / max(1, needed) - 1
+
+
+def measure_goodput(run: LoadRun, start_s: float, end_s: float) -> float:
+    """Return useful work done in a period over the capacity in it.
+
+    Useful is the work of jobs that were answered within their deadline.
+    """
+    useful_s = sum(
+        _overlap_s(attempt, start_s, end_s) * attempt.speed
+        for trace in run.traces
+        if trace.in_deadline
+        for attempt in trace.attempts
+    )
+    return useful_s / (run.plan.capacity * (end_s - start_s))
+
+
+def _overlap_s(attempt: Attempt, start_s: float, end_s: float) -> float:
+    return max(0.0, min(attempt.end_s, end_s) - max(attempt.start_s, start_s))
+
+
+def measure_short_waits(run: LoadRun) -> Quantiles:
+    """Return the time from submission to first start of tasks of short services."""
+    return measure_quantiles(_list_short_waits(run))
+
+
+def _list_short_waits(run: LoadRun) -> Iterator[float]:
+    long_services = {s.name for s in run.plan.services if s.is_long}
+    for trace in run.traces:
+        if trace.arrival.service in long_services:
+            continue
+        first = {}
+        for attempt in trace.attempts:
+            first.setdefault(attempt.task_id.index, attempt.start_s)
+        yield from (start_s - trace.arrival.at_s for start_s in first.values())
+
+
+def measure_recovery_s(run: LoadRun) -> float:
+    """Return the time from the end of the peak until service is normal.
+
+    Normal is a period without refusals or failures in which the median response
+    over ideal is at most `RECOVERY_FACTOR` times that before the peak.
+    """
+    peak = run.plan.peak
+    before = [t for t in run.traces if t.arrival.at_s < peak.start_s]
+    normal = _median_ratio(run.plan, before) * RECOVERY_FACTOR
+    abnormal_end_s = peak.end_s
+    windows = int((run.plan.length_s - peak.end_s) / RECOVERY_WINDOW_S)
+    for index in range(windows):
+        start_s = peak.end_s + index * RECOVERY_WINDOW_S
+        end_s = start_s + RECOVERY_WINDOW_S
+        window = [t for t in run.traces if start_s <= t.arrival.at_s < end_s]
+        is_whole = all(trace.in_deadline for trace in window)
+        if not is_whole or _median_ratio(run.plan, window) > normal:
+            abnormal_end_s = end_s
+    return abnormal_end_s - peak.end_s
+
+
+def _median_ratio(plan: LoadPlan, traces: list[JobTrace]) -> float:
+    return measure_quantiles(
+        trace.response_s / compute_ideal_s(plan, trace)
+        for trace in traces
+        if trace.is_complete
+    ).p50
--- /dev/null
+++ b/benchmarks/workload.py
@@ -0,0 +1,286 @@
+"""Seeded workloads: targets, services and the jobs that their callers submit."""
+
+import math
+import random
+from collections.abc import Iterator
+
+from attrs import evolve, field, frozen
+
+from gentianhub.core import JobRequest, Table, TargetAddress, Task
+from gentianhub.core.table import ServiceRow, TargetRow, TeamRow
+
+SHORTEST_RUN_S = 0.05
+LONGEST_RUN_S = 1.0
+TAIL_FACTORS = (5.0, 30.0)
+TAIL_SHARE = 0.002
+RUN_SIGMA = 0.4
+MAX_JOB_TASKS = 170
+KIND_COUNT = 4
+
+
+@frozen(kw_only=True)
+class Healthy:
+    """The target runs what it is sent."""
+
+
+@frozen(kw_only=True)
+class FailsAll:
+    """The target reports that every task ran and failed, after `after_s`."""
+
+    after_s: float = 0.005
+
+
+@frozen(kw_only=True)
+class RefusesAll:
+    """The target answers "not run" to every task, after `after_s`."""
+
+    after_s: float = 0.005
+
+
+FailureMode = Healthy | FailsAll | RefusesAll
+
+
+@frozen(kw_only=True)
+class TargetPlan:
+    """A fake target; a task's run time there is its run time over `speed`."""
+
+    name: str
+    slots: int = 8
+    speed: float = 1.0
+    mode: FailureMode = field(factory=Healthy)
+
+
+@frozen(kw_only=True)
+class ServicePlan:
+    """A service and its callers.
+
+    `share` is the service's part of the offered work. `mean_tasks` is the mean
+    size of its jobs. `run_s` is the run time at speed 1 of its median task.
+    """
+
+    name: str
+    team: str
+    share: float
+    mean_tasks: float = 6.0
+    run_s: float = 0.25
+    deadline_s: float = 8.0
+    weight: float = 1.0
+    is_long: bool = False
+
+
+@frozen(kw_only=True)
+class Peak:
+    """Demand is `factor` times the normal one for `length_s` from `start_s`."""
+
+    start_s: float
+    length_s: float
+    factor: float = 5.0
+
+    @property
+    def end_s(self) -> float:
+        """End of the peak in seconds."""
+        return self.start_s + self.length_s
+
+
+@frozen(kw_only=True)
+class LoadPlan:
+    """One run: who offers how much to which targets, for how long."""
+
+    seed: int
+    services: tuple[ServicePlan, ...]
+    targets: tuple[TargetPlan, ...]
+    length_s: float = 40.0
+    load: float = 0.7
+    peak: Peak | None = None
+
+    @property
+    def slots(self) -> int:
+        """Slots of all targets."""
+        return sum(target.slots for target in self.targets)
+
+    @property
+    def capacity(self) -> float:
+        """Work per second that healthy targets finish, in seconds at speed 1."""
+        return sum(
+            target.slots * target.speed
+            for target in self.targets
+            if isinstance(target.mode, Healthy)
+        )
+
+    @property
+    def mean_speed(self) -> float:
+        """Mean speed of a slot."""
+        return sum(t.slots * t.speed for t in self.targets) / self.slots
+
+    def build_table(self) -> Table:
+        """Return the table with the services, their teams and the targets."""
+        teams = sorted({service.team for service in self.services})
+        return Table(
+            version=1,
+            teams={name: TeamRow(name=name) for name in teams},
+            services={
+                s.name: ServiceRow(name=s.name, team=s.team, weight=s.weight)
+                for s in self.services
+            },
+            targets={
+                t.name: TargetRow(name=t.name, slots=t.slots) for t in self.targets
+            },
+        )
+
+    def list_addresses(self) -> tuple[TargetAddress, ...]:
+        """Return the targets as the platform's host list shows them."""
+        return tuple(
+            TargetAddress(name=t.name, data_centre="olten", host="127.0.0.1", port=1)
+            for t in self.targets
+        )
+
+
+@frozen(kw_only=True)
+class Arrival:
+    """A job and the run times of its tasks at speed 1, in seconds."""
+
+    at_s: float
+    service: str
+    request: JobRequest
+    runs_s: tuple[float, ...]
+
+    @property
+    def work_s(self) -> float:
+        """Work of the whole job in seconds at speed 1."""
+        return sum(self.runs_s)
+
+
+DEFAULT_SERVICES = (
+    ServicePlan(name="slot-check", team="abris", share=0.15, mean_tasks=1.5, run_s=0.1),
+    ServicePlan(name="render", team="abris", share=0.30, mean_tasks=8.0, run_s=0.4),
+    ServicePlan(name="rotation", team="abris", share=0.20, mean_tasks=20.0),
+    ServicePlan(name="stock", team="kryoval", share=0.10, mean_tasks=2.0, run_s=0.12),
+    ServicePlan(name="booking", team="kryoval", share=0.15, mean_tasks=4.0),
+    ServicePlan(name="dispatch", team="kryoval", share=0.10, mean_tasks=3.0, run_s=0.3),
+)
+LONG_SERVICE = ServicePlan(
+    name="archive",
+    team="archive",
+    share=0.25,
+    mean_tasks=20.0,
+    run_s=5.0,
+    deadline_s=120.0,
+    is_long=True,
+)
+
+
+def draw_targets(
+    seed: int, *, count: int = 24, broken: int = 0, mode: FailureMode | None = None
+) -> tuple[TargetPlan, ...]:
+    """Return targets with speeds spread from 0.5 to 2; the first ones broken."""
+    speeds = [0.5 * 4 ** (index / max(1, count - 1)) for index in range(count)]
+    random.Random(f"{seed}/targets").shuffle(speeds)
+    return tuple(
+        TargetPlan(
+            name=f"target-{index:04}",
+            speed=speed,
+            mode=mode or FailsAll() if index < broken else Healthy(),
+        )
+        for index, speed in enumerate(speeds)
+    )
+
+
+def build_plan(
+    seed: int,
+    *,
+    services: tuple[ServicePlan, ...] = DEFAULT_SERVICES,
+    targets: tuple[TargetPlan, ...] | None = None,
+    **options,
+) -> LoadPlan:
+    """Return the default mix: 24 targets of 8 slots at 70% load."""
+    targets = targets or draw_targets(seed)
+    return LoadPlan(seed=seed, services=services, targets=targets, **options)
+
+
+def add_long_service(plan: LoadPlan) -> LoadPlan:
+    """Return the plan with long work in place of a part of the short work."""
+    short = tuple(
+        evolve(service, share=service.share * (1 - LONG_SERVICE.share))
+        for service in plan.services
+    )
+    return evolve(plan, services=(*short, LONG_SERVICE))
+
+
+def draw_arrivals(plan: LoadPlan) -> Iterator[Arrival]:
+    """Yield all jobs in the order of their arrival."""
+    jobs = [job for service in plan.services for job in _draw_service(plan, service)]
+    yield from sorted(jobs, key=lambda job: (job.at_s, job.service))
+
+
+def _draw_service(plan: LoadPlan, service: ServicePlan) -> Iterator[Arrival]:
+    # One generator per service, so that the jobs of a service stay the same when
+    # another service is added.
+    rng = random.Random(f"{plan.seed}/{service.name}")
+    kinds = [service.run_s * factor for factor in _spread_kinds()]
+    work_per_s = plan.capacity * plan.load * service.share
+    mean_work_s = _estimate_job_work_s(service, kinds)
+    at_s = 0.0
+    number = 0
+    while True:
+        rate = work_per_s / mean_work_s * _get_demand(plan.peak, at_s)
+        at_s += rng.expovariate(rate)
+        if at_s >= plan.length_s:
+            return
+        number += 1
+        yield _draw_job(rng, service, kinds, at_s, number)
+
+
+def _get_demand(peak: Peak | None, at_s: float) -> float:
+    if peak is not None and peak.start_s <= at_s < peak.end_s:
+        return peak.factor
+    return 1.0
+
+
+def _spread_kinds() -> Iterator[float]:
+    for index in range(KIND_COUNT):
+        yield 2.0 ** (index - (KIND_COUNT - 1) / 2)
+
+
+def _draw_job(
+    rng: random.Random,
+    service: ServicePlan,
+    kinds: list[float],
+    at_s: float,
+    number: int,
+) -> Arrival:
+    count = _draw_count(rng, service)
+    chosen = [rng.randrange(KIND_COUNT) for _ in range(count)]
+    runs_s = tuple(_draw_run_s(rng, service, kinds[kind]) for kind in chosen)
+    tasks = tuple(Task(kind=f"{service.name}-{kind}", body=b"") for kind in chosen)
+    request = JobRequest(
+        service=service.name,
+        tasks=tasks,
+        deadline_s=service.deadline_s,
+        idempotent=True,
+        digest=f"{service.name}/{number}",
+    )
+    return Arrival(at_s=at_s, service=service.name, request=request, runs_s=runs_s)
+
+
+def _draw_count(rng: random.Random, service: ServicePlan) -> int:
+    count = math.ceil(rng.expovariate(1 / service.mean_tasks))
+    if service.mean_tasks > 4 and rng.random() < 0.02:
+        count = MAX_JOB_TASKS
+    return min(MAX_JOB_TASKS, max(1, count))
+
+
+def _draw_run_s(rng: random.Random, service: ServicePlan, median_s: float) -> float:
+    run_s = rng.lognormvariate(math.log(median_s), RUN_SIGMA)
+    if service.is_long:
+        return min(30.0, run_s)
+    run_s = min(LONGEST_RUN_S, max(SHORTEST_RUN_S, run_s))
+    if rng.random() < TAIL_SHARE:
+        run_s = service.run_s * rng.uniform(*TAIL_FACTORS)
+    return run_s
+
+
+def _estimate_job_work_s(service: ServicePlan, kinds: list[float]) -> float:
+    """Return the mean work of a job, from a sample with a generator of its own."""
+    rng = random.Random(f"sample/{service.name}")
+    sample = [_draw_job(rng, service, kinds, 0.0, 0).work_s for _ in range(1500)]
+    return sum(sample) / len(sample)
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -1,7 +1,7 @@
 """The dispatcher's decisions: events in, effects out, no socket and no clock."""
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, field, frozen
 
@@ -56,6 +56,7 @@
 
     owner: Incarnation
     order: TaskOrder = field(factory=lambda: FirstInFirstOut())
+    choose_target: Callable[[SlotHoldings], str | None] = choose_most_idle
     table: Table = field(factory=lambda: Table())
     ledger: Ledger = field(init=False)
     holdings: SlotHoldings = field(init=False, factory=lambda: SlotHoldings())
@@ -133,7 +134,7 @@
 
     def _start_tasks(self, now_s: float) -> Iterator[fx.Effect]:
         """Pair queued tasks with idle slots until one of them runs out."""
-        while (target := choose_most_idle(self.holdings)) is not None:
+        while (target := self.choose_target(self.holdings)) is not None:
             entry = self.order.pop(now_s)
             if entry is None:
                 return
@@ -259,7 +260,7 @@
             self.holdings.drop_target(name)
         for name in {target.name for target in targets if target.leaving}:
             self.holdings.drop_target(name)
-        for name in names - self._leaving:
+        for name in sorted(names - self._leaving):
             self.holdings.set_held(name, self.table.get_target(name).slots)
         yield from ()
 
