Run seeded faults over real processes and audit what callers were told

Cause: the promises need a run that would break them. The first run found one fault at once: a geventhttpclient client is closed for good by close(), so a target connection whose exchange had failed gave a false "unknown" for its next task, and the platform's watcher never read again after an outage. Ruled out: recreating clients in each package (three copies of one rule). Change: web.HttpConnection opens anew after a reset and is used towards targets, the platform and entry processes; fault_run package with kills, pauses, drains, cuts, platform outages, lost replies, failing and leaving targets; an audit of answers against the starts that targets wrote down; tests of the audit itself.

--- a/gentianhub/cli/development.py
+++ b/gentianhub/cli/development.py
@@ -1,6 +1,7 @@
 """Development commands: the stand-ins for the platform and for targets."""
 
 import signal
+from pathlib import Path
 from typing import Annotated
 
 import gevent
@@ -8,12 +9,14 @@
 from gevent.event import Event
 
 from gentianhub.cli.demo import run_demo
+from gentianhub.fault_run import run_command
 from gentianhub.observability import configure_logging
 from gentianhub.stand_ins.platform import PlatformStandIn, serve_platform
 from gentianhub.stand_ins.target import TargetStandIn, serve_target
 
 development = typer.Typer(help="Stand-ins for development and tests.")
 development.command("demo")(run_demo)
+development.command("fault-run")(run_command)
 
 Port = Annotated[int, typer.Option(min=1, max=65535, help="Port on 127.0.0.1.")]
 
@@ -39,9 +42,14 @@
     name: Annotated[str, typer.Option(help="Name of the target.")],
     slots: Annotated[int, typer.Option(min=1)] = 8,
     speed: Annotated[float, typer.Option(min=0.01, help="1.0 is normal.")] = 1.0,
+    starts_file: Annotated[
+        Path | None, typer.Option(help="File to which each start is appended.")
+    ] = None,
 ) -> None:
     """Serve a stand-in target that waits for each task's run time."""
     configure_logging(process=name, level="warning")
-    stand_in = TargetStandIn(name=name, slots=slots, speed=speed)
+    stand_in = TargetStandIn(
+        name=name, slots=slots, speed=speed, starts_file=starts_file
+    )
     with serve_target(stand_in, ("127.0.0.1", port)):
         _wait_for_signal()
--- a/gentianhub/client/client.py
+++ b/gentianhub/client/client.py
@@ -108,9 +108,14 @@
             case answer:
                 return answer
 
-    def submit_job(self, job: JobContent, until_s: float) -> JobId | Refusal:
-        """Submit a job under one id, again while it is uncertain or refused."""
-        job_id = self._draw_id(until_s)
+    def submit_job(
+        self, job: JobContent, until_s: float, job_id: JobId | None = None
+    ) -> JobId | Refusal:
+        """Submit a job under one id, again while it is uncertain or refused.
+
+        Give the `job_id` of an earlier submission to submit the same job again.
+        """
+        job_id = job_id or self._draw_id(until_s)
         if isinstance(job_id, Refusal):
             return job_id
         reply = self._submit(job, job_id, until_s, wait_s=0.0)
--- a/gentianhub/client/exchange.py
+++ b/gentianhub/client/exchange.py
@@ -5,22 +5,14 @@
 from contextlib import ExitStack, contextmanager
 
 from attrs import define, field, frozen
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from gentianhub.client.codec import decode_refusal
 from gentianhub.core import Refusal, RefusalKind, RunState, Step
+from gentianhub.web import EXCHANGE_ERRORS, HttpConnection, open_connection
 
 CONNECT_TIMEOUT_S = 2.0
 # Longer than the longest wait that the caller port allows.
 REPLY_TIMEOUT_S = 90.0
-EXCHANGE_ERRORS = (
-    OSError,
-    EOFError,
-    ValueError,
-    HTTPConnectionClosed,
-    HTTPParseError,
-)
 
 
 @frozen(kw_only=True)
@@ -39,14 +31,15 @@
     """Sends requests to one entry process at a time and moves on when it fails."""
 
     addresses: tuple[EntryAddress, ...]
-    _clients: tuple[HTTPClient, ...]
+    _connections: tuple[HttpConnection, ...]
     _current: int = field(init=False, default=0)
 
     def request(self, method: str, path: str, content=None) -> dict | Refusal:
         """Return the decoded reply, or a refusal that says what is certain."""
         body = b"" if content is None else json.dumps(content).encode()
         try:
-            response = self._clients[self._current].request(method, path, body=body)
+            connection = self._connections[self._current]
+            response = connection.request(method, path, body)
             status, reply = response.status_code, bytes(response.read())
             decoded = json.loads(reply)
         except EXCHANGE_ERRORS as error:
@@ -61,7 +54,7 @@
 
     def _change_address(self, error: Exception) -> Refusal:
         failed = self.addresses[self._current]
-        self._clients[self._current].close()
+        self._connections[self._current].reset()
         self.use_next_address()
         return Refusal(
             kind=RefusalKind.UNAVAILABLE,
@@ -76,15 +69,15 @@
 def open_exchange(addresses: tuple[EntryAddress, ...]) -> Iterator[EntryExchange]:
     """Own one connection to each entry process; close them at the end."""
     with ExitStack() as stack:
-        clients = []
-        for address in addresses:
-            client = HTTPClient(
-                address.host,
-                address.port,
-                concurrency=1,
-                connection_timeout=CONNECT_TIMEOUT_S,
-                network_timeout=REPLY_TIMEOUT_S,
+        connections = tuple(
+            stack.enter_context(
+                open_connection(
+                    address.host,
+                    address.port,
+                    connect_timeout_s=CONNECT_TIMEOUT_S,
+                    reply_timeout_s=REPLY_TIMEOUT_S,
+                )
             )
-            stack.callback(client.close)
-            clients.append(client)
-        yield EntryExchange(addresses=addresses, clients=tuple(clients))
+            for address in addresses
+        )
+        yield EntryExchange(addresses=addresses, connections=connections)
--- /dev/null
+++ b/gentianhub/fault_run/faults.py
@@ -0,0 +1,145 @@
+"""Applies faults to a testbed and takes them back."""
+
+import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from attrs import define, field
+
+from gentianhub.fault_run import plan as faults
+from gentianhub.fault_run.testbed import Testbed
+from gentianhub.stand_ins.sites import Reachable, Unreachable
+
+
+@define(kw_only=True, eq=False)
+class FaultInjector:
+    """Runs faults, each in a greenlet; one fault at a time holds a process."""
+
+    testbed: Testbed
+    counts: dict[str, int] = field(factory=dict)
+    _busy: set[str] = field(factory=set)
+
+    def run_fault(self, planned: faults.PlannedFault) -> None:
+        """Apply a fault, wait, and take it back."""
+        subject = find_subject(planned.fault)
+        if subject in self._busy:
+            return
+        self._busy.add(subject)
+        try:
+            name = type(planned.fault).__name__
+            self.counts[name] = self.counts.get(name, 0) + 1
+            with self._apply(planned.fault):
+                gevent.sleep(planned.lasts_s)
+        finally:
+            self._busy.discard(subject)
+
+    @contextmanager
+    def _apply(self, fault: faults.Fault) -> Iterator[None]:
+        match fault:
+            case faults.KillEntry(entry=name) | faults.KillTarget(target=name):
+                with self._stopped(name, signal.SIGKILL):
+                    yield
+            case faults.DrainEntry(entry=name):
+                with self._stopped(name, signal.SIGTERM):
+                    yield
+            case faults.PauseEntry(entry=name) | faults.PauseTarget(target=name):
+                child = self.testbed.children[name]
+                child.send_signal(signal.SIGSTOP)
+                yield
+                child.send_signal(signal.SIGCONT)
+            case faults.FailTarget(target=name):
+                with self._faulty_target(name, "fails"):
+                    yield
+            case faults.LeaveTarget(target=name):
+                with self._faulty_target(name, "is_leaving"):
+                    yield
+            case _:
+                with self._cut(fault):
+                    yield
+
+    @contextmanager
+    def _cut(self, fault: faults.Fault) -> Iterator[None]:
+        sites = self.testbed.sites
+        match fault:
+            case faults.CutEntryLinks(entry=name):
+                with self._cut_relays(lambda entry, _: entry == name):
+                    yield
+            case faults.CutDataCentre(data_centre=name):
+                with self._cut_off(name):
+                    yield
+            case faults.PlatformOutage():
+                with self._changed_paths(list(sites), Unreachable()):
+                    yield
+            case faults.SlowPlatform(delay_s=delay_s):
+                with self._changed_paths(list(sites), Reachable(delay_s=delay_s)):
+                    yield
+            case faults.DropReplies(count=count):
+                self.testbed.platform.drop_replies += count
+                yield
+
+    @contextmanager
+    def _stopped(self, name: str, number: signal.Signals) -> Iterator[None]:
+        self.testbed.stop(name, number)
+        yield
+        self.testbed.start(name)
+
+    @contextmanager
+    def _faulty_target(self, name: str, switch: str) -> Iterator[None]:
+        child = self.testbed.children[name]
+        child.call("target", "POST", "/faults", {switch: True})
+        yield
+        child.call("target", "POST", "/faults", {switch: False})
+
+    @contextmanager
+    def _cut_off(self, data_centre: str) -> Iterator[None]:
+        """Cut the links between a data centre and the others, and its platform."""
+        home = {plan.name: plan.data_centre for plan in self.testbed.plan.entries}
+
+        def crosses(entry: str, viewer: str) -> bool:
+            return (home[entry] == data_centre) != (viewer == data_centre)
+
+        with (
+            self._cut_relays(crosses),
+            self._changed_paths([data_centre], Unreachable()),
+        ):
+            yield
+
+    @contextmanager
+    def _cut_relays(self, is_cut) -> Iterator[None]:
+        relays = [relay for key, relay in self.testbed.relays.items() if is_cut(*key)]
+        for relay in relays:
+            relay.cut_link()
+        yield
+        for relay in relays:
+            relay.restore_link()
+
+    @contextmanager
+    def _changed_paths(self, names: list[str], path) -> Iterator[None]:
+        for name in names:
+            self.testbed.sites[name].path = path
+        yield
+        for name in names:
+            self.testbed.sites[name].path = Reachable()
+
+
+def find_subject(fault: faults.Fault) -> str:
+    """Return what a fault holds, so that two do not undo each other."""
+    match fault:
+        case (
+            faults.KillEntry(entry=name)
+            | faults.PauseEntry(entry=name)
+            | faults.DrainEntry(entry=name)
+        ):
+            return name
+        case (
+            faults.KillTarget(target=name)
+            | faults.PauseTarget(target=name)
+            | faults.FailTarget(target=name)
+            | faults.LeaveTarget(target=name)
+        ):
+            return name
+        case faults.CutEntryLinks() | faults.CutDataCentre():
+            return "links"
+        case faults.PlatformOutage() | faults.SlowPlatform() | faults.DropReplies():
+            return "platform"
--- /dev/null
+++ b/gentianhub/fault_run/tests/test_run.py
@@ -0,0 +1,18 @@
+"""A short seeded run over real processes with faults."""
+
+import unittest
+
+from gentianhub.fault_run import RunPlan, run_faults
+
+
+class FaultRunTest(unittest.TestCase):
+    """Guards against double starts, false refusals and partial answers."""
+
+    def test_no_promise_is_broken(self):
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                plan = RunPlan(seed=seed, duration_s=12, callers=8, fault_gap_s=1.5)
+                result = run_faults(plan)
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.starts, 0)
+                self.assertGreater(sum(result.faults.values()), 2)
--- a/gentianhub/platform/client.py
+++ b/gentianhub/platform/client.py
@@ -7,20 +7,11 @@
 
 import gevent
 from attrs import define, frozen
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from gentianhub.core import PlatformError, Step
+from gentianhub.web import EXCHANGE_ERRORS, HttpConnection, open_connection
 
 REQUEST_TIMEOUT_S = 1.0
-EXCHANGE_ERRORS = (
-    OSError,
-    EOFError,
-    ValueError,
-    TimeoutError,
-    HTTPConnectionClosed,
-    HTTPParseError,
-)
 
 
 @frozen(kw_only=True)
@@ -44,7 +35,7 @@
     """One connection to the platform; used by one greenlet."""
 
     peer: str
-    _client: HTTPClient
+    _connection: HttpConnection
     timeout_s: float = REQUEST_TIMEOUT_S
 
     def read_rows(self, prefix: str, after: str = "") -> tuple[VersionedRow, ...]:
@@ -75,11 +66,11 @@
         body = b"" if content is None else json.dumps(content).encode()
         try:
             with gevent.Timeout(self.timeout_s, TimeoutError):
-                response = self._client.request(method, path, body=body)
+                response = self._connection.request(method, path, body)
                 reply = bytes(response.read())
                 status = response.status_code
         except EXCHANGE_ERRORS as error:
-            self._client.close()
+            self._connection.reset()
             raise PlatformError(step=step, peer=self.peer, reason=repr(error)) from None
         if status not in (200, 409):
             raise PlatformError(step=step, peer=self.peer, reason=f"status {status}")
@@ -91,16 +82,9 @@
     host: str, port: int, timeout_s: float = REQUEST_TIMEOUT_S
 ) -> Iterator[PlatformClient]:
     """Own one connection to the platform; close it at the end."""
-    client = HTTPClient(
-        host,
-        port,
-        concurrency=1,
-        connection_timeout=timeout_s,
-        network_timeout=timeout_s,
-    )
-    try:
+    with open_connection(
+        host, port, connect_timeout_s=timeout_s, reply_timeout_s=timeout_s
+    ) as connection:
         yield PlatformClient(
-            peer=f"platform {host}:{port}", client=client, timeout_s=timeout_s
+            peer=f"platform {host}:{port}", connection=connection, timeout_s=timeout_s
         )
-    finally:
-        client.close()
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -6,8 +6,6 @@
 
 import json
 import signal
-import socket
-import subprocess
 import sys
 import tempfile
 from collections.abc import Iterator
@@ -16,6 +14,7 @@
 
 import gevent
 from attrs import define, frozen
+from gevent import socket, subprocess
 from geventhttpclient import HTTPClient
 
 LOOPBACK = "127.0.0.1"
@@ -202,6 +201,18 @@
     return start_child(plan.name, arguments, waited, plan.data_centre)
 
 
+def build_first_change(table_rows: list[dict]) -> dict:
+    """Return the change that makes version 1 of the table."""
+    return {
+        "version": 1,
+        "change_id": "first",
+        "author": "development",
+        "reason": "first version",
+        "rows": table_rows,
+        "removals": [],
+    }
+
+
 def fill_platform(
     platform: Child,
     entries: list[EntryPlan],
@@ -234,17 +245,9 @@
         ],
     }
     platform.call("platform", "PUT", "/hosts", hosts)
-    change = {
-        "version": 1,
-        "change_id": "first",
-        "author": "development",
-        "reason": "first version",
-        "rows": table_rows,
-        "removals": [],
-    }
     writes = [
         {"key": "table/head", "value": {"version": 1}},
-        {"key": "table/change/000000000001", "value": change},
+        {"key": "table/change/000000000001", "value": build_first_change(table_rows)},
     ]
     platform.call(
         "platform", "POST", "/table/transact", {"checks": [], "writes": writes}
--- /dev/null
+++ b/gentianhub/stand_ins/relay.py
@@ -0,0 +1,96 @@
+"""TCP relay between processes that can be cut, for partitions in tests."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from attrs import define, field, frozen
+from gevent import socket
+from gevent.server import StreamServer
+
+CHUNK_BYTES = 65536
+LOOPBACK = "127.0.0.1"
+
+
+@frozen(kw_only=True)
+class Passing:
+    """Bytes pass in both directions."""
+
+
+@frozen(kw_only=True)
+class Cut:
+    """Open connections are closed and new ones are refused."""
+
+
+@define(kw_only=True, eq=False)
+class Relay:
+    """Passes connections on to `target_port` while its link is up."""
+
+    target_port: int
+    link: Passing | Cut = field(factory=Passing)
+    _open: set[socket.socket] = field(init=False, factory=set)
+
+    def cut_link(self) -> None:
+        """Close every connection and refuse new ones."""
+        self.link = Cut()
+        for sock in self._open:
+            _close(sock)
+
+    def restore_link(self) -> None:
+        """Accept connections again."""
+        self.link = Passing()
+
+    def handle(self, near: socket.socket, _address) -> None:
+        """Relay one connection until either side closes it."""
+        match self.link:
+            case Cut():
+                near.close()
+            case Passing():
+                self._relay(near)
+
+    def _relay(self, near: socket.socket) -> None:
+        try:
+            far = socket.create_connection((LOOPBACK, self.target_port), timeout=5)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        pair = {near, far}
+        for sock in pair:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._open |= pair
+        try:
+            copies = [gevent.spawn(_copy, near, far), gevent.spawn(_copy, far, near)]
+            gevent.joinall(copies, count=1)
+            gevent.killall(copies)
+        finally:
+            self._open -= pair
+            near.close()
+            far.close()
+
+
+def _copy(source: socket.socket, sink: socket.socket) -> None:
+    try:
+        while chunk := source.recv(CHUNK_BYTES):
+            sink.sendall(chunk)
+    except OSError:
+        return
+
+
+def _close(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
+
+
+@contextmanager
+def open_relay(port: int, target_port: int) -> Iterator[Relay]:
+    """Run a relay on a loopback port."""
+    relay = Relay(target_port=target_port)
+    server = StreamServer((LOOPBACK, port), relay.handle)
+    server.start()
+    try:
+        yield relay
+    finally:
+        server.stop(timeout=1)
--- a/gentianhub/stand_ins/target.py
+++ b/gentianhub/stand_ins/target.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import Counter
+from pathlib import Path
 
 import gevent
 from attrs import define, field
@@ -22,7 +23,8 @@
     """Runs up to `slots` tasks at once and refuses others as not run.
 
     A task's body is JSON with `run_ms`; it takes `run_ms / speed`. Starts are
-    counted per task id, for the proof that none starts twice.
+    counted per task id, and written to `starts_file` if one is given, for the
+    proof that none starts twice.
     """
 
     name: str
@@ -33,6 +35,7 @@
     running: int = 0
     refused: int = 0
     starts: Counter = field(factory=Counter)
+    starts_file: Path | None = None
 
     def handle(self, request: Request) -> Response:
         """Return the response to one request."""
@@ -52,7 +55,7 @@
             self.refused += 1
             headers["Gentianhub-Not-Run"] = "1"
             return Response(status=503, headers=headers)
-        self.starts[request.headers["gentianhub-task"]] += 1
+        self._record_start(request)
         if self.fails:
             return Response(status=500, headers=headers)
         self.running += 1
@@ -62,6 +65,14 @@
             self.running -= 1
         return Response(status=200, body=request.body, headers=headers)
 
+    def _record_start(self, request: Request) -> None:
+        """Count a start; the file keeps it when this process is killed."""
+        task = request.headers["gentianhub-task"]
+        self.starts[task] += 1
+        if self.starts_file is not None:
+            with self.starts_file.open("a") as lines:
+                lines.write(f"{task} {request.body.decode()}\n")
+
     def _describe_starts(self) -> Response:
         content = {
             "target": self.name,
--- a/gentianhub/targets/exchange.py
+++ b/gentianhub/targets/exchange.py
@@ -1,13 +1,10 @@
 """One HTTP exchange with a target and what it means for the task."""
 
-import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import gevent
-from attrs import define, field, frozen
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
+from attrs import define, frozen
 
 from gentianhub.core import (
     Complete,
@@ -20,20 +17,13 @@
     read_monotonic_s,
 )
 from gentianhub.core.effects import StartTask
+from gentianhub.web import EXCHANGE_ERRORS, HttpConnection, open_connection
 
 CONNECT_TIMEOUT_S = 1.0
 # A task that started before its job's deadline may end after it.
 REPLY_GRACE_S = 30.0
 MAX_RESULT_BYTES = 8 * 1024 * 1024
 NOT_RUN_STATUSES = frozenset({429, 503})
-EXCHANGE_ERRORS = (
-    OSError,
-    EOFError,
-    ValueError,
-    TimeoutError,
-    HTTPConnectionClosed,
-    HTTPParseError,
-)
 
 
 @frozen(kw_only=True)
@@ -53,16 +43,7 @@
     """
 
     address: TargetAddress
-    _client: HTTPClient = field(init=False)
-
-    def __attrs_post_init__(self):
-        self._client = HTTPClient(
-            self.address.host,
-            self.address.port,
-            concurrency=1,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=None,
-        )
+    _connection: HttpConnection
 
     def run_task(self, start: StartTask) -> Exchange:
         """Send a task and wait for its whole reply."""
@@ -76,23 +57,21 @@
             with gevent.Timeout(remaining_s + REPLY_GRACE_S, TimeoutError):
                 return self._post(start, remaining_s)
         except EXCHANGE_ERRORS as error:
-            self.close()
+            self._connection.reset()
             return Exchange(outcome=self._build_unknown(error))
 
     def _connect(self) -> NotRun | None:
-        pool = self._client._connection_pool
         try:
-            sock = pool.get_socket()
+            self._connection.connect()
         except (OSError, gevent.Timeout) as error:
             return self._build_not_run(f"no connection: {error}")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pool.return_socket(sock)
         return None
 
     def _post(self, start: StartTask, remaining_s: float) -> Exchange:
         sent_s = read_monotonic_s()
         # POST is never sent again by the client when the connection breaks.
-        response = self._client.post(
+        response = self._connection.request(
+            "POST",
             "/run",
             body=start.task.body,
             headers={
@@ -113,12 +92,12 @@
         if status in NOT_RUN_STATUSES and is_refusal:
             outcome = self._build_not_run(f"the target refused with {status}")
         elif len(body) > MAX_RESULT_BYTES:
-            self.close()
+            self._connection.reset()
             outcome = self._build_failed(
                 f"reply over {MAX_RESULT_BYTES} bytes", run_s=run_s
             )
         elif expected is not None and len(body) != int(expected):
-            self.close()
+            self._connection.reset()
             outcome = self._build_unknown("the reply was cut short")
         elif 200 <= status < 300:
             outcome = Complete(result=body, run_s=run_s)
@@ -138,16 +117,14 @@
         reason = f"no whole reply after the task was sent: {error!r:.200}"
         return Unknown(step=Step.AWAIT_REPLY, peer=self.address.name, reason=reason)
 
-    def close(self) -> None:
-        """Close the connection."""
-        self._client.close()
-
 
 @contextmanager
 def open_target_client(address: TargetAddress) -> Iterator[TargetClient]:
     """Own one connection to a target; close it at the end."""
-    client = TargetClient(address=address)
-    try:
-        yield client
-    finally:
-        client.close()
+    with open_connection(
+        address.host,
+        address.port,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+        reply_timeout_s=None,
+    ) as connection:
+        yield TargetClient(address=address, connection=connection)
--- a/gentianhub/web/__init__.py
+++ b/gentianhub/web/__init__.py
@@ -1,5 +1,10 @@
-"""HTTP server plumbing."""
+"""HTTP plumbing: servers and connections."""
 
+from gentianhub.web.connection import (
+    EXCHANGE_ERRORS,
+    HttpConnection,
+    open_connection,
+)
 from gentianhub.web.server import (
     BodyError,
     Request,
@@ -8,4 +13,13 @@
     open_server,
 )
 
-__all__ = ["BodyError", "Request", "Response", "build_application", "open_server"]
+__all__ = [
+    "EXCHANGE_ERRORS",
+    "BodyError",
+    "HttpConnection",
+    "Request",
+    "Response",
+    "build_application",
+    "open_connection",
+    "open_server",
+]
--- /dev/null
+++ b/gentianhub/web/tests/test_connection.py
@@ -0,0 +1,31 @@
+"""A connection can be used again after an exchange on it failed."""
+
+import unittest
+
+from gentianhub.stand_ins.processes import LOOPBACK, reserve_ports
+from gentianhub.web import (
+    EXCHANGE_ERRORS,
+    Response,
+    build_application,
+    open_connection,
+    open_server,
+)
+
+
+class ConnectionTest(unittest.TestCase):
+    """Guards against a client that stays closed after its first failure."""
+
+    def test_request_succeeds_after_a_reset(self):
+        (port,) = reserve_ports(1)
+        application = build_application(
+            lambda request: Response(status=200, body=request.body),
+            lambda error: Response(status=error.status),
+            100,
+        )
+        with open_connection(LOOPBACK, port, 1.0, 1.0) as connection:
+            with self.assertRaises(EXCHANGE_ERRORS):
+                connection.request("POST", "/", b"lost")
+            connection.reset()
+            with open_server((LOOPBACK, port), application, 4):
+                response = connection.request("POST", "/", b"found")
+                self.assertEqual(bytes(response.read()), b"found")
