--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,270 @@
+"""Measures the slopes from which docs/CAPACITY.md is worked out.
+
+Run with `python -m benchmarks.slopes`; it writes `docs/capacity-slopes.json`. Each
+slope is a line through three sizes or more, measured on this machine in one run.
+"""
+
+import gc
+import json
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import cattrs
+from attrs import frozen
+
+from gentianhub.core import (
+    Complete,
+    Incarnation,
+    JobId,
+    JobRequest,
+    Mailbox,
+    ProcessName,
+    ServiceRow,
+    Table,
+    TargetAddress,
+    TargetRow,
+    Task,
+    TaskId,
+)
+from gentianhub.core import events as ev
+from gentianhub.decisions import Dispatcher
+from gentianhub.decisions.versions import TableChange, apply_change
+from gentianhub.platform.rows import decode_change, decode_targets, encode_change
+
+RECORD = Path(__file__).resolve().parent.parent / "docs" / "capacity-slopes.json"
+OWNER = Incarnation(name=ProcessName(data_centre="olten", process="e1"), token="0" * 16)
+REPEATS = 5
+
+
+@frozen(kw_only=True)
+class Slope:
+    """A measured line: `per_unit` of `unit` for each of `of`, from `points`."""
+
+    name: str
+    unit: str
+    of: str
+    points: tuple[tuple[float, float], ...]
+    per_unit: float
+    at_zero: float
+
+
+def fit_slope(name: str, unit: str, of: str, points) -> Slope:
+    """Return the line of least squares through the points."""
+    points = tuple(points)
+    line = statistics.linear_regression(*zip(*points, strict=True))
+    return Slope(
+        name=name,
+        unit=unit,
+        of=of,
+        points=points,
+        per_unit=line.slope,
+        at_zero=line.intercept,
+    )
+
+
+def time_cpu_us(run: Callable[[], object]) -> float:
+    """Return the least processor time of a few calls in microseconds."""
+    times = []
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        run()
+        times.append(time.process_time() - started_s)
+    return min(times) * 1e6
+
+
+def measure_bytes(build: Callable[[], object]) -> int:
+    """Return the bytes that a built object keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def build_request(tasks: int, number: int) -> JobRequest:
+    """Return a job whose bodies take 100 bytes each."""
+    return JobRequest(
+        service="orders",
+        tasks=tuple(
+            Task(kind="check", body=b"%099d" % (number * 1000 + index))
+            for index in range(tasks)
+        ),
+        deadline_s=600.0,
+        idempotent=False,
+        digest=f"{number:064d}",
+    )
+
+
+def fill_dispatcher(jobs: int, job_tasks: int = 10) -> Dispatcher:
+    """Return a dispatcher without targets that holds `jobs` queued jobs."""
+    dispatcher = Dispatcher(owner=OWNER)
+    services = {
+        "orders": ServiceRow(name="orders", team="desk", max_queued_s=1e9),
+    }
+    table = Table(version=1, services=services)
+    list(dispatcher.handle(ev.TableAdopted(table=table), 0.0))
+    for number in range(jobs):
+        submit = ev.SubmitJob(
+            request=build_request(job_tasks, number), reply_to=Mailbox(limit=1)
+        )
+        list(dispatcher.handle(submit, 0.001 * number))
+    return dispatcher
+
+
+def measure_queued_tasks() -> Slope:
+    """Memory of queued tasks, in jobs of ten with bodies of 100 bytes."""
+    points = [
+        (jobs * 10, measure_bytes(lambda jobs=jobs: fill_dispatcher(jobs)))
+        for jobs in (50, 200, 800)
+    ]
+    return fit_slope("memory of a queued task", "bytes", "queued tasks", points)
+
+
+def measure_kept_answers() -> Slope:
+    """Memory of answers that are kept, with results of 100 bytes."""
+
+    def build(jobs: int) -> Dispatcher:
+        dispatcher = fill_dispatcher(jobs, job_tasks=1)
+        for sequence in range(1, jobs + 1):
+            task_id = TaskId(job_id=JobId(owner=OWNER, sequence=sequence), index=0)
+            result = Complete(result=b"%099d" % sequence, run_s=0.1)
+            list(dispatcher.ledger.end_task(task_id, result, 1.0))
+        return dispatcher
+
+    points = [
+        (jobs, measure_bytes(lambda jobs=jobs: build(jobs)))
+        for jobs in (200, 800, 3200)
+    ]
+    return fit_slope("memory of a kept answer", "bytes", "jobs of one task", points)
+
+
+def build_table(rows: int) -> Table:
+    """Return a table with `rows` target rows."""
+    targets = {f"t{number}": TargetRow(name=f"t{number}") for number in range(rows)}
+    return Table(version=1, targets=targets)
+
+
+def measure_table_change() -> Slope:
+    """Processor time to apply one change to a table of some size."""
+    change = TableChange(
+        version=2,
+        change_id="x" * 32,
+        author="operator",
+        reason="weight",
+        rows=(ServiceRow(name="orders", team="desk"),),
+    )
+    points = []
+    for rows in (1_000, 10_000, 33_000):
+        table = build_table(rows)
+        points.append(
+            (rows, time_cpu_us(lambda table=table: apply_change(table, change)))
+        )
+    return fit_slope("applying a table change", "us", "rows in the table", points)
+
+
+def measure_change_decoding() -> Slope:
+    """Processor time to decode the changes that one read brings."""
+    content = encode_change(
+        TableChange(
+            version=1,
+            change_id="x" * 32,
+            author="operator",
+            reason="weight",
+            rows=(ServiceRow(name="orders", team="desk"),),
+        )
+    )
+    points = []
+    for count in (100, 400, 1600):
+
+        def decode(count: int = count) -> None:
+            for _ in range(count):
+                decode_change(content)
+
+        points.append((count, time_cpu_us(decode)))
+    return fit_slope("decoding a table change", "us", "changes", points)
+
+
+def build_hosts(targets: int) -> dict:
+    """Return a host list as the platform sends it."""
+    rows = [
+        {
+            "name": f"olten-r{number // 8}-t{number}",
+            "data_centre": "olten",
+            "host": "127.0.0.1",
+            "port": 8000,
+            "state": "live",
+        }
+        for number in range(targets)
+    ]
+    return {"entry_processes": [], "targets": rows}
+
+
+def measure_host_list() -> Iterator[Slope]:
+    """Size of the host list and processor time to decode it."""
+    sizes, times = [], []
+    for targets in (24, 240, 1_400):
+        text = json.dumps(build_hosts(targets))
+        sizes.append((targets, len(text)))
+        times.append(
+            (
+                targets,
+                time_cpu_us(
+                    lambda text=text: decode_targets(json.loads(text), "olten")
+                ),
+            )
+        )
+    yield fit_slope("size of the host list", "bytes", "targets", sizes)
+    yield fit_slope("decoding the host list", "us", "targets", times)
+
+
+def measure_target_state() -> Slope:
+    """Memory of what a dispatcher keeps for each target."""
+
+    def build(count: int) -> Dispatcher:
+        dispatcher = Dispatcher(owner=OWNER)
+        targets = tuple(
+            TargetAddress(
+                name=f"t{number}", data_centre="olten", host="127.0.0.1", port=8000
+            )
+            for number in range(count)
+        )
+        list(dispatcher.handle(ev.TargetsSeen(targets=targets), 0.0))
+        return dispatcher
+
+    points = [
+        (count, measure_bytes(lambda count=count: build(count)))
+        for count in (24, 240, 1_400)
+    ]
+    return fit_slope("memory of a target", "bytes", "targets", points)
+
+
+def measure_all() -> Iterator[Slope]:
+    """Yield every slope."""
+    yield measure_queued_tasks()
+    yield measure_kept_answers()
+    yield measure_target_state()
+    yield measure_table_change()
+    yield measure_change_decoding()
+    yield from measure_host_list()
+
+
+def record_slopes() -> None:
+    """Measure every slope, print it and write the record."""
+    slopes = []
+    for slope in measure_all():
+        print(
+            f"{slope.name:<28}{slope.per_unit:>12.3f} {slope.unit} per {slope.of}",
+            file=sys.stderr,
+        )
+        slopes.append(cattrs.unstructure(slope))
+    RECORD.write_text(json.dumps({"slopes": slopes}, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    record_slopes()
