--- /dev/null
+++ b/tools/settings_reference.py
@@ -0,0 +1,71 @@
+"""Writes docs/settings.md from the checked settings classes.
+
+Run with `python -m tools.settings_reference`; a test keeps the page up to date.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import attrs
+
+from gentianhub.settings import HostSettings
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "settings.md"
+HEADING = """# Settings
+
+JSON with comments, one file for each entry host. Unknown keys, missing keys, wrong types and
+values out of range are refused together before anything starts. This page is made by
+`python -m tools.settings_reference` from `gentianhub/settings/model.py`.
+
+| key | type | default | meaning |
+| --- | --- | --- | --- |
+"""
+
+
+def build_page() -> str:
+    """Return the reference page."""
+    return HEADING + "\n".join(describe_class(HostSettings, "")) + "\n"
+
+
+def describe_class(cls: type, prefix: str) -> Iterator[str]:
+    """Yield a table row for each key of a settings class."""
+    for attribute in attrs.fields(attrs.resolve_types(cls)):
+        path = f"{prefix}{attribute.name}"
+        inner = find_settings_class(attribute.type)
+        suffix = "[]" if inner is not None and inner is not attribute.type else ""
+        yield describe_key(attribute, path)
+        if inner is not None:
+            yield from describe_class(inner, f"{path}{suffix}.")
+
+
+def describe_key(attribute: attrs.Attribute, path: str) -> str:
+    """Return the table row of one key."""
+    meaning = attribute.metadata.get("meaning", "")
+    assert meaning, f"no meaning is given for {path}"
+    default = "required"
+    if attribute.default is not attrs.NOTHING:
+        is_factory = isinstance(attribute.default, attrs.Factory)
+        default = "see below" if is_factory else f"`{attribute.default}`"
+        if is_factory and attribute.default.factory is tuple:
+            default = "none"
+    return f"| `{path}` | {name_type(attribute.type)} | {default} | {meaning} |"
+
+
+def find_settings_class(kind) -> type | None:
+    """Return the settings class that a type is, or is a list of."""
+    if attrs.has(kind):
+        return kind
+    arguments = getattr(kind, "__args__", ())
+    return next((inner for inner in arguments if attrs.has(inner)), None)
+
+
+def name_type(kind) -> str:
+    """Return the reader's name of a type."""
+    if attrs.has(kind):
+        return "object"
+    names = {str: "string", int: "whole number", float: "number", bool: "true or false"}
+    return names.get(kind, "list of objects")
+
+
+if __name__ == "__main__":
+    PAGE.write_text(build_page())
