--- a/gentianhub/core/__init__.py
+++ b/gentianhub/core/__init__.py
@@ -33,6 +33,7 @@
     Unknown,
 )
 from gentianhub.core.table import (
+    EntryAddress,
     ServiceRow,
     Table,
     TargetAddress,
@@ -43,6 +44,7 @@
 __all__ = [
     "MAX_TASKS_PER_JOB",
     "Complete",
+    "EntryAddress",
     "Failed",
     "GentianhubError",
     "Incarnation",
--- a/gentianhub/core/events.py
+++ b/gentianhub/core/events.py
@@ -72,6 +72,13 @@
     targets: tuple[TargetAddress, ...]
 
 
+@frozen(kw_only=True)
+class TargetsLeaving:
+    """Another entry process saw these targets say that they are leaving."""
+
+    targets: tuple[str, ...]
+
+
 @frozen(kw_only=True)
 class TableAdopted:
     """A version of the table of weights and limits was received."""
@@ -160,6 +167,7 @@
     | CancelJob
     | TaskEnded
     | TargetsSeen
+    | TargetsLeaving
     | TableAdopted
     | Tick
     | DrainBegun
--- a/gentianhub/core/table.py
+++ b/gentianhub/core/table.py
@@ -4,6 +4,8 @@
 
 from attrs import Factory, field, frozen, validators
 
+from gentianhub.core.ids import ProcessName
+
 
 @frozen(kw_only=True)
 class TeamRow:
@@ -61,3 +63,13 @@
     host: str
     port: int
     leaving: bool = False
+
+
+@frozen(kw_only=True)
+class EntryAddress:
+    """Sibling port of an entry process as the platform's host list shows it."""
+
+    name: ProcessName
+    host: str
+    port: int
+    leaving: bool = False
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -88,6 +88,8 @@
                 yield from self._pass_time(now_s)
             case ev.TargetsSeen(targets=targets):
                 yield from self._see_targets(targets)
+            case ev.TargetsLeaving(targets=targets):
+                self._leave_targets(targets)
             case ev.TableAdopted(table=table):
                 self._adopt_table(table)
             case ev.DrainBegun():
@@ -264,6 +266,11 @@
             self.holdings.set_held(name, self.table.get_target(name).slots)
         yield from ()
 
+    def _leave_targets(self, targets: tuple[str, ...]) -> None:
+        self._leaving.update(targets)
+        for name in targets:
+            self.holdings.drop_target(name)
+
     def _adopt_table(self, table: Table) -> None:
         if table.version <= self.table.version:
             return
--- /dev/null
+++ b/gentianhub/decisions/membership.py
@@ -0,0 +1,233 @@
+"""Which entry processes live: the platform's lagging list and what is heard.
+
+Heard within `LIVE_TIMEOUT_S` = live, whether listed or not; listed but unheard =
+not live. Views of different processes need not agree: homes and pollers chosen
+from them only decide who lends slots and who reads the platform.
+"""
+
+from collections.abc import Iterable, Iterator
+
+import xxhash
+from attrs import define, evolve, field, frozen
+
+from gentianhub.core import EntryAddress, Incarnation, ProcessName, TargetAddress
+from gentianhub.core.events import HomesChanged, Tick
+
+HEARTBEAT_PERIOD_S = 0.25
+# Four heartbeats; a busy process may be late with one or two.
+LIVE_TIMEOUT_S = 1.0
+# Unlisted and unheard peers are forgotten, so that names in use bound the memory.
+PEER_RETENTION_S = 60.0
+POLLERS_PER_DATA_CENTRE = 2
+POLLER_KEY = "table"
+
+
+@frozen(kw_only=True)
+class HostList:
+    """The platform's lagging list: all entry processes, this centre's targets."""
+
+    processes: tuple[EntryAddress, ...]
+    targets: tuple[TargetAddress, ...]
+
+
+@frozen(kw_only=True)
+class PeerIntroduced:
+    """A process said who it is; `started_ms` is Unix time."""
+
+    incarnation: Incarnation
+    started_ms: int
+    address: EntryAddress
+
+
+@frozen(kw_only=True)
+class PeerHeard:
+    """A message of an introduced process arrived."""
+
+    incarnation: Incarnation
+
+
+@frozen(kw_only=True)
+class PeerEnded:
+    """Nothing listens at the address of the process any more."""
+
+    name: ProcessName
+
+
+MembershipEvent = HostList | PeerIntroduced | PeerHeard | PeerEnded | Tick
+
+
+@frozen(kw_only=True)
+class Peer:
+    """The newest known incarnation of a name and when it was last heard."""
+
+    incarnation: Incarnation
+    started_ms: int
+    address: EntryAddress
+    heard_s: float
+    has_ended: bool = False
+
+
+@frozen(kw_only=True)
+class OwnerKnown:
+    """The owner may be reached at this address."""
+
+    address: EntryAddress
+
+
+@frozen(kw_only=True)
+class OwnerReplaced:
+    """The owner's name has another incarnation."""
+
+    by: Incarnation
+
+
+@frozen(kw_only=True)
+class OwnerUnlisted:
+    """The owner is neither listed by the platform nor heard."""
+
+
+@frozen(kw_only=True)
+class OwnerUnfindable:
+    """No host list was read yet, and the owner is not heard."""
+
+
+OwnerLocation = OwnerKnown | OwnerReplaced | OwnerUnlisted | OwnerUnfindable
+
+
+@define(kw_only=True, eq=False)
+class Membership:
+    """One process's view of all entry processes.
+
+    A process that starts waits for `LIVE_TIMEOUT_S`, or until all listed processes
+    of its data centre are heard, before it announces homes: announcing itself as
+    the only home would let it use slots that others lend.
+    """
+
+    own: Incarnation
+    started_s: float
+    listed: dict[ProcessName, EntryAddress] = field(init=False, factory=dict)
+    peers: dict[ProcessName, Peer] = field(init=False, factory=dict)
+    _announced: tuple[Incarnation, ...] = field(init=False, default=())
+
+    def handle(self, event: MembershipEvent, now_s: float) -> Iterator[HomesChanged]:
+        """Take an event; yield the live set of the data centre if it changed."""
+        match event:
+            case HostList(processes=processes):
+                self.listed = {process.name: process for process in processes}
+                self._forget_lost(now_s)
+            case PeerIntroduced():
+                self._introduce_peer(event, now_s)
+            case PeerHeard(incarnation=incarnation):
+                self._hear_peer(incarnation, now_s)
+            case PeerEnded(name=name) if name in self.peers:
+                self.peers[name] = evolve(self.peers[name], has_ended=True)
+        yield from self._announce_homes(now_s)
+
+    def is_superseded(self, event: PeerIntroduced, now_s: float) -> bool:
+        """Whether a live process of the same name started later.
+
+        The start times are wall-clock times of two hosts, so they count only
+        while the later process lives.
+        """
+        peer = self.peers.get(event.incarnation.name)
+        return (
+            event.incarnation.name == self.own.name
+            or peer is not None
+            and peer.incarnation != event.incarnation
+            and event.started_ms < peer.started_ms
+            and self._is_live(peer, now_s)
+        )
+
+    def is_live(self, incarnation: Incarnation, now_s: float) -> bool:
+        """Whether this incarnation was heard within `LIVE_TIMEOUT_S`."""
+        peer = self.peers.get(incarnation.name)
+        return (
+            peer is not None
+            and peer.incarnation == incarnation
+            and self._is_live(peer, now_s)
+        )
+
+    def find_live(self, now_s: float) -> Iterator[Incarnation]:
+        """Yield the live incarnations of the own data centre."""
+        yield self.own
+        for peer in self.peers.values():
+            if self._is_near(peer.incarnation.name) and self._is_live(peer, now_s):
+                yield peer.incarnation
+
+    def locate_owner(self, owner: Incarnation) -> OwnerLocation:
+        """Return where the owner of a job may be reached, if anywhere."""
+        peer = self.peers.get(owner.name)
+        if owner.name == self.own.name:
+            return OwnerReplaced(by=self.own)
+        if peer is not None and peer.incarnation != owner and not peer.has_ended:
+            return OwnerReplaced(by=peer.incarnation)
+        if owner.name in self.listed:
+            return OwnerKnown(address=self.listed[owner.name])
+        if peer is not None and not peer.has_ended:
+            return OwnerKnown(address=peer.address)
+        return OwnerUnlisted() if self.listed else OwnerUnfindable()
+
+    def find_dialled(self) -> Iterator[EntryAddress]:
+        """Yield the listed siblings that this process keeps links to by dialling.
+
+        Of each pair the smaller name dials; a process that is not listed yet dials
+        all, because the others cannot know it.
+        """
+        dials_all = self.own.name not in self.listed
+        for name, address in self.listed.items():
+            if self._is_near(name) and (dials_all or self.own.name < name):
+                if name != self.own.name:
+                    yield address
+
+    def is_poller(self, now_s: float) -> bool:
+        """Whether this process reads the platform for its data centre."""
+        return self.own in select_pollers(self.find_live(now_s))
+
+    def _introduce_peer(self, event: PeerIntroduced, now_s: float) -> None:
+        if not self.is_superseded(event, now_s):
+            self.peers[event.incarnation.name] = Peer(
+                incarnation=event.incarnation,
+                started_ms=event.started_ms,
+                address=event.address,
+                heard_s=now_s,
+            )
+
+    def _forget_lost(self, now_s: float) -> None:
+        self.peers = {
+            name: peer
+            for name, peer in self.peers.items()
+            if name in self.listed or now_s - peer.heard_s < PEER_RETENTION_S
+        }
+
+    def _hear_peer(self, incarnation: Incarnation, now_s: float) -> None:
+        peer = self.peers.get(incarnation.name)
+        if peer is not None and peer.incarnation == incarnation:
+            self.peers[incarnation.name] = evolve(peer, heard_s=now_s)
+
+    def _announce_homes(self, now_s: float) -> Iterator[HomesChanged]:
+        live = tuple(sorted(self.find_live(now_s)))
+        if live != self._announced and (self._announced or self._is_settled(now_s)):
+            self._announced = live
+            yield HomesChanged(processes=live)
+
+    def _is_settled(self, now_s: float) -> bool:
+        near = {name for name in self.listed if self._is_near(name)}
+        heard = {incarnation.name for incarnation in self.find_live(now_s)}
+        has_heard_all = bool(near) and near <= heard
+        return has_heard_all or now_s >= self.started_s + LIVE_TIMEOUT_S
+
+    def _is_near(self, name: ProcessName) -> bool:
+        return name.data_centre == self.own.name.data_centre
+
+    def _is_live(self, peer: Peer, now_s: float) -> bool:
+        return not peer.has_ended and now_s - peer.heard_s < LIVE_TIMEOUT_S
+
+
+def select_pollers(live: Iterable[Incarnation]) -> list[Incarnation]:
+    """Return the processes that rank first in rendezvous hashing."""
+    return sorted(live, key=_rank_poller, reverse=True)[:POLLERS_PER_DATA_CENTRE]
+
+
+def _rank_poller(incarnation: Incarnation) -> int:
+    key = f"{POLLER_KEY}/{incarnation.name}"
+    return xxhash.xxh3_64_intdigest(key.encode())
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -11,6 +11,7 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.messages import CountOpenJobs, RenderMetrics
 from gentianhub.observability import Metrics
+from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
 from gentianhub.targets import ConnectionClosed, ConnectionEnded, TargetPool
 
 TICK_PERIOD_S = 0.05
@@ -24,6 +25,7 @@
 
     mailbox: Mailbox
     decisions: Dispatcher
+    siblings: Mailbox
     pool: TargetPool = field(init=False)
     metrics: Metrics = field(init=False, factory=lambda: Metrics())
 
@@ -40,6 +42,8 @@
             case ConnectionEnded(connection=connection, ended=ended):
                 self.pool.release_connection(connection)
                 self.metrics.count_outcome(ended.outcome)
+                if ended.leaving:
+                    self.siblings.offer(TargetSeenLeaving(target=ended.target))
                 self._handle_event(ended)
             case ConnectionClosed(connection=connection):
                 self.pool.forget_connection(connection)
@@ -64,6 +68,9 @@
                 self.pool.send_task(effect)
             case fx.Reply(to=to, message=message):
                 to.offer(message)
+            case fx.SendToSibling(to=to, message=message):
+                # A message lost to a full mailbox is made good by `SlotsHeld`.
+                self.siblings.offer(SendSlotMessage(to=to, message=message))
             case fx.JobEnded():
                 self.metrics.count_job(effect)
 
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -25,6 +25,7 @@
 from gentianhub.operators import OperatorPort, serve_operators
 from gentianhub.platform import PlatformWatcher, run_watcher
 from gentianhub.settings import HostSettings, ProcessSettings
+from gentianhub.siblings import find_owner, forward_operation, open_siblings
 
 DRAIN_CHECK_S = 0.1
 # The load balancer must see the failing health check before the port closes.
@@ -41,16 +42,21 @@
     process: ProcessSettings
     incarnation: Incarnation = field(init=False)
     mailbox: Mailbox = field(init=False)
+    siblings: Mailbox = field(init=False)
     _drain: Event = field(init=False, factory=Event)
 
     def __attrs_post_init__(self):
         name = ProcessName(data_centre=self.host.data_centre, process=self.process.name)
         self.incarnation = draw_incarnation(name)
         self.mailbox = Mailbox(limit=self.host.limits.dispatcher_mailbox)
+        self.siblings = Mailbox(limit=self.host.limits.siblings_mailbox)
 
     def perform(self, operation: Operation):
         """Carry an operation to the owner of its job."""
-        return perform_operation(self.mailbox, operation)
+        owner = find_owner(operation)
+        if owner is None or owner == self.incarnation:
+            return perform_operation(self.mailbox, operation)
+        return forward_operation(self.siblings, owner, operation)
 
     def begin_drain(self) -> None:
         """Begin a graceful shutdown."""
@@ -68,18 +74,31 @@
     @contextmanager
     def _run_tasks(self) -> Iterator[None]:
         dispatcher = DispatcherTask(
-            mailbox=self.mailbox, decisions=Dispatcher(owner=self.incarnation)
+            mailbox=self.mailbox,
+            decisions=Dispatcher(owner=self.incarnation),
+            siblings=self.siblings,
         )
         watcher = PlatformWatcher(
-            data_centre=self.host.data_centre, dispatcher=self.mailbox
+            data_centre=self.host.data_centre,
+            dispatcher=self.mailbox,
+            siblings=self.siblings,
         )
         tasks = [
             spawn_task(dispatcher.run),
             spawn_task(run_timer, self.mailbox),
             spawn_task(run_watcher, watcher, *self.host.platform.as_pair()),
         ]
+        siblings = open_siblings(
+            own=self.incarnation,
+            address=self.process.siblings,
+            seeds=self.host.siblings,
+            mailbox=self.siblings,
+            dispatcher=self.mailbox,
+            watcher=watcher.duties,
+        )
         try:
-            yield
+            with siblings:
+                yield
         finally:
             gevent.killall(tasks)
 
@@ -88,7 +107,11 @@
         callers = CallerPort(
             perform=self.perform, is_healthy=lambda: not self._drain.is_set()
         )
-        operators = OperatorPort(dispatcher=self.mailbox, begin_drain=self.begin_drain)
+        operators = OperatorPort(
+            dispatcher=self.mailbox,
+            siblings=self.siblings,
+            begin_drain=self.begin_drain,
+        )
         limits = self.host.limits
         with (
             serve_operators(self.process.operators.as_pair(), operators),
--- a/gentianhub/operators/server.py
+++ b/gentianhub/operators/server.py
@@ -11,6 +11,7 @@
 from gentianhub.core import Mailbox
 from gentianhub.core.events import DescribeState
 from gentianhub.entry.messages import RenderMetrics
+from gentianhub.siblings import DescribeSiblings
 from gentianhub.web import (
     BodyError,
     Request,
@@ -29,16 +30,16 @@
     """Answers operators' requests."""
 
     dispatcher: Mailbox
+    siblings: Mailbox
     begin_drain: Callable[[], None]
 
     def handle(self, request: Request) -> Response:
         """Return the response to one request."""
         match (request.method, *request.segments):
             case ("GET", "dump"):
-                state = self._ask(lambda to: DescribeState(reply_to=to))
-                return _build_json(200, cattrs.unstructure(state))
+                return _build_json(200, self._dump_state())
             case ("GET", "metrics"):
-                text = self._ask(lambda to: RenderMetrics(reply_to=to))
+                text = _ask(self.dispatcher, lambda to: RenderMetrics(reply_to=to))
                 return Response(status=200, body=text, headers={})
             case ("POST", "drain"):
                 self.begin_drain()
@@ -50,10 +51,16 @@
                 expected = "GET /dump, GET /metrics, POST /drain, POST /log-level/LEVEL"
                 return _build_json(404, {"error": {"expected": expected}})
 
-    def _ask(self, build_message):
-        replies = Mailbox(limit=1)
-        self.dispatcher.put(build_message(replies))
-        return replies.take()
+    def _dump_state(self) -> dict:
+        state = _ask(self.dispatcher, lambda to: DescribeState(reply_to=to))
+        siblings = _ask(self.siblings, lambda to: DescribeSiblings(reply_to=to))
+        return cattrs.unstructure(state) | {"siblings": cattrs.unstructure(siblings)}
+
+
+def _ask(mailbox: Mailbox, build_message):
+    replies = Mailbox(limit=1)
+    mailbox.put(build_message(replies))
+    return replies.take()
 
 
 def _build_json(status: int, content) -> Response:
--- a/gentianhub/platform/rows.py
+++ b/gentianhub/platform/rows.py
@@ -2,7 +2,14 @@
 
 import cattrs
 
-from gentianhub.core import ServiceRow, TargetAddress, TargetRow, TeamRow
+from gentianhub.core import (
+    EntryAddress,
+    ProcessName,
+    ServiceRow,
+    TargetAddress,
+    TargetRow,
+    TeamRow,
+)
 from gentianhub.decisions.versions import (
     Removal,
     Row,
@@ -69,3 +76,16 @@
         for target in hosts["targets"]
         if target["data_centre"] == data_centre
     )
+
+
+def decode_processes(hosts: dict) -> tuple[EntryAddress, ...]:
+    """Return the entry processes of all data centres in the host list."""
+    return tuple(
+        EntryAddress(
+            name=ProcessName(data_centre=entry["data_centre"], process=entry["name"]),
+            host=entry["host"],
+            port=entry["port"],
+            leaving=entry["state"] == "leaving",
+        )
+        for entry in hosts["entry_processes"]
+    )
--- a/gentianhub/platform/watcher.py
+++ b/gentianhub/platform/watcher.py
@@ -2,17 +2,19 @@
 
 import logging
 
-import gevent
 from attrs import define, field
 
-from gentianhub.core import Mailbox, PlatformError, Table
+from gentianhub.core import Mailbox, PlatformError, Silence, Table
 from gentianhub.core.events import TableAdopted, TargetsSeen
+from gentianhub.decisions.membership import HostList
+from gentianhub.decisions.propagation import ChangesRead, PollDuty
 from gentianhub.decisions.versions import apply_changes
 from gentianhub.platform.client import PlatformClient, open_platform
 from gentianhub.platform.rows import (
     CHANGE_PREFIX,
     build_change_key,
     decode_change,
+    decode_processes,
     decode_targets,
 )
 
@@ -23,36 +25,58 @@
 
 @define(kw_only=True, eq=False)
 class PlatformWatcher:
-    """Reads the platform and tells the dispatcher what has changed."""
+    """Reads the platform and tells dispatcher and siblings what has changed.
+
+    `duties` says whether this process is one of its data centre's pollers.
+    """
 
     data_centre: str
     dispatcher: Mailbox
+    siblings: Mailbox = field(factory=lambda: Mailbox(limit=1))
+    duties: Mailbox[PollDuty] = field(factory=lambda: Mailbox(limit=16))
+    is_poller: bool = field(init=False, default=True)
     table: Table = field(factory=lambda: Table())
     _targets: tuple = field(init=False, default=())
 
     def poll(self, client: PlatformClient) -> None:
         """Read the host list and the table's newer changes once."""
-        targets = decode_targets(client.read_hosts(), self.data_centre)
+        hosts = client.read_hosts()
+        targets = decode_targets(hosts, self.data_centre)
+        processes = decode_processes(hosts)
+        self.siblings.offer(HostList(processes=processes, targets=targets))
         rows = client.read_rows(CHANGE_PREFIX, build_change_key(self.table.version))
-        table = apply_changes(self.table, (decode_change(row.value) for row in rows))
+        changes = tuple(decode_change(row.value) for row in rows)
+        table = apply_changes(self.table, changes)
         if table.version > self.table.version:
             self.table = table
+            self.siblings.put(ChangesRead(changes=changes))
             self.dispatcher.put(TableAdopted(table=table))
         if targets != self._targets:
             self._targets = targets
             self.dispatcher.put(TargetsSeen(targets=targets))
 
+    def take_duty(self, timeout_s: float) -> None:
+        """Wait for a change of duty, at most `timeout_s` seconds."""
+        match self.duties.take(timeout_s):
+            case PollDuty(is_poller=is_poller, table=table):
+                self.is_poller = is_poller
+                if table.version > self.table.version:
+                    self.table = table
+            case Silence():
+                return
+
 
 def run_watcher(watcher: PlatformWatcher, host: str, port: int) -> None:
     """Poll the platform for ever; an outage leaves the last view in force."""
     with open_platform(host, port) as client:
         while True:
             try:
-                watcher.poll(client)
+                if watcher.is_poller:
+                    watcher.poll(client)
             except PlatformError as error:
                 logger.warning(
                     "platform not read: %s",
                     error.reason,
                     extra={"step": error.step.value, "peer": error.peer},
                 )
-            gevent.sleep(POLL_PERIOD_S)
+            watcher.take_duty(POLL_PERIOD_S)
--- a/gentianhub/settings/model.py
+++ b/gentianhub/settings/model.py
@@ -36,6 +36,7 @@
 
     caller_connections: int = field(default=1024, validator=validators.ge(1))
     dispatcher_mailbox: int = field(default=10_000, validator=validators.ge(1))
+    siblings_mailbox: int = field(default=10_000, validator=validators.ge(1))
     drain_s: float = field(default=30.0, validator=validators.ge(0))
 
 
@@ -47,6 +48,8 @@
     platform: Endpoint
     processes: tuple[ProcessSettings, ...] = field(validator=validators.min_len(1))
     limits: LimitSettings = field(factory=LimitSettings)
+    # Sibling ports that a process asks when the platform does not answer.
+    siblings: tuple[Endpoint, ...] = ()
     log_level: str = field(
         default="info", validator=validators.in_(("debug", "info", "warning", "error"))
     )
--- a/gentianhub/siblings/__init__.py
+++ b/gentianhub/siblings/__init__.py
@@ -1,1 +1,18 @@
 """Peer: the other entry processes."""
+
+from gentianhub.siblings.forwarding import find_owner, forward_operation
+from gentianhub.siblings.notices import (
+    DescribeSiblings,
+    SendSlotMessage,
+    TargetSeenLeaving,
+)
+from gentianhub.siblings.service import open_siblings
+
+__all__ = [
+    "DescribeSiblings",
+    "SendSlotMessage",
+    "TargetSeenLeaving",
+    "find_owner",
+    "forward_operation",
+    "open_siblings",
+]
--- /dev/null
+++ b/gentianhub/siblings/forwarding.py
@@ -0,0 +1,190 @@
+"""Forwarded requests: those sent to owners, and those served for siblings."""
+
+from collections.abc import Iterator
+
+from attrs import define, field, frozen
+
+from gentianhub.core import (
+    Incarnation,
+    JobId,
+    Mailbox,
+    ProcessName,
+    Refusal,
+    RefusalKind,
+    RunState,
+    Step,
+)
+from gentianhub.core.operations import (
+    CancelOperation,
+    IssueOperation,
+    Operation,
+    SubmitOperation,
+    WatchOperation,
+    perform_operation,
+)
+from gentianhub.siblings.messages import ForwardReply, ForwardRequest
+from gentianhub.siblings.notices import Forward
+from gentianhub.siblings.wire import MAX_FRAME_BYTES, encode_message
+
+REACH_TIMEOUT_S = 1.0
+# Bounds a request whose owner lives but does not reply.
+REPLY_TIMEOUT_S = 10.0
+MAX_OPEN_FORWARDS = 4096
+MAX_SERVED_FORWARDS = 1024
+RETRY_AFTER_S = 1.0
+
+
+@frozen(kw_only=True)
+class SentForward:
+    """A request on a link that awaits its reply; times are monotonic."""
+
+    forward: Forward
+    sent_s: float
+    deadline_s: float
+
+
+@define(kw_only=True, eq=False)
+class ForwardBook:
+    """Requests that wait for a link to their owner, or for a reply."""
+
+    _numbers: int = field(init=False, default=0)
+    _waiting: dict[ProcessName, list[SentForward]] = field(init=False, factory=dict)
+    _sent: dict[int, SentForward] = field(init=False, factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._sent) + sum(map(len, self._waiting.values()))
+
+    def wait_for_link(self, forward: Forward, now_s: float) -> None:
+        """Keep a request until its owner is linked, at most `REACH_TIMEOUT_S`."""
+        deadline_s = now_s + REACH_TIMEOUT_S
+        entry = SentForward(forward=forward, sent_s=now_s, deadline_s=deadline_s)
+        self._waiting.setdefault(forward.owner.name, []).append(entry)
+
+    def take_waiting(self, name: ProcessName) -> list[Forward]:
+        """Remove and return the requests that wait for a link to this name."""
+        return [entry.forward for entry in self._waiting.pop(name, ())]
+
+    def record_sent(self, forward: Forward, now_s: float) -> ForwardRequest:
+        """Return the message that carries the request; its reply is awaited."""
+        self._numbers += 1
+        wait_s = REPLY_TIMEOUT_S
+        match forward.operation:
+            case WatchOperation(wait_s=watch_s):
+                wait_s += watch_s
+        self._sent[self._numbers] = SentForward(
+            forward=forward, sent_s=now_s, deadline_s=now_s + wait_s
+        )
+        return ForwardRequest(number=self._numbers, operation=forward.operation)
+
+    def deliver_reply(self, reply: ForwardReply, sender: Incarnation) -> None:
+        """Hand a reply to the greenlet that asked, if it still waits."""
+        sent = self._sent.get(reply.number)
+        if sent is not None and sent.forward.owner == sender:
+            del self._sent[reply.number]
+            sent.forward.reply_to.offer(reply.reply)
+
+    def fail_owner(self, owner: Incarnation, now_s: float, min_age_s: float) -> None:
+        """Refuse the requests sent to an owner at least `min_age_s` ago."""
+        numbers = [
+            number
+            for number, sent in self._sent.items()
+            if sent.forward.owner == owner and now_s - sent.sent_s >= min_age_s
+        ]
+        for number in numbers:
+            refuse_unreachable(self._sent.pop(number).forward)
+
+    def expire(self, now_s: float) -> None:
+        """Refuse the requests whose time has passed."""
+        for entries in self._waiting.values():
+            for entry in _remove_late(entries, now_s):
+                refuse_unreachable(entry.forward)
+        late = [key for key, sent in self._sent.items() if sent.deadline_s <= now_s]
+        for number in late:
+            refuse_unreachable(self._sent.pop(number).forward)
+
+
+def _remove_late(entries: list[SentForward], now_s: float) -> Iterator[SentForward]:
+    while entries and entries[0].deadline_s <= now_s:
+        yield entries.pop(0)
+
+
+def find_owner(operation: Operation) -> Incarnation | None:
+    """Return the owner that an operation names, or None if any process will do."""
+    match operation:
+        case IssueOperation() | SubmitOperation(job_id=None):
+            return None
+        case (
+            SubmitOperation(job_id=JobId(owner=owner))
+            | WatchOperation(job_id=JobId(owner=owner))
+            | CancelOperation(job_id=JobId(owner=owner))
+        ):
+            return owner
+
+
+def forward_operation(manager: Mailbox, owner: Incarnation, operation: Operation):
+    """Carry an operation to its owner; return the reply, or a `Refusal`."""
+    replies = Mailbox(limit=1)
+    forward = Forward(owner=owner, operation=operation, reply_to=replies)
+    if not manager.offer(forward):
+        refuse_overload(forward)
+    return replies.take()
+
+
+def serve_forward(dispatcher: Mailbox, request: ForwardRequest, link) -> None:
+    """Perform a sibling's request here and send the reply over its link."""
+    reply = perform_operation(dispatcher, request.operation)
+    body = encode_message(ForwardReply(number=request.number, reply=reply))
+    if len(body) > MAX_FRAME_BYTES:
+        refusal = Refusal(
+            kind=RefusalKind.TOO_LARGE,
+            step=Step.FORWARD_REQUEST,
+            peer=str(link.incarnation),
+            reason=f"the answer of {len(body)} bytes is too large to forward",
+            expected="the request through the job's owner",
+            run=RunState.UNKNOWN,
+        )
+        body = encode_message(ForwardReply(number=request.number, reply=refusal))
+    link.send(body)
+
+
+def build_overload_reply(request: ForwardRequest, server: Incarnation) -> ForwardReply:
+    """Return the reply to a request over `MAX_SERVED_FORWARDS`."""
+    refusal = _build_unavailable(server, "too many forwarded requests at once")
+    return ForwardReply(number=request.number, reply=refusal)
+
+
+def refuse_overload(forward: Forward) -> None:
+    """Refuse a request that this process has no room to forward."""
+    reason = "too many requests to forward at once"
+    forward.reply_to.offer(_build_unavailable(forward.owner, reason))
+
+
+def refuse_unreachable(forward: Forward) -> None:
+    """Refuse a request whose owner may only be cut off; it can be asked again."""
+    reason = "the job's owner does not answer; the job may have run"
+    forward.reply_to.offer(_build_unavailable(forward.owner, reason))
+
+
+def refuse_gone(forward: Forward, reason: str) -> None:
+    """Refuse a request whose owner is known to have ended."""
+    refusal = Refusal(
+        kind=RefusalKind.GONE,
+        step=Step.FORWARD_REQUEST,
+        peer=str(forward.owner),
+        reason=f"the job's owner is gone ({reason}); the job may have run",
+        expected="a new id, if the job may run twice",
+        run=RunState.UNKNOWN,
+    )
+    forward.reply_to.offer(refusal)
+
+
+def _build_unavailable(peer: Incarnation, reason: str) -> Refusal:
+    return Refusal(
+        kind=RefusalKind.UNAVAILABLE,
+        step=Step.FORWARD_REQUEST,
+        peer=str(peer),
+        reason=reason,
+        expected="the same request again",
+        run=RunState.UNKNOWN,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/gentianhub/siblings/links.py
@@ -0,0 +1,251 @@
+"""Links to other entry processes: two greenlets that own one TCP connection."""
+
+import logging
+import socket
+
+import gevent
+from attrs import define, field, frozen
+from gevent import socket as gsocket
+
+from gentianhub.core import (
+    Incarnation,
+    Mailbox,
+    ProcessName,
+    Refusal,
+    RefusalKind,
+    RunState,
+    Step,
+    spawn_task,
+)
+from gentianhub.core import events as ev
+from gentianhub.siblings.messages import (
+    PROTOCOL_VERSION,
+    ForwardReply,
+    ForwardRequest,
+    Hello,
+)
+from gentianhub.siblings.notices import (
+    DialFailed,
+    DialTarget,
+    LinkClosed,
+    LinkOpened,
+    MessageReceived,
+)
+from gentianhub.siblings.wire import (
+    UNKNOWN_RECEIVER,
+    FrameTooLarge,
+    LinkEnded,
+    MalformedMessage,
+    ReceivedFrame,
+    decode_message,
+    encode_message,
+    pack_frame,
+    read_frame,
+)
+
+HANDSHAKE_TIMEOUT_S = 1.0
+# A second of slot messages at one per 4 ms; a slower peer loses its link.
+LINK_QUEUE_LIMIT = 256
+MAX_HELLO_BYTES = 4096
+
+logger = logging.getLogger(__name__)
+
+
+@frozen(kw_only=True)
+class LinkContext:
+    """What every link of a process needs: its own greeting and two mailboxes."""
+
+    hello: Hello
+    manager: Mailbox
+    dispatcher: Mailbox
+
+
+@frozen(kw_only=True)
+class HandshakeFailed:
+    """Sentinel: no link; `has_ended` if the expected process is not there."""
+
+    reason: str
+    has_ended: bool = False
+
+
+@define(kw_only=True, eq=False)
+class Link:
+    """Handle on a link's greenlets.
+
+    `verdict` gets one message: whether the manager accepts the link.
+    """
+
+    peer: Hello
+    dialler: ProcessName
+    target: DialTarget | None = None
+    outgoing: Mailbox[bytes] = field(factory=lambda: Mailbox(limit=LINK_QUEUE_LIMIT))
+    verdict: Mailbox[bool] = field(factory=lambda: Mailbox(limit=1))
+    writer: gevent.Greenlet | None = None
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    refused_messages: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process at the other end."""
+        return self.peer.sender
+
+    def send(self, body: bytes) -> bool:
+        """Queue an encoded message; a full queue ends the link."""
+        is_queued = self.outgoing.offer(body)
+        if not is_queued:
+            self.close()
+        return is_queued
+
+    def close(self) -> None:
+        """End the link; its greenlets close the socket."""
+        if self.writer is not None:
+            self.writer.kill(block=False)
+
+
+def dial_link(target: DialTarget, context: LinkContext) -> None:
+    """Connect, greet and run the link until it ends."""
+    match _connect(target, context):
+        case HandshakeFailed(reason=reason, has_ended=has_ended):
+            failed = DialFailed(target=target, reason=reason, has_ended=has_ended)
+            context.manager.put(failed)
+        case (sock, Hello() as peer):
+            dialler = context.hello.sender.name
+            _run_link(sock, Link(peer=peer, dialler=dialler, target=target), context)
+
+
+def accept_link(sock, context: LinkContext) -> None:
+    """Greet a process that has connected and run the link until it ends."""
+    match _exchange_hello(sock, context, None):
+        case HandshakeFailed(reason=reason):
+            # The service manager's port checks end here as well.
+            logger.debug("link not accepted: %s", reason)
+            sock.close()
+        case Hello() as peer:
+            _run_link(sock, Link(peer=peer, dialler=peer.sender.name), context)
+
+
+def _connect(target: DialTarget, context: LinkContext):
+    address = (target.host, target.port)
+    try:
+        sock = gsocket.create_connection(address, timeout=HANDSHAKE_TIMEOUT_S)
+    except ConnectionRefusedError as error:
+        return HandshakeFailed(reason=repr(error), has_ended=True)
+    except OSError as error:
+        return HandshakeFailed(reason=repr(error))
+    greeting = _exchange_hello(sock, context, target)
+    if isinstance(greeting, HandshakeFailed):
+        sock.close()
+        return greeting
+    return sock, greeting
+
+
+def _exchange_hello(
+    sock, context: LinkContext, target: DialTarget | None
+) -> Hello | HandshakeFailed:
+    sock.settimeout(HANDSHAKE_TIMEOUT_S)
+    try:
+        # Nagle's algorithm would delay heartbeats and forwarded requests.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.sendall(pack_frame(UNKNOWN_RECEIVER, encode_message(context.hello)))
+    except OSError as error:
+        return HandshakeFailed(reason=repr(error))
+    greeting = read_frame(sock, MAX_HELLO_BYTES)
+    match greeting:
+        case ReceivedFrame(body=body):
+            greeting = decode_message(body)
+        case FrameTooLarge() | LinkEnded():
+            return HandshakeFailed(reason=repr(greeting))
+    match greeting:
+        case Hello(protocol_version=version) if version != PROTOCOL_VERSION:
+            return HandshakeFailed(reason=f"protocol version {version}")
+        case Hello(sender=sender) if target and target.name not in (None, sender.name):
+            return HandshakeFailed(reason=f"{sender} answered", has_ended=True)
+        case Hello():
+            sock.settimeout(None)
+            return greeting
+        case _:
+            return HandshakeFailed(reason=f"no greeting: {greeting!r:.100}")
+
+
+def _run_link(sock, link: Link, context: LinkContext) -> None:
+    link.writer = spawn_task(_write_frames, sock, link)
+    try:
+        context.manager.put(LinkOpened(link=link))
+        reason = "refused"
+        if link.verdict.take():
+            reason = _read_messages(sock, link, context)
+    finally:
+        link.writer.kill()
+        sock.close()
+    context.manager.put(LinkClosed(link=link, reason=reason))
+
+
+def _write_frames(sock, link: Link) -> None:
+    token = link.incarnation.token
+    try:
+        for body in link.outgoing.drain_messages():
+            sock.sendall(frame := pack_frame(token, body))
+            link.sent_bytes += len(frame)
+    except OSError as error:
+        logger.debug("link not written: %r", error)
+    finally:
+        _shut_down(sock)
+
+
+def _shut_down(sock) -> None:
+    """Wake the reader; the socket may have been closed already."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
+
+
+def _read_messages(sock, link: Link, context: LinkContext) -> str:
+    """Pass messages on until the link ends; return the reason for its end."""
+    while True:
+        frame = read_frame(sock)
+        match frame:
+            case FrameTooLarge() | LinkEnded():
+                return repr(frame)
+        link.received_bytes += len(frame.body)
+        message = decode_message(frame.body)
+        match message:
+            case MalformedMessage(reason=reason):
+                return reason
+            case _ if frame.to_token != context.hello.sender.token:
+                link.refused_messages += 1
+                _refuse_message(message, link, context)
+            case (
+                ev.SlotDemand(borrower=claimed)
+                | ev.SlotReturn(borrower=claimed)
+                | ev.SlotsHeld(borrower=claimed)
+                | ev.SlotGrant(home=claimed)
+            ):
+                if claimed != link.incarnation:
+                    return f"{link.incarnation} speaks for {claimed}"
+                context.dispatcher.put(message)
+            case _:
+                context.manager.put(MessageReceived(link=link, message=message))
+
+
+def _refuse_message(message, link: Link, context: LinkContext) -> None:
+    """Refuse a message for an earlier incarnation, so that nothing is done twice."""
+    match message:
+        case ForwardRequest(number=number):
+            refusal = Refusal(
+                kind=RefusalKind.GONE,
+                step=Step.FORWARD_REQUEST,
+                peer=str(context.hello.sender),
+                reason="the request is for an earlier incarnation; it may have run",
+                run=RunState.UNKNOWN,
+            )
+            link.send(encode_message(ForwardReply(number=number, reply=refusal)))
+        case _:
+            logger.warning(
+                "message for an earlier incarnation refused",
+                extra={
+                    "step": Step.SIBLING_LINK.value,
+                    "peer": str(link.incarnation),
+                },
+            )
--- /dev/null
+++ b/gentianhub/siblings/service.py
@@ -0,0 +1,72 @@
+"""The greenlets that deal with the other entry processes."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from gentianhub.core import Incarnation, Mailbox, spawn_task
+from gentianhub.core.events import Tick
+from gentianhub.decisions.membership import HEARTBEAT_PERIOD_S
+from gentianhub.settings import Endpoint
+from gentianhub.siblings.links import LinkContext, accept_link
+from gentianhub.siblings.manager import SiblingManager
+from gentianhub.siblings.messages import Hello
+
+MAX_ACCEPTED_LINKS = 1024
+
+
+@contextmanager
+def open_siblings(
+    *,
+    own: Incarnation,
+    address: Endpoint,
+    seeds: tuple[Endpoint, ...],
+    mailbox: Mailbox,
+    dispatcher: Mailbox,
+    watcher: Mailbox,
+) -> Iterator[None]:
+    """Run the listener, the manager and its timer while the context is open.
+
+    Parameters
+    ----------
+    own : Incarnation
+        This process.
+    address : Endpoint
+        The sibling port to listen on.
+    seeds : tuple of Endpoint
+        Sibling ports to ask when the platform does not answer.
+    mailbox, dispatcher, watcher : Mailbox
+        The manager's own mailbox, and those to which it sends.
+    """
+    hello = Hello(
+        sender=own,
+        started_ms=time.time_ns() // 1_000_000,
+        host=address.host,
+        port=address.port,
+    )
+    context = LinkContext(hello=hello, manager=mailbox, dispatcher=dispatcher)
+    manager = SiblingManager(context=context, watcher=watcher, seeds=seeds)
+    server = StreamServer(
+        address.as_pair(),
+        lambda sock, _: accept_link(sock, context),
+        spawn=Pool(MAX_ACCEPTED_LINKS),
+        backlog=1024,
+    )
+    server.start()
+    tasks = [spawn_task(manager.run), spawn_task(run_heartbeats, mailbox)]
+    try:
+        yield
+    finally:
+        gevent.killall(tasks)
+        server.stop(timeout=0)
+
+
+def run_heartbeats(mailbox: Mailbox) -> None:
+    """Send a `Tick` each period; one that finds the mailbox full is dropped."""
+    while True:
+        mailbox.offer(Tick())
+        gevent.sleep(HEARTBEAT_PERIOD_S)
--- /dev/null
+++ b/gentianhub/siblings/wire.py
@@ -0,0 +1,94 @@
+"""Frames between entry processes: length, addressed incarnation, message.
+
+The token of the addressed incarnation stands outside the message, so that one
+encoded heartbeat serves every sibling.
+"""
+
+import struct
+
+from attrs import frozen
+
+from gentianhub.siblings.decoding import (
+    MalformedMessage,
+    decode_message,
+)
+from gentianhub.siblings.encoding import encode_message
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "UNKNOWN_RECEIVER",
+    "FrameTooLarge",
+    "LinkEnded",
+    "MalformedMessage",
+    "ReceivedFrame",
+    "decode_message",
+    "encode_message",
+    "pack_frame",
+    "read_frame",
+]
+
+# Holds a caller's largest job (16 MiB) and an answer of 170 results.
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+UNKNOWN_RECEIVER = "0" * 16
+
+_HEADER = struct.Struct(">IQ")
+
+
+@frozen(kw_only=True)
+class ReceivedFrame:
+    """A whole frame: the token of the addressed incarnation and the body."""
+
+    to_token: str
+    body: bytes
+
+
+@frozen(kw_only=True)
+class FrameTooLarge:
+    """Sentinel: the frame's length is over the limit; nothing of it was read."""
+
+    size: int
+
+
+@frozen(kw_only=True)
+class LinkEnded:
+    """Sentinel: the connection ended, perhaps within a frame."""
+
+    reason: str
+
+
+def pack_frame(to_token: str, body: bytes) -> bytes:
+    """Return the frame that carries an encoded message."""
+    return _HEADER.pack(len(body), int(to_token, 16)) + body
+
+
+def read_frame(
+    sock, max_bytes: int = MAX_FRAME_BYTES
+) -> ReceivedFrame | FrameTooLarge | LinkEnded:
+    """Block until the next frame has arrived whole."""
+    match _read_exactly(sock, _HEADER.size):
+        case LinkEnded() as ended:
+            return ended
+        case header:
+            size, token = _HEADER.unpack(header)
+    if size > max_bytes:
+        return FrameTooLarge(size=size)
+    match _read_exactly(sock, size):
+        case LinkEnded() as ended:
+            return ended
+        case body:
+            return ReceivedFrame(to_token=f"{token:016x}", body=body)
+
+
+def _read_exactly(sock, size: int) -> bytes | LinkEnded:
+    chunks = []
+    missing = size
+    while missing:
+        try:
+            chunk = sock.recv(min(missing, 2**18))
+        except OSError as error:
+            return LinkEnded(reason=repr(error))
+        if not chunk:
+            return LinkEnded(reason=f"closed with {missing} bytes missing")
+        chunks.append(chunk)
+        missing -= len(chunk)
+    return b"".join(chunks)
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -182,7 +182,13 @@
     return start_child(plan.name, arguments, {"target": port}, plan.data_centre)
 
 
-def start_entry(plan: EntryPlan, ports: list[int], platform_port: int, folder: Path):
+def start_entry(
+    plan: EntryPlan,
+    ports: list[int],
+    platform_port: int,
+    folder: Path,
+    seed_ports: tuple[int, ...] = (),
+):
     """Return the context of one entry process with its own settings file."""
     path = folder / f"{plan.name}.json"
     purposes = dict(zip(("callers", "siblings", "operators"), ports, strict=True))
@@ -193,12 +199,12 @@
         "data_centre": plan.data_centre,
         "platform": {"host": LOOPBACK, "port": platform_port},
         "processes": [{"name": plan.name, **process}],
+        "siblings": [{"host": LOOPBACK, "port": port} for port in seed_ports],
         "log_level": "warning",
     }
     path.write_text(json.dumps(settings))
     arguments = ["entry", "--settings", str(path), "--process", plan.name]
-    waited = {name: port for name, port in purposes.items() if name != "siblings"}
-    return start_child(plan.name, arguments, waited, plan.data_centre)
+    return start_child(plan.name, arguments, purposes, plan.data_centre)
 
 
 def build_first_change(table_rows: list[dict]) -> dict:
