--- /dev/null
+++ b/gentianhub/siblings/tests/test_processes.py
@@ -0,0 +1,190 @@
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+import gevent
+
+from gentianhub.stand_ins.processes import (
+    EntryPlan,
+    TargetPlan,
+    reserve_ports,
+    start_deployment,
+    start_entry,
+    wait_until_serving,
+)
+
+ROWS = [
+    {"sheet": "teams", "name": "desk"},
+    {"sheet": "services", "name": "orders", "team": "desk"},
+]
+POLL_S = 0.05
+
+
+def build_job(task_count: int, run_ms: float) -> dict:
+    task = {"kind": "check", "body": f'{{"run_ms": {run_ms}}}'}
+    return {"service": "orders", "deadline_ms": 60_000, "tasks": [task] * task_count}
+
+
+class SiblingProcessTest(unittest.TestCase):
+    def start(self, *entries: EntryPlan):
+        centres = sorted({plan.data_centre for plan in entries})
+        deployment = start_deployment(
+            targets=[TargetPlan(name=f"t-{dc}", data_centre=dc) for dc in centres],
+            entries=list(entries),
+            table_rows=ROWS,
+        )
+        self.deployment = self.enterContext(deployment)
+        wait_until_serving(self.deployment)
+        for plan in entries:
+            near = sum(other.data_centre == plan.data_centre for other in entries)
+            self.wait_for_live(self.deployment.entries[plan.name], near)
+        return [self.deployment.entries[plan.name] for plan in entries]
+
+    def read_siblings(self, entry) -> dict:
+        return entry.call("operators", "GET", "/dump")[1]["siblings"]
+
+    def wait_for_live(self, entry, count: int):
+        while len(self.read_siblings(entry)["live"]) != count:
+            gevent.sleep(POLL_S)
+
+    def count_starts(self) -> list[int]:
+        return [
+            count
+            for target in self.deployment.targets.values()
+            for count in target.call("target", "GET", "/starts")[1]["starts"].values()
+        ]
+
+    def issue_path(self, entry) -> str:
+        _, block = entry.call("callers", "POST", "/v1/ids", {"count": 1})
+        return f"/v1/jobs/{block['prefix']}.{block['first']}"
+
+    def submit(self, entry, job: dict) -> str:
+        path = self.issue_path(entry)
+        self.assertEqual(entry.call("callers", "PUT", path, job)[0], 202)
+        return path
+
+    def read_until(self, entry, path: str, wanted: int):
+        """Ask again while the reply is 503; none may say that nothing has run."""
+        while True:
+            status, reply = entry.call("callers", "GET", path)
+            if status == 200:
+                return status, reply
+            self.assertEqual(reply["error"]["run"], "unknown")
+            if status == wanted:
+                return status, reply
+            self.assertEqual(status, 503)
+            gevent.sleep(POLL_S)
+
+
+class ForwardingTest(SiblingProcessTest):
+    """Guards against a second start, and against untrue replies about an owner."""
+
+    def test_every_process_serves_any_job(self):
+        entries = self.start(
+            EntryPlan(name="e1"),
+            EntryPlan(name="e2"),
+            EntryPlan(name="e3", data_centre="aarau"),
+        )
+        for owner in entries:
+            path = self.issue_path(owner)
+            known = [
+                entry.call("callers", "PUT", path, build_job(3, 20))
+                for entry in entries
+            ]
+            self.assertEqual([status for status, _ in known], [202] * 3)
+            self.assertEqual(
+                [reply["known"] for _, reply in known], [False, True, True]
+            )
+            for entry in entries:
+                status, _ = entry.call("callers", "PUT", path, build_job(2, 20))
+                self.assertEqual(status, 409)
+                _, answer = entry.call("callers", "GET", f"{path}?wait_ms=20000")
+                self.assertEqual(answer["state"], "complete")
+                self.assertEqual(len(answer["results"]), 3)
+                status, _ = entry.call("callers", "DELETE", path)
+                self.assertEqual(status, 200)
+        self.assertEqual(self.count_starts(), [1] * 9)
+
+    def test_killed_owner_is_gone_with_an_unknown_outcome(self):
+        for names in (("e1", "e2"), ("e2", "e1")):
+            with self.subTest(owner=names[0]):
+                self.start(EntryPlan(name="e1"), EntryPlan(name="e2"))
+                owner, other = (self.deployment.entries[name] for name in names)
+                path = self.submit(owner, build_job(1, 5000))
+                self.read_until(other, path, 200)
+                owner.popen.kill()
+                owner.popen.wait()
+                status, _ = self.read_until(other, path, 410)
+                self.assertEqual(status, 410)
+                status, reply = other.call("callers", "PUT", path, build_job(1, 5000))
+                self.assertEqual((status, reply["error"]["run"]), (410, "unknown"))
+
+    def test_replaced_owner_is_gone_with_an_unknown_outcome(self):
+        owner, other = self.start(EntryPlan(name="e1"), EntryPlan(name="e2"))
+        path = self.submit(owner, build_job(1, 5000))
+        owner.popen.kill()
+        owner.popen.wait()
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        replacement = self.enterContext(
+            start_entry(
+                EntryPlan(name="e1"),
+                list(owner.ports.values()),
+                self.deployment.platform.ports["platform"],
+                folder,
+            )
+        )
+        self.wait_for_live(other, 2)
+        for entry in (other, replacement):
+            status, _ = self.read_until(entry, path, 410)
+            self.assertEqual(status, 410)
+
+    def test_paused_owner_may_be_asked_again(self):
+        for names in (("e1", "e2"), ("e2", "e1")):
+            with self.subTest(owner=names[0]):
+                self.start(EntryPlan(name="e1"), EntryPlan(name="e2"))
+                owner, other = (self.deployment.entries[name] for name in names)
+                path = self.submit(owner, build_job(4, 300))
+                owner.send_signal(signal.SIGSTOP)
+                for wait in ("", "?wait_ms=20000"):
+                    status, reply = other.call("callers", "GET", path + wait)
+                    self.assertEqual((status, reply["error"]["run"]), (503, "unknown"))
+                self.wait_for_live(other, 1)
+                owner.send_signal(signal.SIGCONT)
+                while self.read_until(other, path, 200)[1]["state"] != "complete":
+                    gevent.sleep(POLL_S)
+                _, answer = self.read_until(other, path, 200)
+                self.assertEqual(len(answer["results"]), 4)
+                self.assertEqual(self.count_starts(), [1] * 4)
+
+
+class StartWithoutPlatformTest(SiblingProcessTest):
+    """Guards against a new process that cannot serve while the platform is down."""
+
+    def test_new_process_learns_all_from_a_seed(self):
+        entries = self.start(EntryPlan(name="e2"), EntryPlan(name="e3"))
+        platform = self.deployment.platform
+        platform.call("platform", "POST", "/faults", {"down": True})
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        newcomer = self.enterContext(
+            start_entry(
+                EntryPlan(name="e1"),
+                reserve_ports(3),
+                platform.ports["platform"],
+                folder,
+                (entries[0].ports["siblings"],),
+            )
+        )
+        for entry in (newcomer, *entries):
+            self.wait_for_live(entry, 3)
+        while True:
+            status, accepted = newcomer.call(
+                "callers", "POST", "/v1/jobs", build_job(3, 20)
+            )
+            if status == 202:
+                break
+            gevent.sleep(POLL_S)
+        path = f"/v1/jobs/{accepted['id']}?wait_ms=20000"
+        for entry in (newcomer, *entries):
+            _, answer = entry.call("callers", "GET", path)
+            self.assertEqual(answer["state"], "complete")
