--- /dev/null
+++ b/gentianhub/decisions/tests/test_membership.py
@@ -0,0 +1,78 @@
+import unittest
+
+from gentianhub.core import EntryAddress, Incarnation, ProcessName
+from gentianhub.core.events import HomesChanged, Tick
+from gentianhub.decisions import membership as mb
+
+
+def build_incarnation(name: str, token: str = "a") -> Incarnation:
+    process = ProcessName(data_centre="olten", process=name)
+    return Incarnation(name=process, token=token * 16)
+
+
+def build_address(incarnation: Incarnation) -> EntryAddress:
+    return EntryAddress(name=incarnation.name, host="127.0.0.1", port=1)
+
+
+def introduce(incarnation: Incarnation, started_ms: int = 0) -> mb.PeerIntroduced:
+    address = build_address(incarnation)
+    return mb.PeerIntroduced(
+        incarnation=incarnation, started_ms=started_ms, address=address
+    )
+
+
+def build_list(*incarnations: Incarnation) -> mb.HostList:
+    return mb.HostList(processes=tuple(map(build_address, incarnations)), targets=())
+
+
+OWN, SECOND, THIRD = map(build_incarnation, ("e1", "e2", "e3"))
+TIMEOUT_S = mb.LIVE_TIMEOUT_S
+
+
+class MembershipTest(unittest.TestCase):
+    """Guards against homes taken from the list alone, or without having listened."""
+
+    def setUp(self):
+        self.membership = mb.Membership(own=OWN, started_s=0.0)
+
+    def handle(self, event, now_s: float) -> list[Incarnation] | None:
+        changes = list(self.membership.handle(event, now_s))
+        if not changes:
+            return None
+        (change,) = changes
+        self.assertIsInstance(change, HomesChanged)
+        return list(change.processes)
+
+    def test_live_is_what_is_heard(self):
+        self.assertIsNone(self.handle(build_list(OWN, SECOND), 0.0))
+        self.assertIsNone(self.handle(introduce(THIRD), 0.1))
+        self.assertEqual(self.handle(introduce(SECOND), 0.2), [OWN, SECOND, THIRD])
+        self.handle(mb.PeerHeard(incarnation=THIRD), 0.9)
+        lost = self.handle(Tick(), 0.2 + TIMEOUT_S)
+        self.assertEqual(lost, [OWN, THIRD])
+        self.assertIsNone(self.handle(build_list(OWN, SECOND, THIRD), 1.3))
+        again = self.handle(mb.PeerHeard(incarnation=SECOND), 1.4)
+        self.assertEqual(again, [OWN, SECOND, THIRD])
+
+    def test_starting_process_listens_before_it_calls_itself_alone(self):
+        self.assertIsNone(self.handle(Tick(), 0.5))
+        self.assertEqual(self.handle(Tick(), TIMEOUT_S), [OWN])
+
+    def test_only_listed_process_is_home_at_once(self):
+        self.assertEqual(self.handle(build_list(OWN), 0.1), [OWN])
+
+    def test_old_incarnation_counts_for_nothing(self):
+        new = build_incarnation("e2", "b")
+        self.handle(build_list(OWN, SECOND), 0.0)
+        self.handle(introduce(SECOND, 1), 0.1)
+        self.assertEqual(self.handle(introduce(new, 2), 0.2), [OWN, new])
+        self.assertIsNone(self.handle(introduce(SECOND, 1), 0.3))
+        self.assertIsNone(self.handle(mb.PeerHeard(incarnation=SECOND), 0.4))
+        replaced = self.membership.locate_owner(SECOND)
+        self.assertEqual(replaced, mb.OwnerReplaced(by=new))
+
+    def test_two_processes_poll_whatever_the_view(self):
+        everyone = [build_incarnation(f"e{number}") for number in range(9)]
+        pollers = mb.select_pollers(everyone)
+        self.assertEqual(len(pollers), mb.POLLERS_PER_DATA_CENTRE)
+        self.assertEqual(mb.select_pollers(reversed(everyone)), pollers)
--- a/gentianhub/siblings/encoding.py
+++ b/gentianhub/siblings/encoding.py
@@ -1,4 +1,10 @@
-"""Encoding of messages to siblings; the schema is `gentianhub.capnp`."""
+"""Encoding of messages to siblings; the schema is `gentianhub.capnp`.
+
+Cap'n Proto must raise nothing while it encodes: its exceptions walk the C stack,
+and the stack of a greenlet ends in memory that has been overwritten, which crashes
+the process. So members of unions are initialised before they are set, and numbers
+are checked before they are written.
+"""
 
 import math
 from pathlib import Path
@@ -40,7 +46,29 @@
 
 def encode_message(message: ms.SiblingMessage) -> bytes:
     """Return the body of a frame."""
-    return schema.Message.new_message(**_build_message(message)).to_bytes()
+    builder = schema.Message.new_message()
+    _fill_struct(builder, _build_message(message))
+    return builder.to_bytes()
+
+
+def _fill_struct(builder, content: dict) -> None:
+    for name, value in content.items():
+        match value:
+            case dict():
+                _fill_struct(builder.init(name), value)
+            case [dict(), *_]:
+                elements = builder.init(name, len(value))
+                for index, element in enumerate(value):
+                    _fill_struct(elements[index], element)
+            case _:
+                setattr(builder, name, value)
+
+
+def _check_size(number: int, bits: int) -> int:
+    """Return the number if an unsigned field of this width holds it."""
+    if not 0 <= number < 2**bits:
+        raise OverflowError(f"{number} does not fit {bits} bits")
+    return number
 
 
 def _build_message(message: ms.SiblingMessage) -> dict:
@@ -70,7 +98,7 @@
             content = {
                 "borrower": _build_incarnation(message.borrower),
                 "number": message.number,
-                "wanted": message.wanted,
+                "wanted": _check_size(message.wanted, 32),
                 "weight": message.weight,
             }
             return {"slotDemand": content}
@@ -78,19 +106,26 @@
             content = {
                 "home": _build_incarnation(message.home),
                 "target": message.target,
-                "count": message.count,
+                "count": _check_size(message.count, 32),
                 "demandNumber": message.demand_number,
                 "leaseS": message.lease_s,
                 "contended": message.contended,
             }
             return {"slotGrant": content}
         case ev.SlotReturn(borrower=borrower, target=target, count=count):
-            content = {"borrower": _build_incarnation(borrower)}
-            return {"slotReturn": content | {"target": target, "count": count}}
+            content = {
+                "borrower": _build_incarnation(borrower),
+                "target": target,
+                "count": _check_size(count, 32),
+            }
+            return {"slotReturn": content}
         case ev.SlotsHeld(borrower=borrower, counts=counts):
             content = {
                 "borrower": _build_incarnation(borrower),
-                "counts": [{"target": name, "count": count} for name, count in counts],
+                "counts": [
+                    {"target": name, "count": _check_size(count, 32)}
+                    for name, count in counts
+                ],
             }
             return {"slotsHeld": content}
 
@@ -101,7 +136,7 @@
         "sender": _build_incarnation(hello.sender),
         "startedMs": hello.started_ms,
         "host": hello.host,
-        "port": hello.port,
+        "port": _check_size(hello.port, 16),
     }
 
 
@@ -123,7 +158,7 @@
 def _build_operation(operation: op.Operation) -> dict:
     match operation:
         case op.IssueOperation(count=count):
-            return {"issue": count}
+            return {"issue": _check_size(count, 32)}
         case op.SubmitOperation(request=request, job_id=None):
             return {"submit": {"request": _build_request(request)}}
         case op.SubmitOperation(request=request, job_id=job_id):
@@ -246,7 +281,10 @@
             }
             return {"name": name, "service": content}
         case TargetRow(name=name, slots=slots, connections=connections):
-            content = {"slots": slots, "connections": connections}
+            content = {
+                "slots": _check_size(slots, 32),
+                "connections": _check_size(connections, 32),
+            }
             return {"name": name, "target": content}
 
 
@@ -255,7 +293,7 @@
         {
             "name": _build_name(process.name),
             "host": process.host,
-            "port": process.port,
+            "port": _check_size(process.port, 16),
             "leaving": process.leaving,
         }
         for process in hosts.processes
@@ -265,7 +303,7 @@
             "name": target.name,
             "dataCentre": target.data_centre,
             "host": target.host,
-            "port": target.port,
+            "port": _check_size(target.port, 16),
             "leaving": target.leaving,
         }
         for target in hosts.targets
@@ -274,7 +312,7 @@
 
 
 def _mark_absent_count(count: int | None) -> int:
-    return ABSENT_COUNT if count is None else count
+    return ABSENT_COUNT if count is None else _check_size(count, 63)
 
 
 def _mark_absent_number(number: float | None) -> float:
--- a/gentianhub/siblings/forwarding.py
+++ b/gentianhub/siblings/forwarding.py
@@ -64,9 +64,18 @@
         """Remove and return the requests that wait for a link to this name."""
         return [entry.forward for entry in self._waiting.pop(name, ())]
 
-    def record_sent(self, forward: Forward, now_s: float) -> ForwardRequest:
-        """Return the message that carries the request; its reply is awaited."""
+    def send_request(self, forward: Forward, link, now_s: float) -> None:
+        """Send a request to its owner and await the reply."""
         self._numbers += 1
+        request = ForwardRequest(number=self._numbers, operation=forward.operation)
+        match encode_forward(request, forward.owner):
+            case Refusal() as refusal:
+                forward.reply_to.offer(refusal)
+            case body:
+                self._record_sent(forward, now_s)
+                link.send(body)
+
+    def _record_sent(self, forward: Forward, now_s: float) -> None:
         wait_s = REPLY_TIMEOUT_S
         match forward.operation:
             case WatchOperation(wait_s=watch_s):
@@ -74,7 +83,6 @@
         self._sent[self._numbers] = SentForward(
             forward=forward, sent_s=now_s, deadline_s=now_s + wait_s
         )
-        return ForwardRequest(number=self._numbers, operation=forward.operation)
 
     def deliver_reply(self, reply: ForwardReply, sender: Incarnation) -> None:
         """Hand a reply to the greenlet that asked, if it still waits."""
@@ -133,18 +141,37 @@
 def serve_forward(dispatcher: Mailbox, request: ForwardRequest, link) -> None:
     """Perform a sibling's request here and send the reply over its link."""
     reply = perform_operation(dispatcher, request.operation)
-    body = encode_message(ForwardReply(number=request.number, reply=reply))
+    message = ForwardReply(number=request.number, reply=reply)
+    match encode_forward(message, link.incarnation):
+        case Refusal() as refusal:
+            message = ForwardReply(number=request.number, reply=refusal)
+            link.send(encode_message(message))
+        case body:
+            link.send(body)
+
+
+def encode_forward(
+    message: ForwardRequest | ForwardReply, peer: Incarnation
+) -> bytes | Refusal:
+    """Return the encoded message, or a refusal if no frame can carry it."""
+    try:
+        body = encode_message(message)
+    except (UnicodeEncodeError, OverflowError) as error:
+        return _refuse_content(peer, f"content that cannot be forwarded: {error}")
     if len(body) > MAX_FRAME_BYTES:
-        refusal = Refusal(
-            kind=RefusalKind.TOO_LARGE,
-            step=Step.FORWARD_REQUEST,
-            peer=str(link.incarnation),
-            reason=f"the answer of {len(body)} bytes is too large to forward",
-            expected="the request through the job's owner",
-            run=RunState.UNKNOWN,
-        )
-        body = encode_message(ForwardReply(number=request.number, reply=refusal))
-    link.send(body)
+        return _refuse_content(peer, f"{len(body)} bytes are too many to forward")
+    return body
+
+
+def _refuse_content(peer: Incarnation, reason: str) -> Refusal:
+    return Refusal(
+        kind=RefusalKind.TOO_LARGE,
+        step=Step.FORWARD_REQUEST,
+        peer=str(peer),
+        reason=reason,
+        expected="smaller content in Unicode, or the request through the owner",
+        run=RunState.UNKNOWN,
+    )
 
 
 def build_overload_reply(request: ForwardRequest, server: Incarnation) -> ForwardReply:
--- a/gentianhub/siblings/links.py
+++ b/gentianhub/siblings/links.py
@@ -33,6 +33,7 @@
 )
 from gentianhub.siblings.wire import (
     UNKNOWN_RECEIVER,
+    DamagedFrame,
     FrameTooLarge,
     LinkEnded,
     MalformedMessage,
@@ -154,7 +155,7 @@
     match greeting:
         case ReceivedFrame(body=body):
             greeting = decode_message(body)
-        case FrameTooLarge() | LinkEnded():
+        case FrameTooLarge() | DamagedFrame() | LinkEnded():
             return HandshakeFailed(reason=repr(greeting))
     match greeting:
         case Hello(protocol_version=version) if version != PROTOCOL_VERSION:
@@ -206,7 +207,7 @@
     while True:
         frame = read_frame(sock)
         match frame:
-            case FrameTooLarge() | LinkEnded():
+            case FrameTooLarge() | DamagedFrame() | LinkEnded():
                 return repr(frame)
         link.received_bytes += len(frame.body)
         message = decode_message(frame.body)
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -9,6 +9,7 @@
     EntryAddress,
     Incarnation,
     Mailbox,
+    Step,
     Table,
     read_monotonic_s,
 )
@@ -99,11 +100,22 @@
         """Take messages for ever; end all links when killed."""
         try:
             for notice in self.context.manager.drain_messages():
-                self._take_notice(notice, read_monotonic_s())
+                self._take_safely(notice)
         finally:
             self._serving.kill(block=False)
             self._dialling.kill(block=False)
 
+    def _take_safely(self, notice) -> None:
+        """Log a fault with one message; without a manager no sibling is reached."""
+        try:
+            self._take_notice(notice, read_monotonic_s())
+        except Exception:
+            logger.exception(
+                "message not handled: %.200r",
+                notice,
+                extra={"step": Step.SIBLING_LINK.value, "peer": str(self.own)},
+            )
+
     def _take_notice(self, notice, now_s: float) -> None:
         match notice:
             case nt.MessageReceived(link=link, message=message):
@@ -180,6 +192,7 @@
             return
         if current is not None:
             current.link.close()
+            self.forwards.fail_owner(link.incarnation, now_s, min_age_s=0.0)
         self.links[link.incarnation] = LinkState(link=link, heard_s=now_s, used_s=now_s)
         link.verdict.offer(True)
         self._see(introduced, now_s)
@@ -295,8 +308,7 @@
             fw.refuse_overload(forward)
         elif state is not None:
             state.used_s = now_s
-            request = self.forwards.record_sent(forward, now_s)
-            state.link.send(encode_message(request))
+            self.forwards.send_request(forward, state.link, now_s)
         else:
             self._find_owner(forward, now_s)
 
@@ -378,10 +390,10 @@
         )
         if is_due and self._is_near(link.incarnation) and hosts != self.hosts:
             self._set_hosts(hosts, now_s)
-            self.context.dispatcher.put(TargetsSeen(targets=hosts.targets))
 
     def _set_hosts(self, hosts: mb.HostList, now_s: float) -> None:
         self.hosts = hosts
+        self.context.dispatcher.put(TargetsSeen(targets=hosts.targets))
         self._see(hosts, now_s)
         self._dial_siblings(now_s)
 
--- /dev/null
+++ b/gentianhub/siblings/tests/test_fencing.py
@@ -0,0 +1,114 @@
+import unittest
+
+from gevent import socket
+
+from gentianhub.core import (
+    Incarnation,
+    JobId,
+    JobPending,
+    Mailbox,
+    ProcessName,
+    RefusalKind,
+    RunState,
+)
+from gentianhub.core import events as ev
+from gentianhub.core.operations import CancelOperation
+from gentianhub.settings import Endpoint
+from gentianhub.siblings import messages as ms
+from gentianhub.siblings import open_siblings, wire
+from gentianhub.stand_ins.processes import LOOPBACK, reserve_ports
+
+
+def build_incarnation(name: str, token: str) -> Incarnation:
+    process = ProcessName(data_centre="olten", process=name)
+    return Incarnation(name=process, token=token * 16)
+
+
+OWN = build_incarnation("e1", "a")
+OLD = build_incarnation("e1", "b")
+PEER = build_incarnation("e2", "c")
+PENDING = JobPending(ended_tasks=0, started_tasks=0)
+
+
+class FencingTest(unittest.TestCase):
+    """Guards against a process that acts on a message to its predecessor."""
+
+    def setUp(self):
+        (self.port,) = reserve_ports(1)
+        self.dispatcher = Mailbox(limit=100)
+        self.enterContext(
+            open_siblings(
+                own=OWN,
+                address=Endpoint(host=LOOPBACK, port=self.port),
+                seeds=(),
+                mailbox=Mailbox(limit=100),
+                dispatcher=self.dispatcher,
+                watcher=Mailbox(limit=100),
+            )
+        )
+
+    def connect(self, peer: Incarnation, started_ms: int):
+        sock = socket.create_connection((LOOPBACK, self.port), timeout=20)
+        self.addCleanup(sock.close)
+        hello = ms.Hello(sender=peer, started_ms=started_ms, host=LOOPBACK, port=1)
+        self.send(sock, OWN, hello)
+        self.assertEqual(self.read(sock).sender, OWN)
+        return sock
+
+    def send(self, sock, to: Incarnation, message) -> None:
+        sock.sendall(wire.pack_frame(to.token, wire.encode_message(message)))
+
+    def read(self, sock):
+        frame = wire.read_frame(sock)
+        match frame:
+            case wire.ReceivedFrame(body=body):
+                return wire.decode_message(body)
+            case _:
+                return frame
+
+    def read_reply(self, sock) -> ms.ForwardReply:
+        while not isinstance(message := self.read(sock), ms.ForwardReply):
+            self.assertNotIsInstance(message, wire.LinkEnded)
+        return message
+
+    def test_only_messages_to_this_incarnation_are_acted_on(self):
+        sock = self.connect(PEER, 1)
+        cancel = CancelOperation(job_id=JobId(owner=OLD, sequence=1))
+        self.send(sock, OLD, ms.ForwardRequest(number=7, operation=cancel))
+        self.send(sock, OLD, ev.SlotReturn(borrower=PEER, target="old", count=1))
+        reply = self.read_reply(sock)
+        self.assertEqual(reply.number, 7)
+        self.assertEqual(reply.reply.kind, RefusalKind.GONE)
+        self.assertEqual(reply.reply.run, RunState.UNKNOWN)
+        held = ev.SlotReturn(borrower=PEER, target="new", count=1)
+        self.send(sock, OWN, held)
+        while isinstance(message := self.dispatcher.take(20), ev.HomesChanged):
+            pass
+        self.assertEqual(message, held)
+
+    def test_message_in_another_name_ends_the_link(self):
+        sock = self.connect(PEER, 1)
+        self.send(sock, OWN, ev.SlotReturn(borrower=OLD, target="t", count=1))
+        while not isinstance(message := self.read(sock), wire.LinkEnded):
+            self.assertIsInstance(message, ms.Heartbeat)
+
+    def test_predecessor_of_a_live_process_is_refused(self):
+        successor = build_incarnation("e2", "d")
+        live = self.connect(successor, 2)
+        self.assertIsInstance(self.read(live), ms.Heartbeat)
+        self.assertIsInstance(self.read(self.connect(PEER, 1)), wire.LinkEnded)
+
+    def test_served_request_blocks_no_other(self):
+        sock = self.connect(PEER, 1)
+        cancel = CancelOperation(job_id=JobId(owner=OWN, sequence=1))
+        for number in (1, 2):
+            self.send(sock, OWN, ms.ForwardRequest(number=number, operation=cancel))
+        asked = []
+        while len(asked) < 2:
+            match self.dispatcher.take(20):
+                case ev.CancelJob() as event:
+                    asked.append(event.reply_to)
+        asked[1].offer(PENDING)
+        self.assertEqual(self.read_reply(sock).number, 2)
+        asked[0].offer(PENDING)
+        self.assertEqual(self.read_reply(sock).number, 1)
--- a/gentianhub/siblings/tests/test_processes.py
+++ b/gentianhub/siblings/tests/test_processes.py
@@ -27,12 +27,13 @@
 
 
 class SiblingProcessTest(unittest.TestCase):
-    def start(self, *entries: EntryPlan):
+    def start(self, *entries: EntryPlan, has_relays: bool = False):
         centres = sorted({plan.data_centre for plan in entries})
         deployment = start_deployment(
             targets=[TargetPlan(name=f"t-{dc}", data_centre=dc) for dc in centres],
             entries=list(entries),
             table_rows=ROWS,
+            has_relays=has_relays,
         )
         self.deployment = self.enterContext(deployment)
         wait_until_serving(self.deployment)
@@ -158,6 +159,36 @@
                 self.assertEqual(self.count_starts(), [1] * 4)
 
 
+class CutLinkTest(SiblingProcessTest):
+    """Guards against a cut that loses an answer or hides a target that leaves."""
+
+    def test_stalled_link_may_be_asked_again(self):
+        plans = EntryPlan(name="e1"), EntryPlan(name="e2")
+        owner, other = self.start(*plans, has_relays=True)
+        path = self.submit(owner, build_job(4, 300))
+        relays = self.deployment.relays.values()
+        for relay in relays:
+            relay.stall_link()
+        status, reply = other.call("callers", "GET", f"{path}?wait_ms=20000")
+        self.assertEqual((status, reply["error"]["run"]), (503, "unknown"))
+        self.wait_for_live(other, 1)
+        self.wait_for_live(owner, 1)
+        for relay in relays:
+            relay.restore_link()
+        while self.read_until(other, path, 200)[1]["state"] != "complete":
+            gevent.sleep(POLL_S)
+        self.assertEqual(self.count_starts(), [1] * 4)
+
+    def test_leaving_target_is_known_to_all(self):
+        first, second = self.start(EntryPlan(name="e1"), EntryPlan(name="e2"))
+        target = self.deployment.targets["t-olten"]
+        target.call("target", "POST", "/faults", {"is_leaving": True})
+        first.call("callers", "POST", "/v1/jobs", build_job(1, 10))
+        for entry in (first, second):
+            while entry.call("operators", "GET", "/dump")[1]["slots_held"]:
+                gevent.sleep(POLL_S)
+
+
 class StartWithoutPlatformTest(SiblingProcessTest):
     """Guards against a new process that cannot serve while the platform is down."""
 
--- a/gentianhub/siblings/wire.py
+++ b/gentianhub/siblings/wire.py
@@ -1,11 +1,14 @@
-"""Frames between entry processes: length, addressed incarnation, message.
+"""Frames between entry processes: length, addressed incarnation, checksum, message.
 
 The token of the addressed incarnation stands outside the message, so that one
-encoded heartbeat serves every sibling.
+encoded heartbeat serves every sibling. The checksum keeps foreign and damaged bytes
+away from Cap'n Proto, whose exceptions crash the process when they are raised in a
+greenlet (see `encoding`).
 """
 
 import struct
 
+import xxhash
 from attrs import frozen
 
 from gentianhub.siblings.decoding import (
@@ -17,6 +20,7 @@
 __all__ = [
     "MAX_FRAME_BYTES",
     "UNKNOWN_RECEIVER",
+    "DamagedFrame",
     "FrameTooLarge",
     "LinkEnded",
     "MalformedMessage",
@@ -31,7 +35,7 @@
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 UNKNOWN_RECEIVER = "0" * 16
 
-_HEADER = struct.Struct(">IQ")
+_HEADER = struct.Struct(">IQQ")
 
 
 @frozen(kw_only=True)
@@ -56,25 +60,34 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class DamagedFrame:
+    """Sentinel: the frame's checksum is not that of its content."""
+
+
 def pack_frame(to_token: str, body: bytes) -> bytes:
     """Return the frame that carries an encoded message."""
-    return _HEADER.pack(len(body), int(to_token, 16)) + body
+    token = int(to_token, 16)
+    checksum = xxhash.xxh3_64_intdigest(body, seed=token)
+    return _HEADER.pack(len(body), token, checksum) + body
 
 
 def read_frame(
     sock, max_bytes: int = MAX_FRAME_BYTES
-) -> ReceivedFrame | FrameTooLarge | LinkEnded:
+) -> ReceivedFrame | FrameTooLarge | DamagedFrame | LinkEnded:
     """Block until the next frame has arrived whole."""
     match _read_exactly(sock, _HEADER.size):
         case LinkEnded() as ended:
             return ended
         case header:
-            size, token = _HEADER.unpack(header)
+            size, token, checksum = _HEADER.unpack(header)
     if size > max_bytes:
         return FrameTooLarge(size=size)
     match _read_exactly(sock, size):
         case LinkEnded() as ended:
             return ended
+        case body if xxhash.xxh3_64_intdigest(body, seed=token) != checksum:
+            return DamagedFrame()
         case body:
             return ReceivedFrame(to_token=f"{token:016x}", body=body)
 
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -13,10 +13,12 @@
 from pathlib import Path
 
 import gevent
-from attrs import define, frozen
+from attrs import Factory, define, frozen
 from gevent import socket, subprocess
 from geventhttpclient import HTTPClient
 
+from gentianhub.stand_ins.relay import Relay, open_relay
+
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
@@ -66,6 +68,7 @@
     platform: Child
     targets: dict[str, Child]
     entries: dict[str, Child]
+    relays: dict[str, Relay] = Factory(dict)
 
 
 def call_http(port: int, method: str, path: str, content=None, timeout_s=90.0):
@@ -133,8 +136,12 @@
     targets: list[TargetPlan],
     entries: list[EntryPlan],
     table_rows: list[dict],
+    has_relays: bool = False,
 ) -> Iterator[Deployment]:
-    """Run a platform, targets and entry processes, one process each."""
+    """Run a platform, targets and entry processes, one process each.
+
+    With `has_relays` the host list names a relay in front of each sibling port.
+    """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         (platform_port,) = reserve_ports(1)
@@ -149,7 +156,15 @@
             plan.name: stack.enter_context(start_target(plan)) for plan in targets
         }
         ports = {plan.name: reserve_ports(3) for plan in entries}
-        fill_platform(platform, entries, ports, targets, target_children, table_rows)
+        relays = {
+            name: stack.enter_context(start_relay(entry_ports[1]))
+            for name, entry_ports in ports.items()
+            if has_relays
+        }
+        listed = {name: list(entry_ports) for name, entry_ports in ports.items()}
+        for name, relay in relays.items():
+            listed[name][1] = relay.port
+        fill_platform(platform, entries, listed, targets, target_children, table_rows)
         entry_children = {
             plan.name: stack.enter_context(
                 start_entry(plan, ports[plan.name], platform_port, folder)
@@ -157,7 +172,10 @@
             for plan in entries
         }
         yield Deployment(
-            platform=platform, targets=target_children, entries=entry_children
+            platform=platform,
+            targets=target_children,
+            entries=entry_children,
+            relays=relays,
         )
 
 
@@ -182,6 +200,14 @@
     return start_child(plan.name, arguments, {"target": port}, plan.data_centre)
 
 
+@contextmanager
+def start_relay(target_port: int) -> Iterator[Relay]:
+    """Run a relay to a port in this process; its own port is `relay.port`."""
+    (port,) = reserve_ports(1)
+    with open_relay(port, target_port) as relay:
+        yield relay
+
+
 def start_entry(
     plan: EntryPlan,
     ports: list[int],
--- a/gentianhub/stand_ins/relay.py
+++ b/gentianhub/stand_ins/relay.py
@@ -6,6 +6,7 @@
 import gevent
 from attrs import define, field, frozen
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 CHUNK_BYTES = 65536
@@ -22,14 +23,29 @@
     """Open connections are closed and new ones are refused."""
 
 
+@frozen(kw_only=True)
+class Stalled:
+    """Bytes are held back until the link is restored, as if packets were lost."""
+
+
 @define(kw_only=True, eq=False)
 class Relay:
     """Passes connections on to `target_port` while its link is up."""
 
+    port: int
     target_port: int
-    link: Passing | Cut = field(factory=Passing)
+    link: Passing | Cut | Stalled = field(factory=Passing)
+    _flowing: Event = field(init=False, factory=Event)
     _open: set[socket.socket] = field(init=False, factory=set)
 
+    def __attrs_post_init__(self):
+        self._flowing.set()
+
+    def stall_link(self) -> None:
+        """Hold back all bytes; connections stay open and new ones get no reply."""
+        self.link = Stalled()
+        self._flowing.clear()
+
     def cut_link(self) -> None:
         """Close every connection and refuse new ones."""
         self.link = Cut()
@@ -37,15 +53,17 @@
             _close(sock)
 
     def restore_link(self) -> None:
-        """Accept connections again."""
+        """Let bytes pass and accept connections again."""
         self.link = Passing()
+        self._flowing.set()
 
     def handle(self, near: socket.socket, _address) -> None:
         """Relay one connection until either side closes it."""
         match self.link:
             case Cut():
                 near.close()
-            case Passing():
+            case Passing() | Stalled():
+                self._flowing.wait()
                 self._relay(near)
 
     def _relay(self, near: socket.socket) -> None:
@@ -60,7 +78,10 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._open |= pair
         try:
-            copies = [gevent.spawn(_copy, near, far), gevent.spawn(_copy, far, near)]
+            copies = [
+                gevent.spawn(_copy, near, far, self._flowing),
+                gevent.spawn(_copy, far, near, self._flowing),
+            ]
             gevent.joinall(copies, count=1)
             gevent.killall(copies)
         finally:
@@ -69,9 +90,10 @@
             far.close()
 
 
-def _copy(source: socket.socket, sink: socket.socket) -> None:
+def _copy(source: socket.socket, sink: socket.socket, flowing: Event) -> None:
     try:
         while chunk := source.recv(CHUNK_BYTES):
+            flowing.wait()
             sink.sendall(chunk)
     except OSError:
         return
@@ -87,7 +109,7 @@
 @contextmanager
 def open_relay(port: int, target_port: int) -> Iterator[Relay]:
     """Run a relay on a loopback port."""
-    relay = Relay(target_port=target_port)
+    relay = Relay(port=port, target_port=target_port)
     server = StreamServer((LOOPBACK, port), relay.handle)
     server.start()
     try:
