--- a/gentianhub/decisions/membership.py
+++ b/gentianhub/decisions/membership.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator
 
 import xxhash
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from gentianhub.core import EntryAddress, Incarnation, ProcessName, TargetAddress
 from gentianhub.core.events import HomesChanged, Tick
@@ -56,7 +56,7 @@
 MembershipEvent = HostList | PeerIntroduced | PeerHeard | PeerEnded | Tick
 
 
-@frozen(kw_only=True)
+@define(kw_only=True, eq=False)
 class Peer:
     """The newest known incarnation of a name and when it was last heard."""
 
@@ -118,9 +118,14 @@
             case PeerIntroduced():
                 self._introduce_peer(event, now_s)
             case PeerHeard(incarnation=incarnation):
+                was_live = self.is_live(incarnation, now_s)
                 self._hear_peer(incarnation, now_s)
+                # Sorting the live set for each heartbeat would cost time that grows
+                # with the square of the number of processes.
+                if was_live:
+                    return
             case PeerEnded(name=name) if name in self.peers:
-                self.peers[name] = evolve(self.peers[name], has_ended=True)
+                self.peers[name].has_ended = True
         yield from self._announce_homes(now_s)
 
     def is_superseded(self, event: PeerIntroduced, now_s: float) -> bool:
@@ -202,7 +207,7 @@
     def _hear_peer(self, incarnation: Incarnation, now_s: float) -> None:
         peer = self.peers.get(incarnation.name)
         if peer is not None and peer.incarnation == incarnation:
-            self.peers[incarnation.name] = evolve(peer, heard_s=now_s)
+            peer.heard_s = now_s
 
     def _announce_homes(self, now_s: float) -> Iterator[HomesChanged]:
         live = tuple(sorted(self.find_live(now_s)))
--- a/gentianhub/siblings/links.py
+++ b/gentianhub/siblings/links.py
@@ -32,6 +32,7 @@
     MessageReceived,
 )
 from gentianhub.siblings.wire import (
+    HEADER_BYTES,
     UNKNOWN_RECEIVER,
     DamagedFrame,
     FrameTooLarge,
@@ -209,7 +210,7 @@
         match frame:
             case FrameTooLarge() | DamagedFrame() | LinkEnded():
                 return repr(frame)
-        link.received_bytes += len(frame.body)
+        link.received_bytes += HEADER_BYTES + len(frame.body)
         message = decode_message(frame.body)
         match message:
             case MalformedMessage(reason=reason):
--- a/gentianhub/siblings/wire.py
+++ b/gentianhub/siblings/wire.py
@@ -18,6 +18,7 @@
 from gentianhub.siblings.encoding import encode_message
 
 __all__ = [
+    "HEADER_BYTES",
     "MAX_FRAME_BYTES",
     "UNKNOWN_RECEIVER",
     "DamagedFrame",
@@ -36,6 +37,7 @@
 UNKNOWN_RECEIVER = "0" * 16
 
 _HEADER = struct.Struct(">IQQ")
+HEADER_BYTES = _HEADER.size
 
 
 @frozen(kw_only=True)
