Choose targets by speed, eject failing ones and bound retries

Cause: selection by most idle slots gives a failing target most of the work, because it is idle first; retries have a fixed delay and no budget; a target that said it is leaving is never used again. Ruled out: a fixed threshold on the failure share, because a service whose tasks fail everywhere would eject half of the targets. Change: speeds, placement, ejection, retries, concurrency and departures as pure modules, combined in `decisions.targets`; the dispatcher asks it which target takes a task.

--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -1,9 +1,9 @@
 """The dispatcher's decisions: events in, effects out, no socket and no clock."""
 
 import heapq
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from gentianhub.core import (
     Complete,
@@ -22,12 +22,13 @@
 from gentianhub.core import events as ev
 from gentianhub.decisions.ledger import JobRecord, Ledger, TaskState
 from gentianhub.decisions.order import FirstInFirstOut, QueuedTask, TaskOrder
-from gentianhub.decisions.placement import choose_most_idle
+from gentianhub.decisions.retries import GiveUp, Retries, RetryAt
 from gentianhub.decisions.slots import SlotHoldings
+from gentianhub.decisions.targets import KnownTargets, StartRequest
 
-MAX_ATTEMPTS = 5
-RETRY_DELAY_S = 0.05
 RETRY_AFTER_S = 1.0
+# The last tasks of a job, which decide when its answer is whole.
+TAIL_TASKS = 4
 
 
 @frozen(kw_only=True)
@@ -42,6 +43,9 @@
     queued_tasks: int
     slots_held: dict[str, int]
     slots_in_use: dict[str, int]
+    unused_targets: dict[str, str]
+    target_limits: dict[str, int]
+    target_speeds: dict[str, float]
 
 
 @define(kw_only=True, eq=False)
@@ -56,12 +60,11 @@
 
     owner: Incarnation
     order: TaskOrder = field(factory=lambda: FirstInFirstOut())
-    choose_target: Callable[[SlotHoldings], str | None] = choose_most_idle
+    targets: KnownTargets = field(factory=lambda: KnownTargets())
+    retries: Retries = field(factory=lambda: Retries())
     table: Table = field(factory=lambda: Table())
     ledger: Ledger = field(init=False)
-    holdings: SlotHoldings = field(init=False, factory=lambda: SlotHoldings())
     is_draining: bool = field(init=False, default=False)
-    _leaving: set[str] = field(init=False, factory=set)
     _delayed: list[tuple[float, int, QueuedTask]] = field(init=False, factory=list)
     _delayed_count: int = field(init=False, default=0)
     _deadlines: list[tuple[float, int]] = field(init=False, factory=list)
@@ -69,6 +72,11 @@
     def __attrs_post_init__(self):
         self.ledger = Ledger(owner=self.owner)
 
+    @property
+    def holdings(self) -> SlotHoldings:
+        """Slots that this process may use."""
+        return self.targets.holdings
+
     def handle(self, event: ev.Event, now_s: float) -> Iterator[fx.Effect]:
         """Yield the effects of one event that arrives at `now_s` (monotonic)."""
         match event:
@@ -95,7 +103,7 @@
             case ev.DrainBegun():
                 self.is_draining = True
             case ev.DescribeState(reply_to=to):
-                yield fx.Reply(to=to, message=self.describe_state())
+                yield fx.Reply(to=to, message=self.describe_state(now_s))
         yield from self._start_tasks(now_s)
 
     def _submit_job(self, event: ev.SubmitJob, now_s: float) -> Iterator[fx.Effect]:
@@ -136,7 +144,7 @@
 
     def _start_tasks(self, now_s: float) -> Iterator[fx.Effect]:
         """Pair queued tasks with idle slots until one of them runs out."""
-        while (target := self.choose_target(self.holdings)) is not None:
+        while self.targets.has_idle(now_s):
             entry = self.order.pop(now_s)
             if entry is None:
                 return
@@ -146,16 +154,20 @@
             if now_s >= entry.deadline_at_s:
                 yield from self._expire_job(record, now_s)
                 continue
-            yield self._start_task(record, entry, target)
+            yield self._start_task(record, entry, now_s)
 
     def _is_queued(self, record: JobRecord, task_id: TaskId) -> bool:
         return record.states[task_id.index] is TaskState.QUEUED
 
     def _start_task(
-        self, record: JobRecord, entry: QueuedTask, target: str
+        self, record: JobRecord, entry: QueuedTask, now_s: float
     ) -> fx.StartTask:
-        self.holdings.occupy(target)
+        request = _describe_start(record, entry)
+        target = self.targets.choose(request, now_s)
+        self.targets.take_start(target, request, now_s)
         self.ledger.mark_sent(entry.task_id)
+        if not entry.refused_by:
+            self.retries.count_first_try(entry.service, now_s)
         return fx.StartTask(
             task_id=entry.task_id,
             task=record.job.request.tasks[entry.task_id.index],
@@ -165,29 +177,40 @@
         )
 
     def _take_outcome(self, event: ev.TaskEnded, now_s: float) -> Iterator[fx.Effect]:
-        self.holdings.release(event.target)
+        refused_by = self.targets.take_outcome(event, now_s)
         if event.leaving:
-            self._leaving.add(event.target)
             self.holdings.drop_target(event.target)
         record = self.ledger.records[event.task_id.job_id.sequence]
         match event.outcome:
-            case NotRun() if self._may_retry(record, event.task_id.index, now_s):
-                self.ledger.requeue_task(event.task_id)
-                self._delay_task(_describe_task(record, event.task_id.index), now_s)
+            case NotRun() if not record.is_failing:
+                yield from self._retry_task(record, event, refused_by, now_s)
             case Complete() | Failed() | NotRun() | Unknown():
                 yield from self._end_task(record, event, now_s)
 
-    def _may_retry(self, record: JobRecord, index: int, now_s: float) -> bool:
-        return (
-            not record.is_failing
-            and record.attempts[index] < MAX_ATTEMPTS
-            and now_s + RETRY_DELAY_S < record.job.deadline_at_s
+    def _retry_task(
+        self,
+        record: JobRecord,
+        event: ev.TaskEnded,
+        refused_by: tuple[str, ...],
+        now_s: float,
+    ) -> Iterator[fx.Effect]:
+        index = event.task_id.index
+        decision = self.retries.decide(
+            record.job.request.service,
+            record.attempts[index],
+            record.job.deadline_at_s,
+            now_s,
         )
-
-    def _delay_task(self, entry: QueuedTask, now_s: float) -> None:
-        self._delayed_count += 1
-        due_s = now_s + RETRY_DELAY_S
-        heapq.heappush(self._delayed, (due_s, self._delayed_count, entry))
+        match decision:
+            case RetryAt(due_s=due_s):
+                self.ledger.requeue_task(event.task_id)
+                entry = evolve(_describe_task(record, index), refused_by=refused_by)
+                self._delayed_count += 1
+                heapq.heappush(self._delayed, (due_s, self._delayed_count, entry))
+            case GiveUp(reason=reason):
+                last = event.outcome
+                outcome = evolve(last, reason=f"{last.reason}; not retried: {reason}")
+                yield from self._end_task(record, evolve(event, outcome=outcome), now_s)
 
     def _end_task(
         self, record: JobRecord, event: ev.TaskEnded, now_s: float
@@ -257,26 +280,33 @@
         self.ledger.forget_old(now_s)
 
     def _see_targets(self, targets) -> Iterator[fx.Effect]:
-        names = {target.name for target in targets if not target.leaving}
-        for name in set(self.holdings.held) - names:
+        self.targets.see_list(targets)
+        usable = {
+            target.name
+            for target in targets
+            if not self.targets.departures.is_leaving(target.name)
+        }
+        for name in set(self.holdings.held) - usable:
             self.holdings.drop_target(name)
-        for name in {target.name for target in targets if target.leaving}:
-            self.holdings.drop_target(name)
-        for name in sorted(names - self._leaving):
-            self.holdings.set_held(name, self.table.get_target(name).slots)
+        for name in sorted(usable):
+            self._hold_slots(name)
         yield from ()
 
     def _leave_targets(self, targets: tuple[str, ...]) -> None:
-        self._leaving.update(targets)
         for name in targets:
+            self.targets.departures.announce(name)
             self.holdings.drop_target(name)
 
+    def _hold_slots(self, target: str) -> None:
+        self.holdings.set_held(target, self.table.get_target(target).slots)
+        self.targets.add_idle(target)
+
     def _adopt_table(self, table: Table) -> None:
         if table.version <= self.table.version:
             return
         self.table = table
         for name in self.holdings.held:
-            self.holdings.set_held(name, table.get_target(name).slots)
+            self._hold_slots(name)
 
     def find_open_jobs(self) -> Iterator[JobId]:
         """Yield the jobs without an answer."""
@@ -284,7 +314,7 @@
             if record.answer is None:
                 yield record.job.id
 
-    def describe_state(self) -> StateDescription:
+    def describe_state(self, now_s: float) -> StateDescription:
         """Return a view of the state for the dump."""
         return StateDescription(
             owner=str(self.owner),
@@ -295,6 +325,9 @@
             queued_tasks=len(self.order) + len(self._delayed),
             slots_held=dict(self.holdings.held),
             slots_in_use=dict(self.holdings.in_use),
+            unused_targets=self.targets.describe_unused(now_s),
+            target_limits=self.targets.limits.describe(),
+            target_speeds=self.targets.describe_speeds(),
         )
 
 
@@ -307,3 +340,15 @@
         job_tasks=len(request.tasks),
         deadline_at_s=record.job.deadline_at_s,
     )
+
+
+def _describe_start(record: JobRecord, entry: QueuedTask) -> StartRequest:
+    queued = record.states.count(TaskState.QUEUED)
+    return StartRequest(
+        task_id=entry.task_id,
+        service=entry.service,
+        kind=entry.kind,
+        job_tasks=entry.job_tasks,
+        is_tail=queued <= TAIL_TASKS,
+        refused_by=entry.refused_by,
+    )
--- /dev/null
+++ b/gentianhub/decisions/ejection.py
@@ -0,0 +1,224 @@
+"""Ejection of targets that fail, on evidence, with probes and a bound."""
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from gentianhub.core import TaskId
+
+WINDOW_REPLIES = 20
+# A healthy target is ejected by chance once in this many replies.
+FALSE_EJECTION_REPLIES = 1e6
+# Failures that are expected of any target, so that the first few failures after a
+# long time without any do not count as impossible.
+MIN_EXPECTED_SHARE = 0.01
+FIRST_PROBE_S = 0.5
+# A probe that was refused or did not connect costs one message.
+MAX_REFUSED_PROBE_S = 5.0
+# A probe that ran and failed costs its whole job.
+MAX_FAILED_PROBE_S = 30.0
+PROBE_SUCCESSES = 3
+MAX_EJECTED_SHARE = 0.5
+
+
+@define(kw_only=True, eq=False)
+class RecentReplies:
+    """The last replies of a target; True stands for a failure."""
+
+    replies: deque[bool] = field(factory=lambda: deque(maxlen=WINDOW_REPLIES))
+    failures: int = 0
+    failures_in_row: int = 0
+
+    def add(self, failed: bool) -> None:
+        """Add a reply; the oldest one falls out."""
+        if len(self.replies) == WINDOW_REPLIES:
+            self.failures -= self.replies[0]
+        self.replies.append(failed)
+        self.failures += failed
+        self.failures_in_row = self.failures_in_row + 1 if failed else 0
+
+
+@define(kw_only=True, eq=False)
+class Ejection:
+    """A target without ordinary work; one probe at a time is sent to it."""
+
+    reason: str
+    since_s: float
+    max_probe_s: float
+    probe_at_s: float
+    failed_probes: int = 0
+    successes: int = 0
+    probe: TaskId | None = None
+
+
+@define(kw_only=True, eq=False)
+class Ejections:
+    """Recent replies of all targets and those that are ejected.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the probes of the entry processes.
+    is_on : bool
+        Switch for measurements.
+    """
+
+    rng: random.Random = field(factory=random.Random)
+    is_on: bool = True
+    known_targets: int = 0
+    _recent: dict[str, RecentReplies] = field(init=False, factory=dict)
+    _ejected: dict[str, Ejection] = field(init=False, factory=dict)
+    _strikes: dict[str, int] = field(init=False, factory=dict)
+    _replies: int = field(init=False, default=0)
+    _failures: int = field(init=False, default=0)
+
+    def is_ejected(self, target: str) -> bool:
+        """Return whether a target gets no ordinary work."""
+        return target in self._ejected
+
+    def take_success(self, target: str, task_id: TaskId, now_s: float) -> None:
+        """Take a reply of a target that works; the last probe reinstates it."""
+        ejection = self._ejected.get(target)
+        if ejection is None:
+            self._add_reply(target, failed=False)
+            if len(self._recent[target].replies) == WINDOW_REPLIES:
+                self._strikes.pop(target, None)
+        elif ejection.probe == task_id:
+            ejection.probe = None
+            ejection.successes += 1
+            if ejection.successes >= PROBE_SUCCESSES:
+                del self._ejected[target]
+
+    def take_failure(
+        self, target: str, task_id: TaskId, reason: str, now_s: float
+    ) -> None:
+        """Take a reply or a broken exchange that counts against the target."""
+        if self._take_probe_failure(target, task_id, now_s):
+            return
+        self._add_reply(target, failed=True)
+        if self._is_evident(target):
+            self._eject(target, reason, MAX_FAILED_PROBE_S, now_s)
+
+    def take_refusal(
+        self, target: str, task_id: TaskId, reason: str, now_s: float
+    ) -> None:
+        """Take a refusal of the only task that was sent to the target."""
+        if self._take_probe_failure(target, task_id, now_s):
+            return
+        self._add_reply(target, failed=True)
+        if self._is_evident(target):
+            self._eject(target, reason, MAX_REFUSED_PROBE_S, now_s)
+
+    def take_no_connection(
+        self, target: str, task_id: TaskId, reason: str, now_s: float
+    ) -> None:
+        """Take a failure to connect, which is evidence enough by itself."""
+        if not self._take_probe_failure(target, task_id, now_s):
+            self._eject(target, reason, MAX_REFUSED_PROBE_S, now_s)
+
+    def release_probe(self, target: str, task_id: TaskId) -> None:
+        """Take a probe's end that says nothing about the target."""
+        ejection = self._ejected.get(target)
+        if ejection is not None and ejection.probe == task_id:
+            ejection.probe = None
+
+    def begin_probe(self, target: str, task_id: TaskId) -> None:
+        """Record the task that is sent to an ejected target."""
+        self._ejected[target].probe = task_id
+
+    def find_due_probes(self, now_s: float) -> Iterator[str]:
+        """Yield ejected targets that may get a probe now.
+
+        At most half of the targets are ejected, and normally none.
+        """
+        for target, ejection in self._ejected.items():
+            if ejection.probe is None and ejection.probe_at_s <= now_s:
+                yield target
+
+    def forget_target(self, target: str) -> None:
+        """Drop a target that is gone from the host list."""
+        self._ejected.pop(target, None)
+        self._strikes.pop(target, None)
+        self._forget_replies(target)
+
+    def describe(self, now_s: float) -> dict[str, str]:
+        """Return the reason for each ejected target."""
+        return {
+            target: f"{ejection.reason}; ejected for {now_s - ejection.since_s:.1f} s, "
+            f"failed probes: {ejection.failed_probes}"
+            for target, ejection in self._ejected.items()
+        }
+
+    def _add_reply(self, target: str, *, failed: bool) -> None:
+        recent = self._recent.setdefault(target, RecentReplies())
+        self._replies -= len(recent.replies)
+        self._failures -= recent.failures
+        recent.add(failed)
+        self._replies += len(recent.replies)
+        self._failures += recent.failures
+
+    def _forget_replies(self, target: str) -> None:
+        recent = self._recent.pop(target, None)
+        if recent is not None:
+            self._replies -= len(recent.replies)
+            self._failures -= recent.failures
+
+    def _is_evident(self, target: str) -> bool:
+        """Return whether the failures are improbable at the others' failure share.
+
+        A service whose tasks fail everywhere raises the share of all targets, so
+        that it ejects none.
+        """
+        recent = self._recent[target]
+        others = self._replies - len(recent.replies)
+        failures = self._failures - recent.failures
+        expected = max(MIN_EXPECTED_SHARE, failures / others if others else 0.0)
+        return _is_improbable(
+            recent.failures, len(recent.replies), expected
+        ) or _is_improbable(recent.failures_in_row, recent.failures_in_row, expected)
+
+    def _eject(
+        self, target: str, reason: str, max_probe_s: float, now_s: float
+    ) -> None:
+        bound = int(self.known_targets * MAX_EJECTED_SHARE)
+        if not self.is_on or target in self._ejected or len(self._ejected) >= bound:
+            return
+        self._forget_replies(target)
+        strikes = self._strikes.get(target, 0)
+        self._strikes[target] = strikes + 1
+        self._ejected[target] = Ejection(
+            reason=reason,
+            since_s=now_s,
+            max_probe_s=max_probe_s,
+            probe_at_s=now_s + self._draw_wait_s(strikes, max_probe_s),
+            failed_probes=strikes,
+        )
+
+    def _take_probe_failure(self, target: str, task_id: TaskId, now_s: float) -> bool:
+        """Return whether the target is ejected, so that nothing else is to be done."""
+        ejection = self._ejected.get(target)
+        if ejection is not None and ejection.probe == task_id:
+            ejection.probe = None
+            ejection.successes = 0
+            ejection.failed_probes += 1
+            wait_s = self._draw_wait_s(ejection.failed_probes, ejection.max_probe_s)
+            ejection.probe_at_s = now_s + wait_s
+        return ejection is not None
+
+    def _draw_wait_s(self, failed_probes: int, max_probe_s: float) -> float:
+        wait_s = min(max_probe_s, FIRST_PROBE_S * 2 ** min(failed_probes, 16))
+        return wait_s * self.rng.uniform(0.75, 1.25)
+
+
+def _is_improbable(failures: int, replies: int, expected: float) -> bool:
+    """Return whether a share is improbable, by the Chernoff bound on its tail."""
+    if not replies or failures / replies <= expected:
+        return False
+    share = failures / replies
+    exponent = share * math.log(share / expected)
+    if share < 1:
+        exponent += (1 - share) * math.log((1 - share) / (1 - expected))
+    return replies * exponent >= math.log(FALSE_EJECTION_REPLIES) - 1e-9
--- a/gentianhub/decisions/order.py
+++ b/gentianhub/decisions/order.py
@@ -10,13 +10,14 @@
 
 @frozen(kw_only=True)
 class QueuedTask:
-    """A task that waits for a slot."""
+    """A task that waits for a slot; `refused_by` are targets that did not run it."""
 
     task_id: TaskId
     service: str
     kind: str
     job_tasks: int
     deadline_at_s: float
+    refused_by: tuple[str, ...] = ()
 
 
 class TaskOrder(Protocol):
--- /dev/null
+++ b/gentianhub/decisions/retries.py
@@ -0,0 +1,101 @@
+"""When a task whose attempt certainly did not run is tried again."""
+
+import random
+
+from attrs import define, field, frozen
+
+MAX_ATTEMPTS = 5
+BASE_DELAY_S = 0.02
+MAX_DELAY_S = 1.0
+BUDGET_SHARE = 0.1
+# Retries that a service has without any first try, so that a service with little
+# traffic can retry at all.
+MIN_BUDGET = 10.0
+BUDGET_HALF_LIFE_S = 10.0
+
+
+@frozen(kw_only=True)
+class RetryPolicy:
+    """Limits of retries; `backoff` and `budget` are switches for measurements.
+
+    Without back-off every retry waits `BASE_DELAY_S`.
+    """
+
+    max_attempts: int = MAX_ATTEMPTS
+    backoff: bool = True
+    budget: bool = True
+
+
+@frozen(kw_only=True)
+class RetryAt:
+    """The task may be queued again at `due_s` (monotonic)."""
+
+    due_s: float
+
+
+@frozen(kw_only=True)
+class GiveUp:
+    """The task ends as not run."""
+
+    reason: str
+
+
+@define(kw_only=True, eq=False)
+class RetryBudget:
+    """First tries and retries of one service, decayed together."""
+
+    tries: float = 0.0
+    retries: float = 0.0
+    updated_s: float = 0.0
+
+    def decay(self, now_s: float) -> None:
+        """Let the counts lose weight for the time that passed."""
+        factor = 0.5 ** ((now_s - self.updated_s) / BUDGET_HALF_LIFE_S)
+        self.tries *= factor
+        self.retries *= factor
+        self.updated_s = now_s
+
+    def has_room(self) -> bool:
+        """Return whether one more retry is within the budget."""
+        return self.retries + 1 <= MIN_BUDGET + BUDGET_SHARE * self.tries
+
+
+@define(kw_only=True, eq=False)
+class Retries:
+    """Decides on retries and counts them against each service's budget."""
+
+    policy: RetryPolicy = field(factory=lambda: RetryPolicy())
+    rng: random.Random = field(factory=random.Random)
+    _budgets: dict[str, RetryBudget] = field(init=False, factory=dict)
+
+    def count_first_try(self, service: str, now_s: float) -> None:
+        """Add a first try to the service's budget."""
+        self._find_budget(service, now_s).tries += 1
+
+    def decide(
+        self, service: str, attempts: int, deadline_at_s: float, now_s: float
+    ) -> RetryAt | GiveUp:
+        """Return when the task is tried again after `attempts` attempts, or why not."""
+        budget = self._find_budget(service, now_s)
+        due_s = now_s + self._draw_delay_s(attempts)
+        if attempts >= self.policy.max_attempts:
+            return GiveUp(reason=f"after {attempts} attempts")
+        if due_s >= deadline_at_s:
+            return GiveUp(reason="no time for a retry before the job's deadline")
+        if self.policy.budget and not budget.has_room():
+            return GiveUp(reason=f"the retry budget of {service!r} is used up")
+        budget.retries += 1
+        return RetryAt(due_s=due_s)
+
+    def _draw_delay_s(self, attempts: int) -> float:
+        if not self.policy.backoff:
+            return BASE_DELAY_S
+        ceiling_s = min(MAX_DELAY_S, BASE_DELAY_S * 2 ** (attempts - 1))
+        # Half of the delay is random, so that tasks refused together do not
+        # come back together.
+        return ceiling_s * self.rng.uniform(0.5, 1.0)
+
+    def _find_budget(self, service: str, now_s: float) -> RetryBudget:
+        budget = self._budgets.setdefault(service, RetryBudget())
+        budget.decay(now_s)
+        return budget
--- /dev/null
+++ b/gentianhub/decisions/speeds.py
@@ -0,0 +1,86 @@
+"""Speed of each target, learned from replies.
+
+A run time is taken as the kind's mean divided by the target's speed. Both are
+estimated together from the logarithms of the run times, so that one run many
+times longer than the rest moves neither far, and so that a target that happens to
+get the long kinds does not count as slow.
+"""
+
+import math
+from collections import OrderedDict
+
+from attrs import define, field
+
+HALF_LIFE_S = 30.0
+# Replies at the mean speed that a target's estimate starts with and returns to.
+PRIOR_REPLIES = 4.0
+# Kinds are labels given by callers, so their number needs a bound.
+MAX_KINDS = 4096
+MIN_RUN_S = 1e-4
+
+
+@define(kw_only=True, eq=False)
+class DecayedMean:
+    """Mean of samples whose weight halves every `HALF_LIFE_S`.
+
+    `prior_weight` samples of 0 are always part of it.
+    """
+
+    prior_weight: float = 0.0
+    _total: float = field(init=False, default=0.0)
+    _weight: float = field(init=False, default=0.0)
+    _updated_s: float = field(init=False, default=-math.inf)
+
+    def add(self, value: float, now_s: float) -> None:
+        """Add a sample."""
+        decay = 0.5 ** ((now_s - self._updated_s) / HALF_LIFE_S)
+        self._total = self._total * decay + value
+        self._weight = self._weight * decay + 1.0
+        self._updated_s = now_s
+
+    @property
+    def mean(self) -> float:
+        """Mean at the last sample, 0 without one."""
+        weight = self._weight + self.prior_weight
+        return self._total / weight if weight else 0.0
+
+
+def _build_target_mean() -> DecayedMean:
+    return DecayedMean(prior_weight=PRIOR_REPLIES)
+
+
+@define(kw_only=True, eq=False)
+class Speeds:
+    """Speeds of targets relative to the mean of all targets, which is 1.0."""
+
+    _targets: dict[str, DecayedMean] = field(init=False, factory=dict)
+    _kinds: OrderedDict[tuple[str, str], DecayedMean] = field(
+        init=False, factory=OrderedDict
+    )
+
+    def observe_run(
+        self, target: str, service: str, kind: str, run_s: float, now_s: float
+    ) -> None:
+        """Learn from a complete reply; failures say nothing about speed."""
+        kind_mean = self._find_kind(service, kind)
+        target_mean = self._targets.setdefault(target, _build_target_mean())
+        log_run = math.log(max(run_s, MIN_RUN_S))
+        kind_mean.add(log_run + target_mean.mean, now_s)
+        target_mean.add(kind_mean.mean - log_run, now_s)
+
+    def _find_kind(self, service: str, kind: str) -> DecayedMean:
+        key = (service, kind)
+        if key not in self._kinds and len(self._kinds) >= MAX_KINDS:
+            self._kinds.popitem(last=False)
+        mean = self._kinds.setdefault(key, DecayedMean())
+        self._kinds.move_to_end(key)
+        return mean
+
+    def get_speed(self, target: str) -> float:
+        """Return the speed of a target, 1.0 if nothing is known of it."""
+        mean = self._targets.get(target)
+        return math.exp(mean.mean) if mean else 1.0
+
+    def forget_target(self, target: str) -> None:
+        """Drop what was learned of a target."""
+        self._targets.pop(target, None)
--- /dev/null
+++ b/gentianhub/decisions/targets.py
@@ -0,0 +1,197 @@
+"""What this process knows of its targets, and the choice among them."""
+
+import random
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from gentianhub.core import (
+    Complete,
+    Failed,
+    NotRun,
+    Step,
+    TargetAddress,
+    TaskId,
+    Unknown,
+)
+from gentianhub.core.events import TaskEnded
+from gentianhub.decisions.concurrency import ConcurrencyLimits
+from gentianhub.decisions.departures import Departures
+from gentianhub.decisions.ejection import Ejections
+from gentianhub.decisions.placement import (
+    FastestIdle,
+    Placement,
+    PlacementPolicy,
+    PlacementRequest,
+)
+from gentianhub.decisions.slots import SlotHoldings
+from gentianhub.decisions.speeds import Speeds
+
+# Jobs with more tasks than this are not used as probes, because a probe that
+# fails costs its whole job.
+PROBE_JOB_TASKS = 4
+
+
+@frozen(kw_only=True)
+class TargetPolicies:
+    """Policies and switches for measurements."""
+
+    placement: PlacementPolicy = field(factory=lambda: FastestIdle())
+    ejection: bool = True
+    concurrency: bool = True
+
+
+@frozen(kw_only=True)
+class StartRequest:
+    """A task that is about to start; `refused_by` are targets that did not run it."""
+
+    task_id: TaskId
+    service: str
+    kind: str
+    job_tasks: int
+    is_tail: bool = True
+    refused_by: tuple[str, ...] = ()
+
+
+@define(kw_only=True, eq=False)
+class OpenAttempt:
+    """An attempt without an outcome."""
+
+    request: StartRequest
+    started_s: float
+
+
+@define(kw_only=True, eq=False)
+class KnownTargets:
+    """Combines slots held, speeds, ejections, limits and departures."""
+
+    holdings: SlotHoldings = field(factory=lambda: SlotHoldings())
+    policies: TargetPolicies = field(factory=lambda: TargetPolicies())
+    rng: random.Random = field(factory=random.Random)
+    speeds: Speeds = field(init=False, factory=lambda: Speeds())
+    departures: Departures = field(init=False, factory=lambda: Departures())
+    ejections: Ejections = field(init=False)
+    limits: ConcurrencyLimits = field(init=False)
+    placement: Placement = field(init=False)
+    _known: set[str] = field(init=False, factory=set)
+    _open: dict[TaskId, OpenAttempt] = field(init=False, factory=dict)
+
+    def __attrs_post_init__(self):
+        self.ejections = Ejections(rng=self.rng, is_on=self.policies.ejection)
+        self.limits = ConcurrencyLimits(is_on=self.policies.concurrency)
+        self.placement = Placement(
+            get_speed=self.speeds.get_speed,
+            policy=self.policies.placement,
+            rng=self.rng,
+        )
+
+    @property
+    def held(self) -> dict[str, int]:
+        """Slots held per target."""
+        return self.holdings.held
+
+    @property
+    def in_use(self) -> dict[str, int]:
+        """Slots in use per target."""
+        return self.holdings.in_use
+
+    def count_idle(self, target: str) -> int:
+        """Return the ordinary tasks that may start on a target now."""
+        if self.ejections.is_ejected(target) or self.departures.is_leaving(target):
+            return 0
+        used = self.in_use.get(target, 0)
+        limit = self.limits.get_limit(target, self.held.get(target, 0))
+        return max(0, min(limit - used, self.holdings.count_idle(target)))
+
+    def add_idle(self, target: str) -> None:
+        """Take note that slots of a target were granted or freed."""
+        self.placement.add_idle(target)
+
+    def has_idle(self, now_s: float) -> bool:
+        """Return whether any task could start now."""
+        return self.placement.has_idle(self) or self._find_probe(now_s) is not None
+
+    def choose(self, request: StartRequest, now_s: float) -> str | None:
+        """Return the target on which the task starts now, or None."""
+        probe = self._find_probe(now_s)
+        if probe and request.job_tasks <= PROBE_JOB_TASKS and not request.refused_by:
+            return probe
+        wish = PlacementRequest(avoid=request.refused_by, is_tail=request.is_tail)
+        return self.placement.choose(self, wish) or probe
+
+    def _find_probe(self, now_s: float) -> str | None:
+        for target in self.ejections.find_due_probes(now_s):
+            is_leaving = self.departures.is_leaving(target)
+            if not is_leaving and self.holdings.count_idle(target):
+                return target
+        return None
+
+    def take_start(self, target: str, request: StartRequest, now_s: float) -> None:
+        """Use a slot of the chosen target."""
+        self.holdings.occupy(target)
+        if self.ejections.is_ejected(target):
+            self.ejections.begin_probe(target, request.task_id)
+        self._open[request.task_id] = OpenAttempt(request=request, started_s=now_s)
+
+    def take_outcome(self, event: TaskEnded, now_s: float) -> tuple[str, ...]:
+        """Free the slot and learn; return the targets that did not run the task."""
+        target, task_id = event.target, event.task_id
+        in_use = self.in_use.get(target, 0)
+        self.holdings.release(target)
+        if event.leaving:
+            self.departures.announce(target)
+        attempt = self._open.pop(task_id)
+        request = attempt.request
+        match event.outcome:
+            case Complete(run_s=run_s):
+                self.ejections.take_success(target, task_id, now_s)
+                self.limits.take_success(target, in_use, self.held.get(target, 0))
+                self.speeds.observe_run(
+                    target, request.service, request.kind, run_s, now_s
+                )
+            case Failed(reason=reason) | Unknown(reason=reason):
+                self.ejections.take_failure(target, task_id, reason, now_s)
+            case NotRun() as outcome:
+                self._take_not_run(event, outcome, attempt, now_s)
+        self.add_idle(target)
+        return (*request.refused_by, target)
+
+    def _take_not_run(
+        self, event: TaskEnded, outcome: NotRun, attempt: OpenAttempt, now_s: float
+    ) -> None:
+        target, task_id = event.target, event.task_id
+        others = self.in_use.get(target, 0)
+        match outcome.step:
+            case _ if event.leaving:
+                self.ejections.release_probe(target, task_id)
+            case Step.CONNECT_TARGET:
+                self.ejections.take_no_connection(
+                    target, task_id, outcome.reason, now_s
+                )
+            case Step.AWAIT_REPLY if others == 0:
+                self.ejections.take_refusal(target, task_id, outcome.reason, now_s)
+            case Step.AWAIT_REPLY:
+                self.ejections.release_probe(target, task_id)
+                self.limits.take_refusal(target, others, attempt.started_s, now_s)
+            case _:
+                self.ejections.release_probe(target, task_id)
+
+    def see_list(self, targets: Iterable[TargetAddress]) -> None:
+        """Take the host list that was read last."""
+        targets = tuple(targets)
+        self.departures.see_list(targets)
+        self.ejections.known_targets = len(targets)
+        for gone in self._known - {target.name for target in targets}:
+            self.speeds.forget_target(gone)
+            self.ejections.forget_target(gone)
+            self.limits.forget_target(gone)
+        self._known = {target.name for target in targets}
+
+    def describe_unused(self, now_s: float) -> dict[str, str]:
+        """Return the reason for each target that gets no ordinary work."""
+        return self.ejections.describe(now_s) | self.departures.describe()
+
+    def describe_speeds(self) -> dict[str, float]:
+        """Return the speed of each target that is in the host list."""
+        speed = self.speeds.get_speed
+        return {name: round(speed(name), 2) for name in sorted(self._known)}
