Tell outcomes by whether a byte of the task was sent

Cause: after one broken exchange the HTTP client stayed closed, so that each later task on that connection got a false 'unknown' and, after the second, none returned at all, since the client's semaphore was never released. A reply framed by the close of its connection counted as complete when it was cut short. An error before the first byte (a header that cannot be encoded) gave 'unknown'. The library asks with select() whether an idle connection is open, which fails for descriptors over 1023, so that a process with many targets opens a connection per task. Ruled out: retrying in the client, since it cannot tell what the target read. Change: a socket class that reports writes; a fresh client after a broken exchange; poll() for idle connections; idle connections are closed after 4 s and when the target's address changes; connect failures, refusals and local refusals have different steps. Conclusion: each faulty case has a test.

--- a/gentianhub/targets/exchange.py
+++ b/gentianhub/targets/exchange.py
@@ -38,8 +38,8 @@
 class TargetClient:
     """One HTTP connection to one target.
 
-    The connection is made before the request is written, so that a failure to
-    connect is told apart from a failure after the first byte.
+    A connection that broke is replaced for the next task. Whether a task may have
+    started is decided by whether a byte of it was sent.
     """
 
     address: TargetAddress
@@ -52,19 +52,20 @@
             return Exchange(outcome=refusal)
         remaining_s = start.deadline_at_s - read_monotonic_s()
         if remaining_s <= 0:
-            return Exchange(outcome=self._build_not_run("the job's deadline passed"))
+            reason = "the job's deadline passed"
+            return Exchange(outcome=self._build_not_run(Step.WAIT_FOR_SLOT, reason))
         try:
             with gevent.Timeout(remaining_s + REPLY_GRACE_S, TimeoutError):
                 return self._post(start, remaining_s)
         except EXCHANGE_ERRORS as error:
-            self._connection.reset()
-            return Exchange(outcome=self._build_unknown(error))
+            return Exchange(outcome=self._judge_error(error))
 
     def _connect(self) -> NotRun | None:
         try:
             self._connection.connect()
         except (OSError, gevent.Timeout) as error:
-            return self._build_not_run(f"no connection: {error}")
+            reason = f"no connection: {error}"
+            return self._build_not_run(Step.CONNECT_TARGET, reason)
         return None
 
     def _post(self, start: StartTask, remaining_s: float) -> Exchange:
@@ -87,26 +88,37 @@
     def _judge_reply(self, response, body: bytes, run_s: float) -> Exchange:
         status = response.status_code
         leaving = response.get("gentianhub-leaving") == "1"
-        expected = response.get("content-length")
         is_refusal = response.get("gentianhub-not-run") == "1"
         if status in NOT_RUN_STATUSES and is_refusal:
-            outcome = self._build_not_run(f"the target refused with {status}")
+            reason = f"the target refused with {status}"
+            outcome = self._build_not_run(Step.AWAIT_REPLY, reason)
         elif len(body) > MAX_RESULT_BYTES:
             self._connection.reset()
             outcome = self._build_failed(
                 f"reply over {MAX_RESULT_BYTES} bytes", run_s=run_s
             )
-        elif expected is not None and len(body) != int(expected):
+        elif not _is_whole(response):
             self._connection.reset()
-            outcome = self._build_unknown("the reply was cut short")
+            outcome = self._build_unknown("the end of the reply cannot be told")
         elif 200 <= status < 300:
             outcome = Complete(result=body, run_s=run_s)
         else:
             outcome = self._build_failed(f"the target replied {status}", run_s=run_s)
         return Exchange(outcome=outcome, leaving=leaving)
 
-    def _build_not_run(self, reason: str) -> NotRun:
-        return NotRun(step=Step.CONNECT_TARGET, peer=self.address.name, reason=reason)
+    def reset(self) -> None:
+        """Close the connection; the next task opens another."""
+        self._connection.reset()
+
+    def _judge_error(self, error: Exception) -> NotRun | Unknown:
+        has_sent = self._connection.has_sent
+        self._connection.reset()
+        if has_sent:
+            return self._build_unknown(error)
+        return self._build_not_run(Step.SEND_TASK, f"not sent: {error!r:.200}")
+
+    def _build_not_run(self, step: Step, reason: str) -> NotRun:
+        return NotRun(step=step, peer=self.address.name, reason=reason)
 
     def _build_failed(self, reason: str, run_s: float) -> Failed:
         return Failed(
@@ -118,6 +130,20 @@
         return Unknown(step=Step.AWAIT_REPLY, peer=self.address.name, reason=reason)
 
 
+def _is_whole(response) -> bool:
+    """Return whether the reply came to an end that the target itself marked.
+
+    Without Content-Length or chunks a reply ends when the connection closes, and a
+    reply that was cut short looks the same as a whole one.
+    """
+    is_framed = (
+        response.status_code == 204
+        or response.get("content-length") is not None
+        or "chunked" in str(response.get("transfer-encoding", "")).lower()
+    )
+    return is_framed and response.message_complete
+
+
 @contextmanager
 def open_target_client(address: TargetAddress) -> Iterator[TargetClient]:
     """Own one connection to a target; close it at the end."""
--- a/gentianhub/targets/pool.py
+++ b/gentianhub/targets/pool.py
@@ -12,7 +12,9 @@
 from gentianhub.core.events import TaskEnded
 from gentianhub.targets.exchange import Exchange, TargetClient, open_target_client
 
-IDLE_CLOSE_S = 60.0
+# Common HTTP servers close idle connections after 5 s or more. Closing first keeps
+# a task from being written to a connection that the target is just closing.
+IDLE_CLOSE_S = 4.0
 
 logger = logging.getLogger(__name__)
 
@@ -55,8 +57,18 @@
     )
 
     def set_targets(self, targets: tuple[TargetAddress, ...]) -> None:
-        """Use these addresses for new connections."""
+        """Use these addresses; close idle connections to others."""
         self._addresses = {target.name: target for target in targets}
+        for connections in list(self._idle.values()):
+            for connection in [c for c in connections if not self._is_current(c)]:
+                self.forget_connection(connection)
+
+    def _is_current(self, connection: TargetConnection) -> bool:
+        used, listed = connection.address, self._addresses.get(connection.address.name)
+        return listed is not None and (used.host, used.port) == (
+            listed.host,
+            listed.port,
+        )
 
     def send_task(self, start: StartTask) -> None:
         """Hand a task to a connection greenlet; never blocks."""
@@ -67,8 +79,10 @@
         assert taken, f"connection to {start.target} already holds a task"
 
     def release_connection(self, connection: TargetConnection) -> None:
-        """Take a connection back as idle."""
+        """Take a connection back as idle; close one to an earlier address."""
         self._idle[connection.address.name].append(connection)
+        if not self._is_current(connection):
+            self.forget_connection(connection)
 
     def forget_connection(self, connection: TargetConnection) -> None:
         """Drop a connection that wants to close, unless it got a task meanwhile."""
@@ -107,6 +121,7 @@
             "target exchange failed",
             extra={"step": Step.SEND_TASK.value, "peer": start.target},
         )
+        client.reset()
         outcome = Unknown(step=Step.SEND_TASK, peer=start.target, reason=repr(error))
         exchange = Exchange(outcome=outcome)
     return TaskEnded(
--- /dev/null
+++ b/gentianhub/targets/tests/test_exchange.py
@@ -0,0 +1,173 @@
+"""Guards against a task that starts twice and against false outcomes."""
+
+import fcntl
+import resource
+import socket
+import unittest
+from unittest import mock
+
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
+
+from gentianhub.core import (
+    Complete,
+    JobId,
+    NotRun,
+    ProcessName,
+    Step,
+    TargetAddress,
+    Task,
+    TaskId,
+    Unknown,
+    draw_incarnation,
+    read_monotonic_s,
+)
+from gentianhub.core.effects import StartTask
+from gentianhub.stand_ins.processes import reserve_ports
+from gentianhub.stand_ins.target import TargetStandIn, serve_target
+from gentianhub.targets import Exchange, TargetPool, open_target_client
+from gentianhub.targets.exchange import TargetClient
+from gentianhub.web.sockets import PeerSockets
+
+LOOPBACK = "127.0.0.1"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def build_start(kind: str = "check") -> StartTask:
+    owner = draw_incarnation(ProcessName(data_centre="olten", process="e1"))
+    return StartTask(
+        task_id=TaskId(job_id=JobId(owner=owner, sequence=1), index=0),
+        task=Task(kind=kind, body=b"{}"),
+        service="orders",
+        target="t1",
+        deadline_at_s=read_monotonic_s() + 5,
+    )
+
+
+def build_address(port: int) -> TargetAddress:
+    return TargetAddress(name="t1", data_centre="olten", host=LOOPBACK, port=port)
+
+
+class ScriptedTarget:
+    """Answers each connection with the next script, then closes it."""
+
+    def __init__(self, *scripts: bytes):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.closed = Event()
+        self.server = StreamServer((LOOPBACK, 0), self.serve)
+
+    def serve(self, sock, _address):
+        request = sock.recv(65536)
+        if request:
+            self.requests.append(request)
+            sock.sendall(self.scripts.pop(0))
+        sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+        self.closed.set()
+
+
+class ExchangeTest(unittest.TestCase):
+    def open(self, *scripts: bytes) -> tuple[ScriptedTarget, TargetClient]:
+        target = ScriptedTarget(*scripts)
+        target.server.start()
+        self.addCleanup(target.server.stop)
+        address = build_address(target.server.server_port)
+        return target, self.enterContext(open_target_client(address))
+
+    def test_closed_after_reading_is_unknown_and_sent_once(self):
+        target, client = self.open(b"", WHOLE)
+        self.assertIsInstance(client.run_task(build_start()).outcome, Unknown)
+        self.assertEqual(len(target.requests), 1)
+        # A connection that broke once must not fail the tasks after it.
+        outcome = client.run_task(build_start()).outcome
+        self.assertEqual(outcome, Complete(result=b"ok", run_s=mock.ANY))
+        self.assertEqual(len(target.requests), 2)
+
+    def test_reply_cut_short_is_unknown(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        for reply in (
+            head[:9],
+            head + b"Content-Length: 9\r\n\r\nhalf",
+            head + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            head + b"Connection: close\r\n\r\nhalf",
+        ):
+            with self.subTest(reply=reply):
+                target, client = self.open(reply)
+                self.assertIsInstance(client.run_task(build_start()).outcome, Unknown)
+                self.assertEqual(len(target.requests), 1)
+
+    def test_connection_closed_while_idle_is_replaced(self):
+        target, client = self.open(WHOLE, WHOLE)
+        for count in (1, 2):
+            self.assertIsInstance(client.run_task(build_start()).outcome, Complete)
+            self.assertEqual(len(target.requests), count)
+            self.assertTrue(target.closed.wait(5))
+            target.closed.clear()
+
+    def test_descriptor_over_the_limit_of_select_stays_usable(self):
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(2048, limits[0]), limits[1]))
+        near, far = socket.socketpair()
+        high = socket.socket(fileno=fcntl.fcntl(near, fcntl.F_DUPFD, 1100))
+        sockets = PeerSockets(
+            host=LOOPBACK, port=1, connect_timeout_s=1, reply_timeout_s=None
+        )
+        with near, far, high:
+            self.assertTrue(sockets._is_socket_alive(high))
+            far.shutdown(socket.SHUT_WR)
+            self.assertFalse(sockets._is_socket_alive(high))
+
+    def test_not_run_without_a_byte_sent(self):
+        (port,) = reserve_ports(1)
+        with open_target_client(build_address(port)) as client:
+            outcome = client.run_task(build_start()).outcome
+        self.assertEqual((type(outcome), outcome.step), (NotRun, Step.CONNECT_TARGET))
+        target, client = self.open(WHOLE)
+        outcome = client.run_task(build_start(kind="a\r\nb")).outcome
+        self.assertEqual((type(outcome), outcome.step), (NotRun, Step.SEND_TASK))
+        self.assertEqual(target.requests, [])
+
+    def test_refusal_is_not_run(self):
+        target, client = self.open(
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+            b"Gentianhub-Not-Run: 1\r\nGentianhub-Leaving: 1\r\n\r\n",
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        )
+        match client.run_task(build_start()):
+            case Exchange(outcome=NotRun(step=Step.AWAIT_REPLY), leaving=True):
+                pass
+            case other:
+                self.fail(other)
+        self.assertNotIsInstance(client.run_task(build_start()).outcome, NotRun)
+
+    def test_both_sides_send_small_packets_at_once(self):
+        (port,) = reserve_ports(1)
+        seen = []
+        handle = WSGIServer.handle
+
+        def record(server, sock, address):
+            seen.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            handle(server, sock, address)
+
+        with (
+            mock.patch.object(WSGIServer, "handle", record),
+            serve_target(TargetStandIn(name="t1"), (LOOPBACK, port)),
+            open_target_client(build_address(port)) as client,
+        ):
+            self.assertIsInstance(client.run_task(build_start()).outcome, Complete)
+            sock = client._connection._sockets.get_socket()
+            seen.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        self.assertEqual([bool(value) for value in seen], [True, True])
+
+    def test_idle_connection_to_an_earlier_address_is_closed(self):
+        pool = TargetPool(results=mock.Mock())
+        pool.set_targets((build_address(1),))
+        connection = pool._open_connection(build_address(1))
+        pool.release_connection(connection)
+        pool.set_targets((build_address(2),))
+        self.assertEqual(pool.count_connections(), 0)
+        connection.greenlet.join(5)
+        self.assertTrue(connection.greenlet.dead)
--- a/gentianhub/web/connection.py
+++ b/gentianhub/web/connection.py
@@ -1,6 +1,5 @@
 """One HTTP connection to a peer, owned by one greenlet."""
 
-import socket
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 
@@ -12,6 +11,8 @@
     HTTPSocketPoolResponse,
 )
 
+from gentianhub.web.sockets import PeerSockets
+
 # What an exchange may raise; after any of them the connection must be reset.
 EXCHANGE_ERRORS = (
     OSError,
@@ -41,26 +42,33 @@
     connect_timeout_s: float
     reply_timeout_s: float | None
     _client: HTTPClient = field(init=False)
+    _sockets: PeerSockets = field(init=False)
 
     def __attrs_post_init__(self):
-        self._client = self._build_client()
-
-    def _build_client(self) -> HTTPClient:
-        return HTTPClient(
-            self.host,
-            self.port,
-            concurrency=1,
-            connection_timeout=self.connect_timeout_s,
-            network_timeout=self.reply_timeout_s,
+        self._open()
+
+    def _open(self) -> None:
+        self._client = HTTPClient(self.host, self.port, concurrency=1)
+        self._sockets = PeerSockets(
+            host=self.host,
+            port=self.port,
+            connect_timeout_s=self.connect_timeout_s,
+            reply_timeout_s=self.reply_timeout_s,
         )
+        self._client._connection_pool = self._sockets
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether a byte may have been sent since the last `connect`."""
+        return self._sockets.has_sent
 
     def connect(self) -> None:
-        """Open the connection, unless it is open, before anything is sent."""
-        pool = self._client._connection_pool
-        sock = pool.get_socket()
-        # Nagle's algorithm delays the second of two small writes by 40 ms.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pool.return_socket(sock)
+        """Open the connection, unless it is open, before anything is sent.
+
+        A connection that the peer closed is replaced.
+        """
+        self._sockets.return_socket(self._sockets.get_socket())
+        self._sockets.has_sent = False
 
     def request(
         self,
@@ -77,7 +85,7 @@
     def reset(self) -> None:
         """Close the connection; the next request opens another."""
         self._client.close()
-        self._client = self._build_client()
+        self._open()
 
     def close(self) -> None:
         """Close the connection for good."""
