Measure the policies about targets; pause targets that refuse all

Cause: with limits on concurrency a spell of one second in which every target refuses left 54% of the jobs answered, because each limit fell to 1 and rose by one per 500 replies; a target with limit 1 that refuses at once got a message every few milliseconds; a task whose service had used up its budget failed at once. Change: steps above the carried level are quick until one is refused; a target that refuses its only task is paused with exponential back-off; a retry beyond the budget waits. The load driver gets targets that refuse connections, carry fewer tasks, or refuse for a spell.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -8,10 +8,13 @@
 
 from benchmarks.workload import (
     Arrival,
+    CarriesFewer,
     FailsAll,
     Healthy,
     LoadPlan,
     RefusesAll,
+    RefusesConnections,
+    RefusesSpell,
     TargetPlan,
     draw_arrivals,
 )
@@ -169,8 +172,18 @@
 
     def _play_task(self, target: TargetPlan, run_s: float) -> tuple[TaskOutcome, float]:
         step, peer = Step.AWAIT_REPLY, target.name
+        running = self._running[target.name]
         match target.mode:
-            case Healthy():
+            case RefusesConnections(after_s=after_s):
+                step = Step.CONNECT_TARGET
+                return NotRun(step=step, peer=peer, reason="refused"), after_s
+            case CarriesFewer(slots=slots, after_s=after_s) if running > slots:
+                return NotRun(step=step, peer=peer, reason="503"), after_s
+            case RefusesSpell(start_s=start_s, end_s=end_s, after_s=after_s) if (
+                start_s <= self.now_s < end_s
+            ):
+                return NotRun(step=step, peer=peer, reason="503"), after_s
+            case Healthy() | CarriesFewer() | RefusesSpell():
                 return Complete(result=b"", run_s=run_s), run_s
             case FailsAll(after_s=after_s):
                 return Failed(
--- /dev/null
+++ b/benchmarks/targets.py
@@ -0,0 +1,147 @@
+"""Compares the policies about targets with baselines and with parts left out.
+
+Run as `python -m benchmarks.targets [SEED] [LENGTH_S]`. All figures are ratios on
+a manual clock, so a seed gives the same figures on every machine.
+"""
+
+import random
+import sys
+from collections.abc import Iterator
+
+from attrs import evolve, frozen
+
+from benchmarks.driver import LoadRun, PolicySet, run_load
+from benchmarks.policies import BASELINES, CHOSEN
+from benchmarks.report import measure_answered, measure_responses, measure_wasted
+from benchmarks.workload import (
+    CarriesFewer,
+    FailsAll,
+    LoadPlan,
+    RefusesAll,
+    RefusesConnections,
+    RefusesSpell,
+    build_plan,
+    draw_targets,
+)
+from gentianhub.core import Incarnation
+from gentianhub.decisions import Dispatcher
+from gentianhub.decisions.placement import MostIdle
+from gentianhub.decisions.retries import Retries, RetryPolicy
+from gentianhub.decisions.targets import KnownTargets, TargetPolicies
+
+SEED = 1
+LENGTH_S = 40.0
+BROKEN = 2
+
+
+@frozen(kw_only=True)
+class Variant:
+    """The chosen policies with parts switched off."""
+
+    name: str
+    targets: TargetPolicies = TargetPolicies()
+    retries: RetryPolicy = RetryPolicy()
+
+    def build(self, owner: Incarnation, seed: int) -> Dispatcher:
+        """Return a dispatcher with these parts."""
+        return Dispatcher(
+            owner=owner,
+            targets=KnownTargets(policies=self.targets, rng=random.Random(seed)),
+            retries=Retries(policy=self.retries, rng=random.Random(seed)),
+        )
+
+
+NO_GUARDS = TargetPolicies(ejection=False, concurrency=False)
+NO_LIMITS = RetryPolicy(backoff=False, budget=False)
+
+VARIANTS = (
+    Variant(name="without speeds", targets=TargetPolicies(placement=MostIdle())),
+    Variant(name="without ejection", targets=TargetPolicies(ejection=False)),
+    Variant(name="without limits", targets=TargetPolicies(concurrency=False)),
+    Variant(name="without back-off", retries=RetryPolicy(backoff=False)),
+    Variant(name="without budget", retries=RetryPolicy(budget=False)),
+    Variant(name="only speeds", targets=NO_GUARDS, retries=NO_LIMITS),
+    Variant(
+        name="speeds, ejection",
+        targets=TargetPolicies(concurrency=False),
+        retries=NO_LIMITS,
+    ),
+    Variant(
+        name="speeds, limits",
+        targets=TargetPolicies(ejection=False),
+        retries=NO_LIMITS,
+    ),
+    Variant(
+        name="speeds, back-off", targets=NO_GUARDS, retries=RetryPolicy(budget=False)
+    ),
+    Variant(
+        name="speeds, budget", targets=NO_GUARDS, retries=RetryPolicy(backoff=False)
+    ),
+)
+
+
+@frozen(kw_only=True)
+class Figures:
+    """Figures of one run; `p50` and `p99` are response over ideal."""
+
+    policies: str
+    p50: float
+    p99: float
+    wasted: float
+    answered: float
+
+
+def build_scenarios(seed: int, length_s: float) -> dict[str, LoadPlan]:
+    """Return the plans by name: targets well, failing, dead and too small."""
+    modes = {
+        "two fail everything": FailsAll(),
+        "two refuse everything": RefusesAll(),
+        "two refuse connections": RefusesConnections(),
+        "two carry 4 of 8 slots": CarriesFewer(slots=4),
+    }
+    plans = {"all well": build_plan(seed, length_s=length_s)}
+    for name, mode in modes.items():
+        targets = draw_targets(seed, broken=BROKEN, mode=mode)
+        plans[name] = build_plan(seed, targets=targets, length_s=length_s)
+    spell = RefusesSpell(start_s=length_s / 2, end_s=length_s / 2 + 1.0)
+    targets = tuple(evolve(t, mode=spell) for t in draw_targets(seed))
+    plans["all refuse for 1 s"] = build_plan(seed, targets=targets, length_s=length_s)
+    return plans
+
+
+def measure_run(run: LoadRun, policies: str) -> Figures:
+    """Return the figures of a finished run."""
+    ratios = measure_responses(run)["all"]
+    return Figures(
+        policies=policies,
+        p50=ratios.p50,
+        p99=ratios.p99,
+        wasted=measure_wasted(run),
+        answered=measure_answered(run),
+    )
+
+
+def compare_policies(plan: LoadPlan) -> Iterator[Figures]:
+    """Yield the figures of the chosen policies, the variants and the baselines."""
+    variants = (PolicySet(name=v.name, build=v.build) for v in VARIANTS)
+    for policies in (CHOSEN, *variants, *BASELINES):
+        yield measure_run(run_load(plan, policies), policies.name)
+
+
+def main() -> None:
+    """Print one table per scenario."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else SEED
+    length_s = float(sys.argv[2]) if len(sys.argv) > 2 else LENGTH_S
+    for name, plan in build_scenarios(seed, length_s).items():
+        print(f"\n{name} (seed {seed}, {length_s:g} s)")
+        print(f"{'policies':<22}{'p50':>8}{'p99':>8}{'wasted':>10}{'answered':>10}")
+        for row in compare_policies(plan):
+            print(
+                f"{row.policies:<22}{row.p50:>8.3f}{row.p99:>8.3f}"
+                f"{row.wasted:>10.2%}{row.answered:>10.2%}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -37,7 +37,33 @@
     after_s: float = 0.005
 
 
-FailureMode = Healthy | FailsAll | RefusesAll
+@frozen(kw_only=True)
+class RefusesConnections:
+    """No connection to the target can be made; that is known after `after_s`."""
+
+    after_s: float = 0.001
+
+
+@frozen(kw_only=True)
+class CarriesFewer:
+    """The target refuses as full beyond `slots` tasks, whatever the table says."""
+
+    slots: int
+    after_s: float = 0.001
+
+
+@frozen(kw_only=True)
+class RefusesSpell:
+    """The target answers "not run" to every task between two times."""
+
+    start_s: float
+    end_s: float
+    after_s: float = 0.005
+
+
+FailureMode = (
+    Healthy | FailsAll | RefusesAll | RefusesConnections | CarriesFewer | RefusesSpell
+)
 
 
 @frozen(kw_only=True)
@@ -49,6 +75,16 @@
     speed: float = 1.0
     mode: FailureMode = field(factory=Healthy)
 
+    def count_working_slots(self) -> int:
+        """Return the tasks that the target really runs at once."""
+        match self.mode:
+            case Healthy() | RefusesSpell():
+                return self.slots
+            case CarriesFewer(slots=slots):
+                return slots
+            case FailsAll() | RefusesAll() | RefusesConnections():
+                return 0
+
 
 @frozen(kw_only=True)
 class ServicePlan:
@@ -102,9 +138,7 @@
     def capacity(self) -> float:
         """Work per second that healthy targets finish, in seconds at speed 1."""
         return sum(
-            target.slots * target.speed
-            for target in self.targets
-            if isinstance(target.mode, Healthy)
+            target.count_working_slots() * target.speed for target in self.targets
         )
 
     @property
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -27,8 +27,6 @@
 from gentianhub.decisions.targets import KnownTargets, StartRequest
 
 RETRY_AFTER_S = 1.0
-# The last tasks of a job, which decide when its answer is whole.
-TAIL_TASKS = 4
 
 
 @frozen(kw_only=True)
@@ -104,6 +102,7 @@
                 self.is_draining = True
             case ev.DescribeState(reply_to=to):
                 yield fx.Reply(to=to, message=self.describe_state(now_s))
+        self._release_retries(now_s)
         yield from self._start_tasks(now_s)
 
     def _submit_job(self, event: ev.SubmitJob, now_s: float) -> Iterator[fx.Effect]:
@@ -162,7 +161,7 @@
     def _start_task(
         self, record: JobRecord, entry: QueuedTask, now_s: float
     ) -> fx.StartTask:
-        request = _describe_start(record, entry)
+        request = _describe_start(entry)
         target = self.targets.choose(request, now_s)
         self.targets.take_start(target, request, now_s)
         self.ledger.mark_sent(entry.task_id)
@@ -195,23 +194,30 @@
         now_s: float,
     ) -> Iterator[fx.Effect]:
         index = event.task_id.index
-        decision = self.retries.decide(
-            record.job.request.service,
-            record.attempts[index],
-            record.job.deadline_at_s,
-            now_s,
-        )
-        match decision:
+        attempts, deadline_at_s = record.attempts[index], record.job.deadline_at_s
+        match self.retries.decide(attempts, deadline_at_s, now_s):
             case RetryAt(due_s=due_s):
                 self.ledger.requeue_task(event.task_id)
                 entry = evolve(_describe_task(record, index), refused_by=refused_by)
-                self._delayed_count += 1
-                heapq.heappush(self._delayed, (due_s, self._delayed_count, entry))
+                self._delay_task(entry, due_s)
             case GiveUp(reason=reason):
                 last = event.outcome
                 outcome = evolve(last, reason=f"{last.reason}; not retried: {reason}")
                 yield from self._end_task(record, evolve(event, outcome=outcome), now_s)
 
+    def _delay_task(self, entry: QueuedTask, due_s: float) -> None:
+        self._delayed_count += 1
+        heapq.heappush(self._delayed, (due_s, self._delayed_count, entry))
+
+    def _release_retries(self, now_s: float) -> None:
+        while self._delayed and self._delayed[0][0] <= now_s:
+            entry = heapq.heappop(self._delayed)[2]
+            match self.retries.release(entry.service, now_s):
+                case RetryAt(due_s=due_s) if due_s < entry.deadline_at_s:
+                    self._delay_task(entry, due_s)
+                case None:
+                    self.order.push(entry, now_s)
+
     def _end_task(
         self, record: JobRecord, event: ev.TaskEnded, now_s: float
     ) -> Iterator[fx.Effect]:
@@ -271,8 +277,6 @@
                 yield fx.Reply(to=event.reply_to, message=refusal)
 
     def _pass_time(self, now_s: float) -> Iterator[fx.Effect]:
-        while self._delayed and self._delayed[0][0] <= now_s:
-            self.order.push(heapq.heappop(self._delayed)[2], now_s)
         while self._deadlines and self._deadlines[0][0] <= now_s:
             record = self.ledger.records.get(heapq.heappop(self._deadlines)[1])
             if record is not None and record.answer is None:
@@ -342,13 +346,11 @@
     )
 
 
-def _describe_start(record: JobRecord, entry: QueuedTask) -> StartRequest:
-    queued = record.states.count(TaskState.QUEUED)
+def _describe_start(entry: QueuedTask) -> StartRequest:
     return StartRequest(
         task_id=entry.task_id,
         service=entry.service,
         kind=entry.kind,
         job_tasks=entry.job_tasks,
-        is_tail=queued <= TAIL_TASKS,
         refused_by=entry.refused_by,
     )
--- a/gentianhub/decisions/placement.py
+++ b/gentianhub/decisions/placement.py
@@ -26,26 +26,9 @@
         """Return the tasks that may start on a target now."""
 
 
-@frozen(kw_only=True)
-class PlacementRequest:
-    """What a choice knows of a task.
-
-    `avoid` are targets that refused it; `is_tail` is true for a job's last tasks.
-    """
-
-    avoid: tuple[str, ...] = ()
-    is_tail: bool = True
-
-
 @frozen(kw_only=True)
 class FastestIdle:
-    """The fastest target with an idle slot.
-
-    `reserved_share` of the targets, the fastest, are left to tail tasks while
-    another target is idle.
-    """
-
-    reserved_share: float = 0.0
+    """The fastest target with an idle slot, other than those that refused the task."""
 
 
 @frozen(kw_only=True)
@@ -149,25 +132,28 @@
     get_speed: Callable[[str], float]
     policy: PlacementPolicy = field(factory=lambda: FastestIdle())
     rng: random.Random = field(factory=random.Random)
-    _all: SpeedHeap = field(init=False)
+    _idle: SpeedHeap = field(init=False)
     _turn: int = field(init=False, default=0)
 
     def __attrs_post_init__(self):
-        self._all = SpeedHeap(get_speed=self.get_speed, rng=self.rng)
+        self._idle = SpeedHeap(get_speed=self.get_speed, rng=self.rng)
 
     def add_idle(self, target: str) -> None:
         """Take note that a target may have an idle slot."""
-        self._all.add(target)
+        self._idle.add(target)
 
     def has_idle(self, view: IdleView) -> bool:
         """Return whether any target has an idle slot."""
-        return self._all.choose(view, ()) is not None
+        return self._idle.choose(view, ()) is not None
+
+    def choose(self, view: IdleView, avoid: tuple[str, ...]) -> str | None:
+        """Return the target for a task, or None if every slot is in use.
 
-    def choose(self, view: IdleView, request: PlacementRequest) -> str | None:
-        """Return the target for a task, or None if every slot is in use."""
+        A target of `avoid` is chosen only if no other one is idle.
+        """
         match self.policy:
             case FastestIdle():
-                return self._all.choose(view, request.avoid)
+                return self._idle.choose(view, avoid)
             case MostIdle():
                 return choose_most_idle(view)
             case RoundRobin():
--- a/gentianhub/decisions/retries.py
+++ b/gentianhub/decisions/retries.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-MAX_ATTEMPTS = 5
+MAX_ATTEMPTS = 8
 BASE_DELAY_S = 0.02
 MAX_DELAY_S = 1.0
 BUDGET_SHARE = 0.1
@@ -40,6 +40,9 @@
     reason: str
 
 
+Decision = RetryAt | GiveUp
+
+
 @define(kw_only=True, eq=False)
 class RetryBudget:
     """First tries and retries of one service, decayed together."""
@@ -72,20 +75,26 @@
         """Add a first try to the service's budget."""
         self._find_budget(service, now_s).tries += 1
 
-    def decide(
-        self, service: str, attempts: int, deadline_at_s: float, now_s: float
-    ) -> RetryAt | GiveUp:
+    def decide(self, attempts: int, deadline_at_s: float, now_s: float) -> Decision:
         """Return when the task is tried again after `attempts` attempts, or why not."""
-        budget = self._find_budget(service, now_s)
         due_s = now_s + self._draw_delay_s(attempts)
         if attempts >= self.policy.max_attempts:
             return GiveUp(reason=f"after {attempts} attempts")
         if due_s >= deadline_at_s:
             return GiveUp(reason="no time for a retry before the job's deadline")
+        return RetryAt(due_s=due_s)
+
+    def release(self, service: str, now_s: float) -> RetryAt | None:
+        """Charge a retry that is due to the budget, or return when to ask again.
+
+        A task waits for the budget rather than fails, because waiting sends no
+        message; the job's deadline bounds the wait.
+        """
+        budget = self._find_budget(service, now_s)
         if self.policy.budget and not budget.has_room():
-            return GiveUp(reason=f"the retry budget of {service!r} is used up")
+            return RetryAt(due_s=now_s + MAX_DELAY_S * self.rng.uniform(0.5, 1.0))
         budget.retries += 1
-        return RetryAt(due_s=due_s)
+        return None
 
     def _draw_delay_s(self, attempts: int) -> float:
         if not self.policy.backoff:
--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -22,7 +22,6 @@
     FastestIdle,
     Placement,
     PlacementPolicy,
-    PlacementRequest,
 )
 from gentianhub.decisions.slots import SlotHoldings
 from gentianhub.decisions.speeds import Speeds
@@ -49,16 +48,16 @@
     service: str
     kind: str
     job_tasks: int
-    is_tail: bool = True
     refused_by: tuple[str, ...] = ()
 
 
 @define(kw_only=True, eq=False)
 class OpenAttempt:
-    """An attempt without an outcome."""
+    """An attempt without an outcome; `level` tasks were in use with it."""
 
     request: StartRequest
     started_s: float
+    level: int
 
 
 @define(kw_only=True, eq=False)
@@ -78,7 +77,7 @@
 
     def __attrs_post_init__(self):
         self.ejections = Ejections(rng=self.rng, is_on=self.policies.ejection)
-        self.limits = ConcurrencyLimits(is_on=self.policies.concurrency)
+        self.limits = ConcurrencyLimits(rng=self.rng, is_on=self.policies.concurrency)
         self.placement = Placement(
             get_speed=self.speeds.get_speed,
             policy=self.policies.placement,
@@ -109,6 +108,8 @@
 
     def has_idle(self, now_s: float) -> bool:
         """Return whether any task could start now."""
+        for target in self.limits.end_pauses(now_s):
+            self.add_idle(target)
         return self.placement.has_idle(self) or self._find_probe(now_s) is not None
 
     def choose(self, request: StartRequest, now_s: float) -> str | None:
@@ -116,8 +117,7 @@
         probe = self._find_probe(now_s)
         if probe and request.job_tasks <= PROBE_JOB_TASKS and not request.refused_by:
             return probe
-        wish = PlacementRequest(avoid=request.refused_by, is_tail=request.is_tail)
-        return self.placement.choose(self, wish) or probe
+        return self.placement.choose(self, request.refused_by) or probe
 
     def _find_probe(self, now_s: float) -> str | None:
         for target in self.ejections.find_due_probes(now_s):
@@ -131,7 +131,9 @@
         self.holdings.occupy(target)
         if self.ejections.is_ejected(target):
             self.ejections.begin_probe(target, request.task_id)
-        self._open[request.task_id] = OpenAttempt(request=request, started_s=now_s)
+        self._open[request.task_id] = OpenAttempt(
+            request=request, started_s=now_s, level=self.in_use[target]
+        )
 
     def take_outcome(self, event: TaskEnded, now_s: float) -> tuple[str, ...]:
         """Free the slot and learn; return the targets that did not run the task."""
@@ -145,7 +147,8 @@
         match event.outcome:
             case Complete(run_s=run_s):
                 self.ejections.take_success(target, task_id, now_s)
-                self.limits.take_success(target, in_use, self.held.get(target, 0))
+                slots = self.held.get(target, 0)
+                self.limits.take_success(target, attempt.level, in_use, slots)
                 self.speeds.observe_run(
                     target, request.service, request.kind, run_s, now_s
                 )
@@ -168,9 +171,9 @@
                 self.ejections.take_no_connection(
                     target, task_id, outcome.reason, now_s
                 )
-            case Step.AWAIT_REPLY if others == 0:
-                self.ejections.take_refusal(target, task_id, outcome.reason, now_s)
             case Step.AWAIT_REPLY:
+                if others == 0:
+                    self.ejections.take_refusal(target, task_id, outcome.reason, now_s)
                 self.ejections.release_probe(target, task_id)
                 self.limits.take_refusal(target, others, attempt.started_s, now_s)
             case _:
