--- a/gentianhub/decisions/departures.py
+++ b/gentianhub/decisions/departures.py
@@ -6,6 +6,10 @@
 
 from gentianhub.core import TargetAddress
 
+# Other entry processes repeat for 10 s that a target is leaving. A target that came
+# back in this time must not count as leaving again because of such a message.
+REPEATED_NEWS_S = 15.0
+
 
 @define(kw_only=True, eq=False)
 class Departures:
@@ -18,17 +22,26 @@
 
     _announced: set[str] = field(init=False, factory=set)
     _listed: dict[str, TargetAddress] = field(init=False, factory=dict)
+    _returned_s: dict[str, float] = field(init=False, factory=dict)
 
     def announce(self, target: str) -> None:
         """Record that a target said that it is leaving."""
         self._announced.add(target)
 
-    def see_list(self, targets: Iterable[TargetAddress]) -> None:
+    def take_news(self, target: str, now_s: float) -> None:
+        """Take another entry process's word that a target said it is leaving."""
+        returned_s = self._returned_s.get(target)
+        if returned_s is None or now_s >= returned_s + REPEATED_NEWS_S:
+            self.announce(target)
+
+    def see_list(self, targets: Iterable[TargetAddress], now_s: float) -> None:
         """Take the host list that was read last."""
         before, self._listed = self._listed, {item.name: item for item in targets}
         for target in self._listed.values():
-            if not target.leaving and before.get(target.name) != target:
+            is_back = not target.leaving and before.get(target.name) != target
+            if is_back and target.name in self._announced:
                 self._announced.discard(target.name)
+                self._returned_s[target.name] = now_s
 
     def is_leaving(self, target: str) -> bool:
         """Return whether a target must get no new start."""
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -93,9 +93,9 @@
             case ev.Tick():
                 yield from self._pass_time(now_s)
             case ev.TargetsSeen(targets=targets):
-                yield from self._see_targets(targets)
+                yield from self._see_targets(targets, now_s)
             case ev.TargetsLeaving(targets=targets):
-                self._leave_targets(targets)
+                self._leave_targets(targets, now_s)
             case ev.TableAdopted(table=table):
                 self._adopt_table(table)
             case ev.DrainBegun():
@@ -283,8 +283,8 @@
                 yield from self._expire_job(record, now_s)
         self.ledger.forget_old(now_s)
 
-    def _see_targets(self, targets) -> Iterator[fx.Effect]:
-        self.targets.see_list(targets)
+    def _see_targets(self, targets, now_s: float) -> Iterator[fx.Effect]:
+        self.targets.see_list(targets, now_s)
         usable = {
             target.name
             for target in targets
@@ -296,10 +296,11 @@
             self._hold_slots(name)
         yield from ()
 
-    def _leave_targets(self, targets: tuple[str, ...]) -> None:
+    def _leave_targets(self, targets: tuple[str, ...], now_s: float) -> None:
         for name in targets:
-            self.targets.departures.announce(name)
-            self.holdings.drop_target(name)
+            self.targets.departures.take_news(name, now_s)
+            if self.targets.departures.is_leaving(name):
+                self.holdings.drop_target(name)
 
     def _hold_slots(self, target: str) -> None:
         self.holdings.set_held(target, self.table.get_target(target).slots)
--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -179,10 +179,10 @@
             case _:
                 self.ejections.release_probe(target, task_id)
 
-    def see_list(self, targets: Iterable[TargetAddress]) -> None:
+    def see_list(self, targets: Iterable[TargetAddress], now_s: float) -> None:
         """Take the host list that was read last."""
         targets = tuple(targets)
-        self.departures.see_list(targets)
+        self.departures.see_list(targets, now_s)
         self.ejections.known_targets = len(targets)
         for gone in self._known - {target.name for target in targets}:
             self.speeds.forget_target(gone)
