Keep planned probes in a heap

Cause: the search for a due probe looked at every ejected target, so a choice cost up to half of the number of targets. Change: planned probes are kept in a heap; an entry that is out of date is dropped when it reaches the top.

--- a/gentianhub/decisions/ejection.py
+++ b/gentianhub/decisions/ejection.py
@@ -1,9 +1,10 @@
 """Ejection of targets that fail, on evidence, with probes and a bound."""
 
+import heapq
 import math
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -48,7 +49,7 @@
     reason: str
     since_s: float
     max_probe_s: float
-    probe_at_s: float
+    probe_at_s: float = math.inf
     failed_probes: int = 0
     successes: int = 0
     probe: TaskId | None = None
@@ -72,6 +73,7 @@
     _recent: dict[str, RecentReplies] = field(init=False, factory=dict)
     _ejected: dict[str, Ejection] = field(init=False, factory=dict)
     _strikes: dict[str, int] = field(init=False, factory=dict)
+    _probes: list[tuple[float, str]] = field(init=False, factory=list)
     _replies: int = field(init=False, default=0)
     _failures: int = field(init=False, default=0)
 
@@ -91,6 +93,8 @@
             ejection.successes += 1
             if ejection.successes >= PROBE_SUCCESSES:
                 del self._ejected[target]
+            else:
+                self._plan_probe(target, now_s)
 
     def take_failure(
         self, target: str, task_id: TaskId, reason: str, now_s: float
@@ -119,24 +123,37 @@
         if not self._take_probe_failure(target, task_id, now_s):
             self._eject(target, reason, MAX_REFUSED_PROBE_S, now_s)
 
-    def release_probe(self, target: str, task_id: TaskId) -> None:
+    def release_probe(self, target: str, task_id: TaskId, now_s: float) -> None:
         """Take a probe's end that says nothing about the target."""
         ejection = self._ejected.get(target)
         if ejection is not None and ejection.probe == task_id:
             ejection.probe = None
+            self._plan_probe(target, now_s + FIRST_PROBE_S)
 
     def begin_probe(self, target: str, task_id: TaskId) -> None:
         """Record the task that is sent to an ejected target."""
         self._ejected[target].probe = task_id
 
-    def find_due_probes(self, now_s: float) -> Iterator[str]:
-        """Yield ejected targets that may get a probe now.
-
-        At most half of the targets are ejected, and normally none.
-        """
-        for target, ejection in self._ejected.items():
-            if ejection.probe is None and ejection.probe_at_s <= now_s:
-                yield target
+    def find_due_probe(
+        self, now_s: float, is_usable: Callable[[str], bool]
+    ) -> str | None:
+        """Return an ejected target that may get a probe now, or None."""
+        while self._probes and self._probes[0][0] <= now_s:
+            due_s, target = self._probes[0]
+            ejection = self._ejected.get(target)
+            is_planned = ejection is not None and ejection.probe_at_s == due_s
+            if not is_planned or ejection.probe is not None:
+                heapq.heappop(self._probes)
+            elif is_usable(target):
+                return target
+            else:
+                heapq.heappop(self._probes)
+                self._plan_probe(target, now_s + FIRST_PROBE_S)
+        return None
+
+    def _plan_probe(self, target: str, due_s: float) -> None:
+        self._ejected[target].probe_at_s = due_s
+        heapq.heappush(self._probes, (due_s, target))
 
     def forget_target(self, target: str) -> None:
         """Drop a target that is gone from the host list."""
@@ -193,9 +210,9 @@
             reason=reason,
             since_s=now_s,
             max_probe_s=max_probe_s,
-            probe_at_s=now_s + self._draw_wait_s(strikes, max_probe_s),
             failed_probes=strikes,
         )
+        self._plan_probe(target, now_s + self._draw_wait_s(strikes, max_probe_s))
 
     def _take_probe_failure(self, target: str, task_id: TaskId, now_s: float) -> bool:
         """Return whether the target is ejected, so that nothing else is to be done."""
@@ -205,7 +222,7 @@
             ejection.successes = 0
             ejection.failed_probes += 1
             wait_s = self._draw_wait_s(ejection.failed_probes, ejection.max_probe_s)
-            ejection.probe_at_s = now_s + wait_s
+            self._plan_probe(target, now_s + wait_s)
         return ejection is not None
 
     def _draw_wait_s(self, failed_probes: int, max_probe_s: float) -> float:
--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -120,11 +120,11 @@
         return self.placement.choose(self, request.refused_by) or probe
 
     def _find_probe(self, now_s: float) -> str | None:
-        for target in self.ejections.find_due_probes(now_s):
-            is_leaving = self.departures.is_leaving(target)
-            if not is_leaving and self.holdings.count_idle(target):
-                return target
-        return None
+        return self.ejections.find_due_probe(now_s, self._may_probe)
+
+    def _may_probe(self, target: str) -> bool:
+        is_leaving = self.departures.is_leaving(target)
+        return not is_leaving and self.holdings.count_idle(target) > 0
 
     def take_start(self, target: str, request: StartRequest, now_s: float) -> None:
         """Use a slot of the chosen target."""
@@ -166,7 +166,7 @@
         others = self.in_use.get(target, 0)
         match outcome.step:
             case _ if event.leaving:
-                self.ejections.release_probe(target, task_id)
+                self.ejections.release_probe(target, task_id, now_s)
             case Step.CONNECT_TARGET:
                 self.ejections.take_no_connection(
                     target, task_id, outcome.reason, now_s
@@ -174,10 +174,10 @@
             case Step.AWAIT_REPLY:
                 if others == 0:
                     self.ejections.take_refusal(target, task_id, outcome.reason, now_s)
-                self.ejections.release_probe(target, task_id)
+                self.ejections.release_probe(target, task_id, now_s)
                 self.limits.take_refusal(target, others, attempt.started_s, now_s)
             case _:
-                self.ejections.release_probe(target, task_id)
+                self.ejections.release_probe(target, task_id, now_s)
 
     def see_list(self, targets: Iterable[TargetAddress], now_s: float) -> None:
         """Take the host list that was read last."""
