--- a/gentianhub/decisions/departures.py
+++ b/gentianhub/decisions/departures.py
@@ -30,18 +30,24 @@
 
     def take_news(self, target: str, now_s: float) -> None:
         """Take another entry process's word that a target said it is leaving."""
-        returned_s = self._returned_s.get(target)
-        if returned_s is None or now_s >= returned_s + REPEATED_NEWS_S:
+        returned_s = self._returned_s.get(target, -REPEATED_NEWS_S)
+        if now_s >= returned_s + REPEATED_NEWS_S:
             self.announce(target)
 
     def see_list(self, targets: Iterable[TargetAddress], now_s: float) -> None:
         """Take the host list that was read last."""
         before, self._listed = self._listed, {item.name: item for item in targets}
-        for target in self._listed.values():
-            is_back = not target.leaving and before.get(target.name) != target
-            if is_back and target.name in self._announced:
-                self._announced.discard(target.name)
-                self._returned_s[target.name] = now_s
+        for name in sorted(self._announced):
+            listed = self._listed.get(name)
+            is_live = listed is not None and not listed.leaving
+            if listed is None or (is_live and before.get(name) != listed):
+                self._announced.discard(name)
+                self._returned_s[name] = now_s
+        self._returned_s = {
+            name: returned_s
+            for name, returned_s in self._returned_s.items()
+            if now_s < returned_s + REPEATED_NEWS_S
+        }
 
     def is_leaving(self, target: str) -> bool:
         """Return whether a target must get no new start."""
