Write the table's chain of versions with lost replies resolved

A lost reply is resolved by reading the change back and comparing its id. The platform client reads rows by key and objects by name, and reports every broken exchange as PlatformError.

--- a/gentianhub/core/table.py
+++ b/gentianhub/core/table.py
@@ -13,7 +13,9 @@
 
     name: str
     weight: float = field(default=1.0, validator=validators.gt(0))
-    quota_slots: int | None = None
+    quota_slots: int | None = field(
+        default=None, validator=validators.optional(validators.ge(0))
+    )
 
 
 @frozen(kw_only=True)
@@ -27,7 +29,9 @@
     name: str
     team: str
     weight: float = field(default=1.0, validator=validators.gt(0))
-    max_running: int | None = None
+    max_running: int | None = field(
+        default=None, validator=validators.optional(validators.ge(0))
+    )
     max_queued_s: float = field(default=600.0, validator=validators.gt(0))
 
 
--- a/gentianhub/decisions/propagation.py
+++ b/gentianhub/decisions/propagation.py
@@ -14,9 +14,13 @@
 
 @frozen(kw_only=True)
 class ChangesRead:
-    """Changes of the table that were read from the platform, in order."""
+    """The newest table on the platform, and the last changes that led to it.
+
+    The changes may follow a snapshot, not the version that the reader had.
+    """
 
     changes: tuple[TableChange, ...]
+    table: Table
 
 
 @frozen(kw_only=True)
--- a/gentianhub/platform/client.py
+++ b/gentianhub/platform/client.py
@@ -1,4 +1,4 @@
-"""HTTP client of the platform's table service and host list."""
+"""HTTP client of the platform's table service, object store and host list."""
 
 import json
 from collections.abc import Iterator
@@ -38,12 +38,24 @@
     _connection: HttpConnection
     timeout_s: float = REQUEST_TIMEOUT_S
 
-    def read_rows(self, prefix: str, after: str = "") -> tuple[VersionedRow, ...]:
-        """Return the rows whose keys start with `prefix`, ordered, after a key."""
-        path = f"/table/rows?prefix={quote(prefix)}&after={quote(after)}"
+    def read_rows(
+        self, prefix: str, after: str = "", limit: int = 0
+    ) -> tuple[VersionedRow, ...]:
+        """Return the rows whose keys start with `prefix`, ordered, after a key.
+
+        A `limit` of 0 means all of them.
+        """
+        path = f"/table/rows?prefix={quote(prefix)}&after={quote(after)}&limit={limit}"
         content = self._request(Step.READ_PLATFORM, "GET", path)
         return tuple(VersionedRow(**row) for row in content["rows"])
 
+    def read_keys(self, keys: tuple[str, ...]) -> tuple[VersionedRow, ...]:
+        """Return the rows that exist among the keys, in one read."""
+        content = self._request(
+            Step.READ_PLATFORM, "POST", "/table/read", {"keys": keys}
+        )
+        return tuple(VersionedRow(**row) for row in content["rows"])
+
     def write_rows(
         self, rows: dict[str, object], expected: dict[str, int]
     ) -> Conflict | None:
@@ -62,19 +74,42 @@
         """Return the platform's lagging list of entry processes and targets."""
         return self._request(Step.READ_PLATFORM, "GET", "/hosts")
 
+    def write_object(self, name: str, content: bytes) -> None:
+        """Write a whole object; the same name with the same content may repeat."""
+        path = f"/objects/{quote(name)}"
+        status, _ = self._exchange(Step.WRITE_PLATFORM, "PUT", path, content)
+        self._check_status(Step.WRITE_PLATFORM, status, (200,))
+
+    def read_object(self, name: str) -> bytes | None:
+        """Return an object's content, or None if there is no such object."""
+        path = f"/objects/{quote(name)}"
+        status, content = self._exchange(Step.READ_PLATFORM, "GET", path, b"")
+        self._check_status(Step.READ_PLATFORM, status, (200, 404))
+        return content if status == 200 else None
+
     def _request(self, step: Step, method: str, path: str, content=None):
         body = b"" if content is None else json.dumps(content).encode()
+        status, reply = self._exchange(step, method, path, body)
+        self._check_status(step, status, (200, 409))
+        try:
+            return json.loads(reply)
+        except ValueError as error:
+            raise PlatformError(step=step, peer=self.peer, reason=str(error)) from None
+
+    def _exchange(
+        self, step: Step, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes]:
         try:
             with gevent.Timeout(self.timeout_s, TimeoutError):
                 response = self._connection.request(method, path, body)
-                reply = bytes(response.read())
-                status = response.status_code
+                return response.status_code, bytes(response.read())
         except EXCHANGE_ERRORS as error:
             self._connection.reset()
             raise PlatformError(step=step, peer=self.peer, reason=repr(error)) from None
-        if status not in (200, 409):
+
+    def _check_status(self, step: Step, status: int, allowed: tuple[int, ...]) -> None:
+        if status not in allowed:
             raise PlatformError(step=step, peer=self.peer, reason=f"status {status}")
-        return json.loads(reply)
 
 
 @contextmanager
--- a/gentianhub/platform/rows.py
+++ b/gentianhub/platform/rows.py
@@ -2,25 +2,19 @@
 
 import cattrs
 
-from gentianhub.core import (
-    EntryAddress,
-    ProcessName,
-    ServiceRow,
-    TargetAddress,
-    TargetRow,
-    TeamRow,
-)
+from gentianhub.core import EntryAddress, ProcessName, Table, TargetAddress
 from gentianhub.decisions.versions import (
+    SHEET_CLASSES,
     Removal,
     Row,
     TableChange,
+    list_sheets,
     name_sheet,
 )
 
 HEAD_KEY = "table/head"
 CHANGE_PREFIX = "table/change/"
-
-_SHEET_CLASSES = {"teams": TeamRow, "services": ServiceRow, "targets": TargetRow}
+SNAPSHOT_PREFIX = "table/snapshot/"
 
 
 def build_change_key(version: int) -> str:
@@ -28,6 +22,26 @@
     return f"{CHANGE_PREFIX}{version:012d}"
 
 
+def build_snapshot_key(version: int) -> str:
+    """Return the key of the snapshot of a version."""
+    return f"{SNAPSHOT_PREFIX}{version:012d}"
+
+
+def encode_table(table: Table) -> dict:
+    """Return a whole table as JSON content."""
+    sheets = list_sheets(table).values()
+    rows = [encode_row(row) for sheet in sheets for row in sheet.values()]
+    return {"version": table.version, "rows": rows}
+
+
+def decode_table(content: dict) -> Table:
+    """Return the whole table in JSON content."""
+    sheets = {sheet: {} for sheet in SHEET_CLASSES}
+    for row in map(decode_row, content["rows"]):
+        sheets[name_sheet(row)][row.name] = row
+    return Table(version=content["version"], **sheets)
+
+
 def encode_change(change: TableChange) -> dict:
     """Return a change as JSON content."""
     return {
@@ -60,7 +74,7 @@
 def decode_row(content: dict) -> Row:
     """Return the row in JSON content."""
     fields = dict(content)
-    return cattrs.structure(fields, _SHEET_CLASSES[fields.pop("sheet")])
+    return cattrs.structure(fields, SHEET_CLASSES[fields.pop("sheet")])
 
 
 def decode_targets(hosts: dict, data_centre: str) -> tuple[TargetAddress, ...]:
--- a/gentianhub/platform/watcher.py
+++ b/gentianhub/platform/watcher.py
@@ -8,15 +8,9 @@
 from gentianhub.core.events import TableAdopted, TargetsSeen
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.propagation import ChangesRead, PollDuty
-from gentianhub.decisions.versions import apply_changes
+from gentianhub.platform.changes import read_newer_changes
 from gentianhub.platform.client import PlatformClient, open_platform
-from gentianhub.platform.rows import (
-    CHANGE_PREFIX,
-    build_change_key,
-    decode_change,
-    decode_processes,
-    decode_targets,
-)
+from gentianhub.platform.rows import decode_processes, decode_targets
 
 POLL_PERIOD_S = 0.5
 
@@ -44,12 +38,11 @@
         targets = decode_targets(hosts, self.data_centre)
         processes = decode_processes(hosts)
         self.siblings.offer(HostList(processes=processes, targets=targets))
-        rows = client.read_rows(CHANGE_PREFIX, build_change_key(self.table.version))
-        changes = tuple(decode_change(row.value) for row in rows)
-        table = apply_changes(self.table, changes)
+        read = read_newer_changes(client, self.table)
+        table = read.table
         if table.version > self.table.version:
             self.table = table
-            self.siblings.put(ChangesRead(changes=changes))
+            self.siblings.put(ChangesRead(changes=read.changes, table=table))
             self.dispatcher.put(TableAdopted(table=table))
         if targets != self._targets:
             self._targets = targets
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -135,8 +135,9 @@
                 self._fail_dial(notice, now_s)
             case mb.HostList():
                 self._read_hosts(notice, now_s)
-            case ChangesRead(changes=changes):
+            case ChangesRead(changes=changes, table=table):
                 list(self.history.adopt_changes(changes))
+                list(self.history.adopt_table(table))
             case nt.TargetSeenLeaving(target=target):
                 self._leaving[target] = now_s + LEAVING_REPEAT_S
             case nt.DescribeSiblings(reply_to=to):
--- a/gentianhub/stand_ins/platform.py
+++ b/gentianhub/stand_ins/platform.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's table service and host list; keeps all in memory."""
+"""Stand-in for the platform: table service, object store, host list, in memory."""
 
 import json
 
@@ -26,6 +26,7 @@
 
     hosts: dict = field(factory=lambda: {"entry_processes": [], "targets": []})
     rows: dict[str, tuple[int, object]] = field(factory=dict)
+    objects: dict[str, bytes] = field(factory=dict)
     is_down: bool = False
     delay_s: float = 0.0
     drop_replies: int = 0
@@ -49,6 +50,19 @@
             case ("GET", "table", "rows"):
                 self.reads += 1
                 return self._read_rows(request)
+            case ("POST", "table", "read"):
+                self.reads += 1
+                return _build_json(self._read_keys(json.loads(request.body)["keys"]))
+            case ("GET", "objects", *name):
+                self.reads += 1
+                content = self.objects.get("/".join(name))
+                return Response(
+                    status=404 if content is None else 200, body=content or b""
+                )
+            case ("PUT", "objects", *name):
+                self.writes += 1
+                self.objects["/".join(name)] = request.body
+                return self._acknowledge_write()
             case ("POST", "table", "transact"):
                 self.writes += 1
                 return self._transact(json.loads(request.body))
@@ -64,13 +78,18 @@
     def _read_rows(self, request: Request) -> Response:
         prefix = request.query.get("prefix", "")
         after = request.query.get("after", "")
+        limit = int(request.query.get("limit", 0)) or None
         keys = sorted(key for key in self.rows if key.startswith(prefix))
+        newer = [key for key in keys if key > after]
+        return _build_json(self._read_keys(newer[:limit]))
+
+    def _read_keys(self, keys: list[str]) -> dict:
         rows = [
             {"key": key, "version": self.rows[key][0], "value": self.rows[key][1]}
             for key in keys
-            if key > after
+            if key in self.rows
         ]
-        return _build_json({"rows": rows})
+        return {"rows": rows}
 
     def _transact(self, content: dict) -> Response:
         for check in content["checks"]:
@@ -81,6 +100,9 @@
         for write in content["writes"]:
             version = self.rows.get(write["key"], (0, None))[0]
             self.rows[write["key"]] = (version + 1, write["value"])
+        return self._acknowledge_write()
+
+    def _acknowledge_write(self) -> Response:
         if self.drop_replies > 0:
             self.drop_replies -= 1
             return Response(status=503)
