--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -11,6 +11,7 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.messages import CountOpenJobs, RenderMetrics
 from gentianhub.observability import Metrics
+from gentianhub.platform.journal import RecordAnswer
 from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
 from gentianhub.targets import ConnectionClosed, ConnectionEnded, TargetPool
 
@@ -26,6 +27,7 @@
     mailbox: Mailbox
     decisions: Dispatcher
     siblings: Mailbox
+    journal: Mailbox
     pool: TargetPool = field(init=False)
     metrics: Metrics = field(init=False, factory=lambda: Metrics())
 
@@ -71,8 +73,9 @@
             case fx.SendToSibling(to=to, message=message):
                 # A message lost to a full mailbox is made good by `SlotsHeld`.
                 self.siblings.offer(SendSlotMessage(to=to, message=message))
-            case fx.JobEnded():
+            case fx.JobEnded(job_id=job_id, answer=answer):
                 self.metrics.count_job(effect)
+                self.journal.offer(RecordAnswer(job_id=job_id, answer=answer))
 
 
 def run_timer(mailbox: Mailbox) -> None:
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -12,18 +12,37 @@
 from gentianhub.callers import CallerPort, serve_callers
 from gentianhub.core import (
     Incarnation,
+    JobAnswer,
+    JobComplete,
+    JobFailed,
+    JobId,
+    JobRequest,
     Mailbox,
     ProcessName,
+    Refusal,
     draw_incarnation,
     spawn_task,
 )
 from gentianhub.core.events import DrainBegun
-from gentianhub.core.operations import Operation, perform_operation
+from gentianhub.core.operations import Operation, WatchOperation, perform_operation
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.dispatcher import DispatcherTask, run_timer
 from gentianhub.entry.messages import CountOpenJobs
 from gentianhub.operators import OperatorPort, serve_operators
 from gentianhub.platform import PlatformWatcher, run_watcher
+from gentianhub.platform.claims import (
+    ClaimTask,
+    refuse_draining,
+    run_claims,
+    submit_with_key,
+)
+from gentianhub.platform.journal import (
+    AnswerCollected,
+    JournalTask,
+    flush_journal,
+    run_journal,
+)
+from gentianhub.platform.lookups import LookupTask, find_answer, run_lookups
 from gentianhub.settings import HostSettings, ProcessSettings
 from gentianhub.siblings import find_owner, forward_operation, open_siblings
 
@@ -44,19 +63,39 @@
     mailbox: Mailbox = field(init=False)
     siblings: Mailbox = field(init=False)
     _drain: Event = field(init=False, factory=Event)
+    _claims: ClaimTask = field(init=False, factory=lambda: ClaimTask())
+    _lookups: LookupTask = field(init=False, factory=lambda: LookupTask())
+    _journal: JournalTask = field(init=False)
 
     def __attrs_post_init__(self):
         name = ProcessName(data_centre=self.host.data_centre, process=self.process.name)
         self.incarnation = draw_incarnation(name)
         self.mailbox = Mailbox(limit=self.host.limits.dispatcher_mailbox)
         self.siblings = Mailbox(limit=self.host.limits.siblings_mailbox)
+        self._journal = JournalTask(owner=self.incarnation)
 
     def perform(self, operation: Operation):
         """Carry an operation to the owner of its job."""
         owner = find_owner(operation)
-        if owner is None or owner == self.incarnation:
-            return perform_operation(self.mailbox, operation)
-        return forward_operation(self.siblings, owner, operation)
+        if owner is not None and owner != self.incarnation:
+            return forward_operation(self.siblings, owner, operation)
+        reply = perform_operation(self.mailbox, operation)
+        match operation, reply:
+            case WatchOperation(job_id=job_id), JobComplete() | JobFailed():
+                self._journal.mailbox.offer(AnswerCollected(job_id=job_id))
+        return reply
+
+    def find_answer(self, job_id: JobId) -> JobAnswer | Refusal:
+        """Return a lost owner's answer from the journal; else it is unknown."""
+        return find_answer(self._lookups.mailbox, job_id)
+
+    def submit_keyed(self, key: str, request: JobRequest):
+        """Submit a job under an idempotency key."""
+        if self._drain.is_set():
+            return refuse_draining(str(self.incarnation))
+        return submit_with_key(
+            key, request, claims=self._claims.mailbox, perform=self.perform
+        )
 
     def begin_drain(self) -> None:
         """Begin a graceful shutdown."""
@@ -77,16 +116,21 @@
             mailbox=self.mailbox,
             decisions=Dispatcher(owner=self.incarnation),
             siblings=self.siblings,
+            journal=self._journal.mailbox,
         )
         watcher = PlatformWatcher(
             data_centre=self.host.data_centre,
             dispatcher=self.mailbox,
             siblings=self.siblings,
         )
+        platform = self.host.platform.as_pair()
         tasks = [
             spawn_task(dispatcher.run),
             spawn_task(run_timer, self.mailbox),
-            spawn_task(run_watcher, watcher, *self.host.platform.as_pair()),
+            spawn_task(run_watcher, watcher, *platform),
+            spawn_task(run_claims, self._claims, *platform),
+            spawn_task(run_journal, self._journal, *platform),
+            spawn_task(run_lookups, self._lookups, *platform),
         ]
         siblings = open_siblings(
             own=self.incarnation,
@@ -105,7 +149,9 @@
     @contextmanager
     def _serve_ports(self) -> Iterator[None]:
         callers = CallerPort(
-            perform=self.perform, is_healthy=lambda: not self._drain.is_set()
+            perform=self.perform,
+            submit_keyed=self.submit_keyed,
+            is_healthy=lambda: not self._drain.is_set(),
         )
         operators = OperatorPort(
             dispatcher=self.mailbox,
@@ -128,7 +174,14 @@
         with gevent.Timeout(self.host.limits.drain_s, False):
             while self._count_open_jobs():
                 gevent.sleep(DRAIN_CHECK_S)
-        logger.info("stopped", extra={"open_jobs": self._count_open_jobs()})
+        unwritten = flush_journal(self._journal.mailbox)
+        logger.info(
+            "stopped",
+            extra={
+                "open_jobs": self._count_open_jobs(),
+                "unwritten_answers": unwritten,
+            },
+        )
 
     def _count_open_jobs(self) -> int:
         replies = Mailbox(limit=1)
--- /dev/null
+++ b/gentianhub/platform/journal.py
@@ -0,0 +1,244 @@
+"""Journal of finished answers that no caller has collected yet.
+
+One greenlet keeps the answers that are waiting, and writes a batch each flush
+period and all of them at shutdown. Only finished answers are written: a job
+without one stays unknown once its owner is gone.
+"""
+
+import logging
+from typing import Protocol
+
+from attrs import define, field, frozen
+
+from gentianhub.core import (
+    Incarnation,
+    JobAnswer,
+    JobComplete,
+    JobFailed,
+    JobId,
+    Mailbox,
+    PlatformError,
+    Silence,
+    Step,
+    read_monotonic_s,
+)
+from gentianhub.platform.changes import TableStore
+from gentianhub.platform.client import open_platform
+from gentianhub.platform.objects import (
+    BatchRange,
+    JournalBatch,
+    JournalIndex,
+    build_batch_name,
+    build_index_key,
+    encode_batch,
+    encode_index,
+)
+
+# All journals together stay within this share of the platform's writes.
+JOURNAL_WRITES_PER_S = 200
+# The object and the index row.
+WRITES_PER_FLUSH = 2
+MIN_FLUSH_PERIOD_S = 1.0
+SHUTDOWN_FLUSH_S = 5.0
+# The platform may have closed an idle connection, which fails the first write.
+SHUTDOWN_ATTEMPTS = 3
+MAILBOX_LIMIT = 10_000
+MAX_PENDING_BYTES = 32 * 1024 * 1024
+MAX_BATCH_BYTES = 2 * 1024 * 1024
+# Larger answers would make an object that the platform may refuse.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_INDEX_BATCHES = 300
+# Approximate size of an answer or an outcome beside the result itself.
+OVERHEAD_BYTES = 200
+
+logger = logging.getLogger(__name__)
+
+
+class JournalStore(TableStore, Protocol):
+    """What the journal asks of the platform; `PlatformClient` provides it."""
+
+    def write_object(self, name: str, content: bytes) -> None:
+        """Write a whole object."""
+
+    def read_object(self, name: str) -> bytes | None:
+        """Return an object's content, or None if there is no such object."""
+
+    def read_hosts(self) -> dict:
+        """Return the host list."""
+
+
+@frozen(kw_only=True)
+class RecordAnswer:
+    """A job has ended with this answer."""
+
+    job_id: JobId
+    answer: JobAnswer
+
+
+@frozen(kw_only=True)
+class AnswerCollected:
+    """A caller has the job's answer; the journal need not write it."""
+
+    job_id: JobId
+
+
+@frozen(kw_only=True)
+class FlushAll:
+    """Write every waiting answer; the reply is the number not written."""
+
+    reply_to: Mailbox
+
+
+@define(kw_only=True, eq=False)
+class JournalTask:
+    """Owns the answers that are waiting to be written.
+
+    An answer that finds `MAX_PENDING_BYTES` waiting is not kept: its job is
+    reported as unknown if the owner is lost.
+    """
+
+    owner: Incarnation
+    mailbox: Mailbox = field(factory=lambda: Mailbox(limit=MAILBOX_LIMIT))
+    pending: dict[int, JobAnswer] = field(init=False, factory=dict)
+    pending_bytes: int = field(init=False, default=0)
+    dropped_answers: int = field(init=False, default=0)
+    period_s: float = field(init=False, default=MIN_FLUSH_PERIOD_S)
+    _index: JournalIndex = field(init=False, factory=lambda: JournalIndex())
+    _unsent: JournalBatch | None = field(init=False, default=None)
+    _next_number: int = field(init=False, default=1)
+
+    def run(self, store: JournalStore) -> None:
+        """Take messages for ever; write a batch each flush period."""
+        due_s = read_monotonic_s() + self.period_s
+        while True:
+            wait_s = max(0.0, due_s - read_monotonic_s())
+            match self.mailbox.take(timeout_s=wait_s):
+                case RecordAnswer(job_id=job_id, answer=answer):
+                    self.keep_answer(job_id, answer)
+                case AnswerCollected(job_id=job_id):
+                    self._forget_answer(job_id.sequence)
+                case FlushAll(reply_to=to):
+                    to.offer(self.flush_all(store))
+            if read_monotonic_s() >= due_s:
+                self.flush_batch(store)
+                due_s = read_monotonic_s() + self.period_s
+
+    def keep_answer(self, job_id: JobId, answer: JobAnswer) -> None:
+        """Keep an answer for the next flush, within the memory limit."""
+        size = measure_answer(answer)
+        if size > MAX_ANSWER_BYTES or self.pending_bytes + size > MAX_PENDING_BYTES:
+            self.dropped_answers += 1
+            return
+        self.pending[job_id.sequence] = answer
+        self.pending_bytes += size
+
+    def flush_all(self, store: JournalStore) -> int:
+        """Write batches until nothing waits; return the answers that are left."""
+        failures = 0
+        while (self._unsent or self.pending) and failures < SHUTDOWN_ATTEMPTS:
+            failures = 0 if self.flush_batch(store) else failures + 1
+        return len(self.pending) + (len(self._unsent.answers) if self._unsent else 0)
+
+    def flush_batch(self, store: JournalStore) -> bool:
+        """Write one batch; return whether it is on the platform.
+
+        A batch whose write failed is written again under the same name with the
+        same content, so that a lost reply does no harm.
+        """
+        if self._unsent is None:
+            self._unsent = self._take_batch()
+        if self._unsent is None:
+            return True
+        try:
+            self._write_batch(store, self._unsent)
+            self._unsent = None
+            self._adjust_period(store)
+        except PlatformError as error:
+            logger.warning(
+                "journal not written: %s",
+                error.reason,
+                extra={"step": error.step.value, "peer": error.peer},
+            )
+        return self._unsent is None
+
+    def _take_batch(self) -> JournalBatch | None:
+        answers: dict[int, JobAnswer] = {}
+        size = 0
+        for sequence, answer in self.pending.items():
+            size += measure_answer(answer)
+            if answers and size > MAX_BATCH_BYTES:
+                break
+            answers[sequence] = answer
+        if not answers:
+            return None
+        for sequence in answers:
+            self._forget_answer(sequence)
+        self._next_number += 1
+        return JournalBatch(number=self._next_number - 1, answers=answers)
+
+    def _forget_answer(self, sequence: int) -> None:
+        answer = self.pending.pop(sequence, None)
+        if answer is not None:
+            self.pending_bytes -= measure_answer(answer)
+
+    def _write_batch(self, store: JournalStore, batch: JournalBatch) -> None:
+        name = build_batch_name(self.owner, batch.number)
+        store.write_object(name, encode_batch(batch))
+        entry = BatchRange(
+            number=batch.number, lowest=min(batch.answers), highest=max(batch.answers)
+        )
+        batches = (*self._index.batches, entry)[-MAX_INDEX_BATCHES:]
+        index = JournalIndex(batches=batches)
+        self._write_index(store, index)
+        self._index = index
+
+    def _write_index(self, store: JournalStore, index: JournalIndex) -> None:
+        """Write the index row; a late earlier write can not undo it.
+
+        Only this incarnation writes the row. Each batch adds one entry, and the
+        row is written on the condition of the row version that was read.
+        """
+        key = build_index_key(self.owner)
+        version = next((row.version for row in store.read_keys((key,))), 0)
+        conflict = store.write_rows({key: encode_index(index)}, {key: version})
+        if conflict is not None:
+            step = Step.WRITE_PLATFORM
+            raise PlatformError(step=step, peer=store.peer, reason=conflict.reason)
+
+    def _adjust_period(self, store: JournalStore) -> None:
+        processes = len(store.read_hosts()["entry_processes"])
+        period_s = processes * WRITES_PER_FLUSH / JOURNAL_WRITES_PER_S
+        self.period_s = max(MIN_FLUSH_PERIOD_S, period_s)
+
+
+def measure_answer(answer: JobAnswer) -> int:
+    """Return the approximate bytes that an answer takes."""
+    match answer:
+        case JobComplete(results=results):
+            return OVERHEAD_BYTES + sum(map(len, results))
+        case JobFailed(outcomes=outcomes):
+            return OVERHEAD_BYTES * (1 + len(outcomes))
+
+
+def run_journal(journal: JournalTask, host: str, port: int) -> None:
+    """Write the journal to the platform for ever."""
+    with open_platform(host, port) as store:
+        journal.run(store)
+
+
+def flush_journal(journal: Mailbox) -> int | None:
+    """Write all waiting answers at shutdown.
+
+    Returns
+    -------
+    int or None
+        The number of answers that could not be written; None if that is not
+        known after `SHUTDOWN_FLUSH_S`.
+    """
+    replies = Mailbox(limit=1)
+    journal.put(FlushAll(reply_to=replies))
+    match replies.take(timeout_s=SHUTDOWN_FLUSH_S):
+        case Silence():
+            return None
+        case left:
+            return left
--- /dev/null
+++ b/gentianhub/platform/objects.py
@@ -0,0 +1,67 @@
+"""Form of the journal's objects and of its index row on the platform."""
+
+import cattrs.preconf.json
+from attrs import frozen
+from cattrs.strategies import configure_tagged_union
+
+from gentianhub.core import Incarnation, JobAnswer, TaskOutcome
+
+JOURNAL_PREFIX = "journal/"
+
+_converter = cattrs.preconf.json.make_converter()
+configure_tagged_union(TaskOutcome, _converter)
+configure_tagged_union(JobAnswer, _converter)
+
+
+@frozen(kw_only=True)
+class JournalBatch:
+    """One object of the journal: finished answers by job sequence."""
+
+    number: int
+    answers: dict[int, JobAnswer]
+
+
+@frozen(kw_only=True)
+class BatchRange:
+    """Entry of the index: a batch and the job sequences it lies between."""
+
+    number: int
+    lowest: int
+    highest: int
+
+
+@frozen(kw_only=True)
+class JournalIndex:
+    """The newest batches of one incarnation, oldest first."""
+
+    batches: tuple[BatchRange, ...] = ()
+
+
+def build_index_key(owner: Incarnation) -> str:
+    """Return the key of the row that lists an incarnation's batches."""
+    return f"{JOURNAL_PREFIX}{owner.name}/{owner.token}"
+
+
+def build_batch_name(owner: Incarnation, number: int) -> str:
+    """Return the name of the object that holds a batch."""
+    return f"{build_index_key(owner)}/{number}"
+
+
+def encode_batch(batch: JournalBatch) -> bytes:
+    """Return a batch as the content of an object."""
+    return _converter.dumps(batch, JournalBatch).encode()
+
+
+def decode_batch(content: bytes) -> JournalBatch:
+    """Return the batch in an object's content."""
+    return _converter.loads(content, JournalBatch)
+
+
+def encode_index(index: JournalIndex) -> dict:
+    """Return an index as JSON content."""
+    return _converter.unstructure(index)
+
+
+def decode_index(content: dict) -> JournalIndex:
+    """Return the index in JSON content."""
+    return _converter.structure(content, JournalIndex)
