Edit the table as CSV files under version control

Cause: the table could only be written as raw rows on the platform.

Ruled out: an edit of single cells by command, because a review needs the whole sheet and a diff; merging a stale edit by itself, because two edits that do not overlap can still contradict each other.

Change: `gentianhub table check, diff, apply, show, history, revert`. The files are checked against the row classes, with every fault at once. A stale expected version gets the diff of what came between. apply waits until every entry process that answers has the version, and names those it cannot know.

--- a/gentianhub/cli/main.py
+++ b/gentianhub/cli/main.py
@@ -9,6 +9,7 @@
 
 from gentianhub.cli.development import development
 from gentianhub.cli.jobs import cancel_job, show_job, submit_job
+from gentianhub.cli.table import table
 from gentianhub.core import SettingsError
 from gentianhub.entry.process import EntryProcess
 from gentianhub.observability import configure_logging
@@ -24,6 +25,7 @@
 app.command("submit")(submit_job)
 app.command("status")(show_job)
 app.command("cancel")(cancel_job)
+app.add_typer(table, name="table")
 
 
 @app.command("entry")
--- /dev/null
+++ b/gentianhub/cli/table.py
@@ -0,0 +1,177 @@
+"""The `gentianhub table` commands: check, diff, apply, show, history, revert.
+
+The exit codes are those of `ExitCode`.
+"""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from gentianhub.cli import table_options as opt
+from gentianhub.cli.table_edits import EditCommand, finish_missing, finish_preview
+from gentianhub.cli.table_output import (
+    ExitCode,
+    describe_history,
+    encode_faults,
+    encode_history,
+    finish,
+)
+from gentianhub.core import Table
+from gentianhub.decisions.versions import list_sheets
+from gentianhub.operators.changes import Edit, NoSuchVersion
+from gentianhub.operators.table_files import (
+    FaultyTable,
+    format_sheet,
+    read_table_files,
+    write_table_files,
+)
+from gentianhub.platform import PlatformClient
+from gentianhub.platform.changes import (
+    read_changes,
+    read_head,
+    read_newer_table,
+    read_table_at,
+)
+from gentianhub.platform.rows import encode_table
+
+DEFAULT_WAIT_S = 10.0
+DEFAULT_HISTORY = 20
+
+table = typer.Typer(
+    help="The table of weights and limits, as CSV files under version control.",
+    no_args_is_help=True,
+)
+
+
+@table.command("check")
+def check_files(folder: opt.Folder, as_json: opt.AsJson = False) -> None:
+    """Check the files without the platform; print every fault."""
+    content = _read_folder(folder, as_json)
+    counts = {sheet: len(rows) for sheet, rows in list_sheets(content).items()}
+    line = "no faults: " + ", ".join(f"{n} {sheet}" for sheet, n in counts.items())
+    raise finish(ExitCode.DONE, {"rows": counts}, [line], as_json)
+
+
+@table.command("diff")
+def diff_files(
+    folder: opt.Folder,
+    platform: opt.Platform = None,
+    settings: opt.Settings = None,
+    as_json: opt.AsJson = False,
+) -> None:
+    """Compare the files with the version in force."""
+    content = _read_folder(folder, as_json)
+    deployment = opt.load_deployment(platform, settings, None)
+    with opt.open_store(deployment, as_json) as store:
+        current = read_newer_table(store, Table())
+    raise finish_preview(current, content, as_json)
+
+
+@table.command("apply")
+def apply_files(
+    folder: opt.Folder,
+    expected_version: opt.ExpectedVersion,
+    author: opt.Author,
+    reason: opt.Reason,
+    platform: opt.Platform = None,
+    settings: opt.Settings = None,
+    operator: opt.Operators = None,
+    wait_s: opt.WaitS = DEFAULT_WAIT_S,
+    dry_run: opt.DryRun = False,
+    as_json: opt.AsJson = False,
+) -> None:
+    """Write the files as the next version, and wait until it is in force."""
+    content = _read_folder(folder, as_json)
+    edit = Edit(expected_version=expected_version, author=author, reason=reason)
+    command = EditCommand(
+        deployment=opt.load_deployment(platform, settings, operator),
+        wait_s=wait_s,
+        dry_run=dry_run,
+        as_json=as_json,
+    )
+    with opt.open_store(command.deployment, as_json) as store:
+        command.run(store, content, edit)
+
+
+@table.command("revert")
+def revert_version(
+    version: Annotated[int, typer.Argument(min=0, help="Version to go back to.")],
+    expected_version: opt.ExpectedVersion,
+    author: opt.Author,
+    reason: opt.Reason,
+    platform: opt.Platform = None,
+    settings: opt.Settings = None,
+    operator: opt.Operators = None,
+    wait_s: opt.WaitS = DEFAULT_WAIT_S,
+    dry_run: opt.DryRun = False,
+    as_json: opt.AsJson = False,
+) -> None:
+    """Write an earlier version's content as the next version."""
+    edit = Edit(expected_version=expected_version, author=author, reason=reason)
+    command = EditCommand(
+        deployment=opt.load_deployment(platform, settings, operator),
+        wait_s=wait_s,
+        dry_run=dry_run,
+        as_json=as_json,
+    )
+    with opt.open_store(command.deployment, as_json) as store:
+        command.run(store, _read_version(store, version, as_json), edit)
+
+
+@table.command("show")
+def show_version(
+    version: Annotated[int | None, typer.Option(min=0, help="Not the newest.")] = None,
+    into: Annotated[Path | None, typer.Option(help="Write CSV files there.")] = None,
+    platform: opt.Platform = None,
+    settings: opt.Settings = None,
+    as_json: opt.AsJson = False,
+) -> None:
+    """Print a version of the table, or write it as files to edit."""
+    deployment = opt.load_deployment(platform, settings, None)
+    with opt.open_store(deployment, as_json) as store:
+        content = _read_version(store, version, as_json)
+    lines = [f"version {content.version}"]
+    if into is not None:
+        write_table_files(into, content)
+        lines.append(f"written to {into}")
+    else:
+        for sheet, rows in list_sheets(content).items():
+            lines += ["", f"{sheet}.csv", format_sheet(sheet, rows.values()).rstrip()]
+    raise finish(ExitCode.DONE, encode_table(content), lines, as_json)
+
+
+@table.command("history")
+def show_history(
+    limit: Annotated[int, typer.Option(min=1)] = DEFAULT_HISTORY,
+    platform: opt.Platform = None,
+    settings: opt.Settings = None,
+    as_json: opt.AsJson = False,
+) -> None:
+    """List the newest changes, newest first."""
+    deployment = opt.load_deployment(platform, settings, None)
+    with opt.open_store(deployment, as_json) as store:
+        newest = read_head(store).version
+        changes = list(read_changes(store, max(0, newest - limit), limit))[::-1]
+    content = {"changes": [encode_history(change) for change in changes]}
+    lines = [describe_history(change) for change in changes] or ["no change yet"]
+    raise finish(ExitCode.DONE, content, lines, as_json)
+
+
+def _read_folder(folder: Path, as_json: bool) -> Table:
+    match read_table_files(folder):
+        case FaultyTable(faults=faults):
+            content = {"faults": encode_faults(faults)}
+            raise finish(ExitCode.FAULTY_FILES, content, map(str, faults), as_json)
+        case content:
+            return content
+
+
+def _read_version(store: PlatformClient, version: int | None, as_json: bool) -> Table:
+    if version is None:
+        return read_newer_table(store, Table())
+    content = read_table_at(store, version)
+    if content is None:
+        missing = NoSuchVersion(version=version, newest=read_head(store).version)
+        raise finish_missing(missing, as_json)
+    return content
--- /dev/null
+++ b/gentianhub/operators/table_files.py
@@ -0,0 +1,276 @@
+"""The table as CSV files: one file for each sheet, one row for each name.
+
+The columns are the fields of the row classes in `gentianhub.core.table`, and
+their validators decide which values are allowed.
+"""
+
+import csv
+import io
+import math
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+from attrs import NOTHING, Attribute, fields, frozen
+
+from gentianhub.core import Table
+from gentianhub.decisions.versions import SHEET_CLASSES, Row, list_sheets
+
+COMMENT_SIGN = "#"
+MAX_NAME_LENGTH = 100
+
+
+@frozen(kw_only=True)
+class TableFault:
+    """What is wrong in one place; `row` counts lines from 1, 0 is the whole file."""
+
+    file: str
+    row: int
+    column: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        place = self.file
+        place += f", row {self.row}" if self.row else ""
+        place += f", column {self.column}" if self.column else ""
+        return f"{place}: {self.found}; expected {self.expected}"
+
+
+@frozen(kw_only=True)
+class FaultyTable:
+    """Sentinel: the files are no table; every fault that was found."""
+
+    faults: tuple[TableFault, ...]
+
+
+@frozen(kw_only=True)
+class _Line:
+    """A row of a file that is neither empty nor a comment."""
+
+    row: int
+    cells: list[str]
+
+
+@frozen(kw_only=True)
+class _ParsedLine:
+    """The allowed values of a line; `row` is None if other values are not."""
+
+    line: int
+    values: dict
+    row: Row | None
+
+
+def read_table_files(folder: Path) -> Table | FaultyTable:
+    """Return the table in a folder, or every fault in its files."""
+    faults: list[TableFault] = []
+    sheets = {sheet: _read_sheet(folder, sheet, faults) for sheet in SHEET_CLASSES}
+    teams = {line.values.get("name") for line in sheets["teams"]} - {None}
+    faults += [
+        _build_fault(
+            "services.csv",
+            f"no team {line.values['team']!r} in teams.csv",
+            "one of: " + (", ".join(sorted(teams)) or "none, add a team"),
+            line.line,
+            "team",
+        )
+        for line in sheets["services"]
+        if "team" in line.values and line.values["team"] not in teams
+    ]
+    if faults:
+        return FaultyTable(faults=tuple(faults))
+    return Table(
+        **{
+            sheet: {line.row.name: line.row for line in lines}
+            for sheet, lines in sheets.items()
+        }
+    )
+
+
+def write_table_files(folder: Path, table: Table) -> None:
+    """Write a table as files, sorted by name."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for sheet, rows in list_sheets(table).items():
+        (folder / f"{sheet}.csv").write_text(format_sheet(sheet, rows.values()))
+
+
+def format_sheet(sheet: str, rows: Iterable[Row]) -> str:
+    """Return a sheet as CSV text with a header row."""
+    columns = [column.name for column in fields(SHEET_CLASSES[sheet])]
+    text = io.StringIO()
+    writer = csv.writer(text, lineterminator="\n")
+    writer.writerow(columns)
+    for row in sorted(rows, key=lambda row: row.name):
+        writer.writerow([format_cell(getattr(row, column)) for column in columns])
+    return text.getvalue()
+
+
+def format_cell(value) -> str:
+    """Return a value as a spreadsheet shows it; empty stands for no limit."""
+    match value:
+        case None:
+            return ""
+        case float() if value.is_integer():
+            return str(int(value))
+        case _:
+            return str(value)
+
+
+def _read_sheet(
+    folder: Path, sheet: str, faults: list[TableFault]
+) -> list[_ParsedLine]:
+    file = f"{sheet}.csv"
+    try:
+        # Spreadsheet programs begin a UTF-8 file with a byte order mark.
+        text = (folder / file).read_text(encoding="utf-8-sig")
+    except (OSError, UnicodeDecodeError) as error:
+        faults.append(_build_fault(file, str(error), "a CSV file in UTF-8"))
+        return []
+    lines = _split_lines(file, text, faults)
+    header = next(lines, None)
+    if header is None:
+        columns = ",".join(column.name for column in fields(SHEET_CLASSES[sheet]))
+        faults.append(_build_fault(file, "no header row", f"the header {columns}"))
+        return []
+    if not _check_header(file, sheet, header, faults):
+        return []
+    return list(_parse_rows(file, sheet, header, lines, faults))
+
+
+def _split_lines(file: str, text: str, faults: list[TableFault]) -> Iterator[_Line]:
+    # A comment becomes an empty line, so that the line count stays right.
+    lines = (
+        "\n" if line.lstrip().startswith(COMMENT_SIGN) else line
+        for line in io.StringIO(text, newline=None)
+    )
+    reader = csv.reader(lines, strict=True, skipinitialspace=True)
+    try:
+        for cells in reader:
+            stripped = [cell.strip() for cell in cells]
+            if any(stripped):
+                yield _Line(row=reader.line_num, cells=stripped)
+    except csv.Error as error:
+        expected = "commas between cells, quotes in pairs"
+        faults.append(_build_fault(file, str(error), expected, reader.line_num))
+
+
+def _check_header(
+    file: str, sheet: str, header: _Line, faults: list[TableFault]
+) -> bool:
+    columns = {column.name: column for column in fields(SHEET_CLASSES[sheet])}
+    names = _strip_empty_end(header.cells)
+    count = len(faults)
+    if len(names) == 1 and ";" in names[0]:
+        found, expected = "cells separated by ';'", "cells separated by ','"
+        faults.append(_build_fault(file, found, expected, header.row))
+        return False
+    for name in names:
+        if name not in columns:
+            expected = "one of: " + ", ".join(columns)
+            faults.append(
+                _build_fault(file, f"unknown column {name!r}", expected, header.row)
+            )
+        elif names.count(name) > 1:
+            expected = f"one column {name}"
+            faults.append(
+                _build_fault(file, f"column {name} twice", expected, header.row)
+            )
+    for name, column in columns.items():
+        if name not in names and column.default is NOTHING:
+            expected = f"a column {name}"
+            faults.append(
+                _build_fault(file, "a column is missing", expected, header.row)
+            )
+    return len(faults) == count
+
+
+def _parse_rows(
+    file: str,
+    sheet: str,
+    header: _Line,
+    lines: Iterator[_Line],
+    faults: list[TableFault],
+) -> Iterator[_ParsedLine]:
+    names = _strip_empty_end(header.cells)
+    seen: dict[str, int] = {}
+    for line in lines:
+        count = len(faults)
+        values = _parse_line(file, sheet, names, line, faults)
+        name = values.get("name")
+        if name in seen:
+            found, expected = f"{name!r} is on row {seen[name]} already", "one row"
+            faults.append(_build_fault(file, found, expected, line.row, "name"))
+        elif name is not None:
+            seen[name] = line.row
+        is_valid = len(faults) == count
+        row = SHEET_CLASSES[sheet](**values) if is_valid else None
+        yield _ParsedLine(line=line.row, values=values, row=row)
+
+
+def _parse_line(
+    file: str, sheet: str, names: list[str], line: _Line, faults: list[TableFault]
+) -> dict:
+    """Return the values of a line's filled cells; note what is wrong with it."""
+    cells = _strip_empty_end(line.cells)
+    if len(cells) > len(names):
+        found = f"{len(cells)} cells"
+        expected = f"{len(names)} at most, as in the header"
+        faults.append(_build_fault(file, found, expected, line.row))
+    values = {}
+    columns = fields(SHEET_CLASSES[sheet])
+    for index, name in enumerate(names):
+        column = getattr(columns, name)
+        cell = cells[index] if index < len(cells) else ""
+        if not cell and column.default is not NOTHING:
+            continue
+        try:
+            values[name] = parse_cell(column, cell)
+        except ValueError:
+            found, expected = repr(cell[:80]), describe_column(column)
+            faults.append(_build_fault(file, found, expected, line.row, name))
+    return values
+
+
+def parse_cell(column: Attribute, cell: str):
+    """Return the value of a cell; raise `ValueError` if it is not allowed."""
+    if column.type is str:
+        if not 1 <= len(cell) <= MAX_NAME_LENGTH or not cell.isprintable():
+            raise ValueError("not a name")
+        return cell
+    # Python's own forms of numbers with underscores are no spreadsheet numbers.
+    if "_" in cell:
+        raise ValueError("not a number")
+    value = float(cell) if column.type is float else int(cell)
+    if not math.isfinite(value):
+        raise ValueError("not a finite number")
+    if column.validator is not None:
+        column.validator(None, column, value)
+    return value
+
+
+def describe_column(column: Attribute) -> str:
+    """Return what a cell of a column may hold."""
+    if column.type is str:
+        return f"a name of 1 to {MAX_NAME_LENGTH} printable characters"
+    text = "a number" if column.type is float else "a whole number"
+    validator = getattr(column.validator, "validator", column.validator)
+    if validator is not None:
+        text += f" {validator.compare_op} {validator.bound}"
+    match column.default:
+        case default if default is NOTHING:
+            return text
+        case None:
+            return f"{text}, or an empty cell for no limit"
+        case default:
+            return f"{text}, or an empty cell for {format_cell(default)}"
+
+
+def _strip_empty_end(cells: list[str]) -> list[str]:
+    """Return the cells without the empty ones that spreadsheets add at the end."""
+    filled = [index for index, cell in enumerate(cells) if cell]
+    return cells[: filled[-1] + 1] if filled else []
+
+
+def _build_fault(
+    file: str, found: str, expected: str, row: int = 0, column: str = ""
+) -> TableFault:
+    return TableFault(file=file, row=row, column=column, found=found, expected=expected)
--- a/gentianhub/platform/journal.py
+++ b/gentianhub/platform/journal.py
@@ -150,9 +150,9 @@
         if self._unsent is None:
             return True
         try:
+            self._adjust_period(store)
             self._write_batch(store, self._unsent)
             self._unsent = None
-            self._adjust_period(store)
         except PlatformError as error:
             logger.warning(
                 "journal not written: %s",
