--- /dev/null
+++ b/gentianhub/platform/tests/test_outages.py
@@ -0,0 +1,85 @@
+"""The platform connection and the watcher while the platform misbehaves."""
+
+import unittest
+
+import gevent
+from gevent.server import StreamServer
+
+from gentianhub.core import Mailbox, PlatformError, Table, TeamRow
+from gentianhub.core.events import TableAdopted
+from gentianhub.decisions.versions import build_change
+from gentianhub.platform import PlatformWatcher, open_platform
+from gentianhub.platform.changes import write_change
+from gentianhub.stand_ins.platform import PlatformStandIn, serve_platform
+from gentianhub.stand_ins.processes import LOOPBACK, reserve_ports
+
+
+class OutageTest(unittest.TestCase):
+    """Guards against an outage that ends a greenlet or turns the view back."""
+
+    def test_every_broken_exchange_is_a_platform_error(self):
+        replies = {
+            "closed": b"",
+            "no HTTP": b"\x00\x01\x02\r\n\r\n",
+            "cut off": b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{",
+            "no JSON": b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+            "silent": None,
+        }
+        for label, reply in replies.items():
+
+            def answer(sock, _, reply=reply):
+                sock.recv(65536)
+                if reply is None:
+                    gevent.sleep(60)
+                sock.sendall(reply)
+
+            server = StreamServer((LOOPBACK, 0), answer)
+            server.start()
+            port = server.server_port
+            with self.subTest(label), open_platform(LOOPBACK, port, 0.2) as client:
+                for call in (
+                    lambda client=client: client.read_keys(("a",)),
+                    lambda client=client: client.write_rows({"a": 1}, {"a": 0}),
+                    lambda client=client: client.read_hosts(),
+                ):
+                    with self.assertRaises(PlatformError):
+                        call()
+            server.stop(timeout=0)
+
+    def test_watcher_keeps_its_view_and_catches_up_by_snapshot(self):
+        platform = PlatformStandIn()
+        (port,) = reserve_ports(1)
+        dispatcher = Mailbox(limit=10)
+        watcher = PlatformWatcher(data_centre="olten", dispatcher=dispatcher)
+        with (
+            serve_platform(platform, (LOOPBACK, port)),
+            open_platform(LOOPBACK, port) as client,
+        ):
+            table = self.write_version(client, Table())
+            watcher.poll(client)
+            self.assertEqual(dispatcher.take().table, table)
+            platform.is_down = True
+            with self.assertRaises(PlatformError):
+                watcher.poll(client)
+            self.assertEqual(watcher.table, table)
+            platform.is_down = False
+            for _ in range(1004):
+                table = self.write_version(client, table)
+            reads = platform.reads
+            watcher.poll(client)
+            self.assertEqual(dispatcher.take(), TableAdopted(table=table))
+            # Host list, head, snapshot and the changes after it.
+            self.assertLessEqual(platform.reads - reads, 4)
+            # A platform that lost its rows never turns the view back.
+            platform.rows.clear()
+            watcher.poll(client)
+            self.assertEqual(watcher.table, table)
+            self.assertEqual(len(dispatcher), 0)
+
+    def write_version(self, client, table: Table) -> Table:
+        team = TeamRow(name="desk", weight=table.version + 1.0)
+        content = Table(teams={"desk": team})
+        change = build_change(
+            table, content, change_id=str(table.version), author="a", reason="r"
+        )
+        return write_change(client, table, change).table
