Carry the idempotency key in the submit operation

Cause: CallerPort had a second callable for keyed submissions, which every other front end and test would have to supply as well. A slow platform could hold a batch of claims for two request time-outs, because the keys were read back after the bound had passed.

Change: SubmitOperation has an optional key, which the entry process exchanges for an id. Claims check the bound and a limit of retries before reading back.

--- a/gentianhub/callers/server.py
+++ b/gentianhub/callers/server.py
@@ -7,7 +7,7 @@
 
 from gentianhub.callers.replies import encode_refusal, encode_reply
 from gentianhub.callers.requests import decode_count, decode_job, decode_wait_s
-from gentianhub.core import JobId, JobRequest, Refusal, RefusalKind, Step, parse_job_id
+from gentianhub.core import JobId, Refusal, RefusalKind, Step, parse_job_id
 from gentianhub.core.operations import (
     CancelOperation,
     IssueOperation,
@@ -33,12 +33,10 @@
     """Answers callers' requests.
 
     `perform` carries an operation to the owner of the job, in this process or in
-    another one; `submit_keyed` submits a job under an idempotency key.
-    `is_healthy` tells the load balancer whether to send requests.
+    another one. `is_healthy` tells the load balancer whether to send requests.
     """
 
     perform: Callable[[Operation], object]
-    submit_keyed: Callable[[str, JobRequest], object]
     is_healthy: Callable[[], bool]
 
     def handle(self, request: Request) -> Response:
@@ -81,11 +79,10 @@
         match decode_job(request.body), decode_wait_s(request.query.get("wait_ms")):
             case (Refusal() as refusal, _) | (_, Refusal() as refusal):
                 return encode_refusal(refusal)
-            case job, wait_s if job_id is None and IDEMPOTENCY_KEY in request.headers:
-                key = request.headers[IDEMPOTENCY_KEY]
-                return self._wait_after(self.submit_keyed(key, job), wait_s)
             case job, wait_s:
-                operation = SubmitOperation(request=job, job_id=job_id)
+                # An id names the job already; a key beside it has no effect.
+                key = request.headers.get(IDEMPOTENCY_KEY) if job_id is None else None
+                operation = SubmitOperation(request=job, job_id=job_id, key=key)
                 return self._wait_after(self.perform(operation), wait_s)
 
     def _wait_after(self, accepted, wait_s: float) -> Response:
--- a/gentianhub/core/operations.py
+++ b/gentianhub/core/operations.py
@@ -20,10 +20,15 @@
 
 @frozen(kw_only=True)
 class SubmitOperation:
-    """Submit a job, with an id of an issued block or without."""
+    """Submit a job, with an id of an issued block or without.
+
+    An idempotency key is exchanged for an id before the operation is carried to
+    the job's owner.
+    """
 
     request: JobRequest
     job_id: JobId | None = None
+    key: str | None = None
 
 
 @frozen(kw_only=True)
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -24,7 +24,12 @@
     spawn_task,
 )
 from gentianhub.core.events import DrainBegun
-from gentianhub.core.operations import Operation, WatchOperation, perform_operation
+from gentianhub.core.operations import (
+    Operation,
+    SubmitOperation,
+    WatchOperation,
+    perform_operation,
+)
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.dispatcher import DispatcherTask, run_timer
 from gentianhub.entry.messages import CountOpenJobs
@@ -76,6 +81,9 @@
 
     def perform(self, operation: Operation):
         """Carry an operation to the owner of its job."""
+        match operation:
+            case SubmitOperation(request=request, key=str() as key):
+                return self._submit_keyed(key, request)
         owner = find_owner(operation)
         if owner is not None and owner != self.incarnation:
             return forward_operation(self.siblings, owner, operation)
@@ -89,8 +97,7 @@
         """Return a lost owner's answer from the journal; else it is unknown."""
         return find_answer(self._lookups.mailbox, job_id)
 
-    def submit_keyed(self, key: str, request: JobRequest):
-        """Submit a job under an idempotency key."""
+    def _submit_keyed(self, key: str, request: JobRequest):
         if self._drain.is_set():
             return refuse_draining(str(self.incarnation))
         return submit_with_key(
@@ -149,9 +156,7 @@
     @contextmanager
     def _serve_ports(self) -> Iterator[None]:
         callers = CallerPort(
-            perform=self.perform,
-            submit_keyed=self.submit_keyed,
-            is_healthy=lambda: not self._drain.is_set(),
+            perform=self.perform, is_healthy=lambda: not self._drain.is_set()
         )
         operators = OperatorPort(
             dispatcher=self.mailbox,
--- a/gentianhub/platform/claims.py
+++ b/gentianhub/platform/claims.py
@@ -36,7 +36,7 @@
 RETRY_AFTER_S = 1.0
 MAX_KEY_LENGTH = 200
 # A write that fails at once, again and again, must not become a busy loop.
-ATTEMPTS_WITHOUT_PROGRESS = 3
+RETRIES_WITHOUT_PROGRESS = 2
 
 logger = logging.getLogger(__name__)
 
@@ -111,12 +111,9 @@
         for claim in claims:
             open_claims.setdefault(claim.key, claim)
         give_up_s = max(claim.asked_s for claim in claims) + CLAIM_BOUND_S
-        attempts_left = ATTEMPTS_WITHOUT_PROGRESS
+        retries_left = RETRIES_WITHOUT_PROGRESS
         winners: dict[str, KeyClaimed] = {}
-        reason = ""
         while open_claims:
-            if self.now_s() >= give_up_s or not attempts_left:
-                raise PlatformError(step=Step.CLAIM_KEY, peer=store.peer, reason=reason)
             try:
                 outcome = _write_claims(store, open_claims.values())
             except PlatformError as error:
@@ -126,13 +123,15 @@
                     key: KeyClaimed(job_id=claim.job_id, digest=claim.digest)
                     for key, claim in open_claims.items()
                 }
-            reason = outcome.reason
+            if self.now_s() >= give_up_s or not retries_left:
+                reason = outcome.reason
+                raise PlatformError(step=Step.CLAIM_KEY, peer=store.peer, reason=reason)
             found = _read_claims(store, open_claims)
             winners |= found
             for key in found:
                 del open_claims[key]
             if not found:
-                attempts_left -= 1
+                retries_left -= 1
         return winners
 
 
--- a/gentianhub/platform/journal.py
+++ b/gentianhub/platform/journal.py
@@ -115,7 +115,7 @@
             match self.mailbox.take(timeout_s=wait_s):
                 case RecordAnswer(job_id=job_id, answer=answer):
                     self.keep_answer(job_id, answer)
-                case AnswerCollected(job_id=job_id):
+                case AnswerCollected(job_id=job_id) if job_id.owner == self.owner:
                     self._forget_answer(job_id.sequence)
                 case FlushAll(reply_to=to):
                     to.offer(self.flush_all(store))
