--- a/gentianhub/platform/__init__.py
+++ b/gentianhub/platform/__init__.py
@@ -6,13 +6,25 @@
     VersionedRow,
     open_platform,
 )
+from gentianhub.platform.claims import ClaimTask, run_claims, submit_with_key
+from gentianhub.platform.journal import JournalTask, flush_journal, run_journal
+from gentianhub.platform.lookups import LookupTask, find_answer, run_lookups
 from gentianhub.platform.watcher import PlatformWatcher, run_watcher
 
 __all__ = [
+    "ClaimTask",
     "Conflict",
+    "JournalTask",
+    "LookupTask",
     "PlatformClient",
     "PlatformWatcher",
     "VersionedRow",
+    "find_answer",
+    "flush_journal",
     "open_platform",
+    "run_claims",
+    "run_journal",
+    "run_lookups",
     "run_watcher",
+    "submit_with_key",
 ]
