--- a/gentianhub/entry/tests/test_keyed_jobs.py
+++ b/gentianhub/entry/tests/test_keyed_jobs.py
@@ -7,9 +7,6 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from gentianhub.core import JobComplete, parse_job_id
-from gentianhub.platform import open_platform
-from gentianhub.platform.lookups import LookupTask
 from gentianhub.stand_ins.processes import (
     LOOPBACK,
     EntryPlan,
@@ -35,7 +32,7 @@
         self.deployment = self.enterContext(
             start_deployment(
                 targets=[TargetPlan(name="t1")],
-                entries=[EntryPlan(name="e1")],
+                entries=[EntryPlan(name="e1"), EntryPlan(name="e2")],
                 table_rows=ROWS,
             )
         )
@@ -46,8 +43,9 @@
         while not is_reached(self.entry.call("operators", "GET", "/dump")[1]):
             gevent.sleep(0.02)
 
-    def submit(self, key: str, job: dict):
-        client = HTTPClient(LOOPBACK, self.entry.ports["callers"])
+    def submit(self, key: str, job: dict, entry: str = "e1"):
+        port = self.deployment.entries[entry].ports["callers"]
+        client = HTTPClient(LOOPBACK, port)
         headers = {"Idempotency-Key": key}
         response = client.post("/v1/jobs", body=json.dumps(job), headers=headers)
         try:
@@ -68,6 +66,8 @@
         self.assertEqual((status, first["known"]), (202, False))
         status, again = self.submit("swap-7/a", build_job())
         self.assertEqual((status, again), (202, {"id": first["id"], "known": True}))
+        status, elsewhere = self.submit("swap-7/a", build_job(), entry="e2")
+        self.assertEqual((status, elsewhere), (202, again))
         status, other = self.submit("swap-7/a", build_job(run_ms=6))
         self.assertEqual((status, other["error"]["run"]), (409, "unknown"))
         self.assertEqual(self.submit("k" * 300, build_job())[0], 400)
@@ -87,8 +87,10 @@
         self.wait_for(lambda dump: not dump["open_jobs"])
         self.entry.send_signal(signal.SIGTERM)
         self.entry.popen.wait(timeout=30)
-        port = self.deployment.platform.ports["platform"]
-        with open_platform(LOOPBACK, port) as store:
-            job_id = parse_job_id(accepted["id"])
-            answer = LookupTask().look_up(store, job_id)
-        self.assertIsInstance(answer, JobComplete)
+        path = f"/v1/jobs/{accepted['id']}?wait_ms=100"
+        status, answer = self.deployment.entries["e2"].call("callers", "GET", path)
+        self.assertEqual((status, answer["state"]), (200, "complete"))
+        unknown = accepted["id"].rpartition(".")[0] + ".999"
+        path = f"/v1/jobs/{unknown}"
+        status, reply = self.deployment.entries["e2"].call("callers", "GET", path)
+        self.assertEqual(reply["error"]["run"], "unknown")
--- a/gentianhub/platform/tests/test_outages.py
+++ b/gentianhub/platform/tests/test_outages.py
@@ -30,7 +30,8 @@
             def answer(sock, _, reply=reply):
                 sock.recv(65536)
                 if reply is None:
-                    gevent.sleep(60)
+                    gevent.sleep(1)
+                    return
                 sock.sendall(reply)
 
             server = StreamServer((LOOPBACK, 0), answer)
@@ -50,7 +51,10 @@
         platform = PlatformStandIn()
         (port,) = reserve_ports(1)
         dispatcher = Mailbox(limit=10)
-        watcher = PlatformWatcher(data_centre="olten", dispatcher=dispatcher)
+        siblings = Mailbox(limit=100)
+        watcher = PlatformWatcher(
+            data_centre="olten", dispatcher=dispatcher, siblings=siblings
+        )
         with (
             serve_platform(platform, (LOOPBACK, port)),
             open_platform(LOOPBACK, port) as client,
@@ -68,6 +72,10 @@
             reads = platform.reads
             watcher.poll(client)
             self.assertEqual(dispatcher.take(), TableAdopted(table=table))
+            # Siblings must get the table too, whose changes begin at a snapshot.
+            *_, read = (siblings.take() for _ in range(len(siblings)))
+            self.assertEqual(read.table, table)
+            self.assertLess(len(read.changes), 10)
             # Host list, head, snapshot and the changes after it.
             self.assertLessEqual(platform.reads - reads, 4)
             # A platform that lost its rows never turns the view back.
