--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -20,7 +20,6 @@
     Mailbox,
     ProcessName,
     Refusal,
-    RunState,
     draw_incarnation,
     spawn_task,
 )
@@ -87,22 +86,13 @@
                 return self._submit_keyed(key, request)
         owner = find_owner(operation)
         if owner is not None and owner != self.incarnation:
-            reply = forward_operation(self.siblings, owner, operation)
-            return self._consult_journal(operation, reply)
+            return forward_operation(self.siblings, owner, operation)
         reply = perform_operation(self.mailbox, operation)
         match operation, reply:
             case WatchOperation(job_id=job_id), JobComplete() | JobFailed():
                 self._journal.mailbox.offer(AnswerCollected(job_id=job_id))
         return reply
 
-    def _consult_journal(self, operation: Operation, reply):
-        """Return the journal's answer in place of an owner's that is missing."""
-        match operation, reply:
-            case WatchOperation(job_id=job_id), Refusal(run=RunState.UNKNOWN):
-                answer = self.find_answer(job_id)
-                return reply if isinstance(answer, Refusal) else answer
-        return reply
-
     def find_answer(self, job_id: JobId) -> JobAnswer | Refusal:
         """Return a lost owner's answer from the journal; else it is unknown."""
         return find_answer(self._lookups.mailbox, job_id)
