--- a/gentianhub/callers/server.py
+++ b/gentianhub/callers/server.py
@@ -25,6 +25,7 @@
 )
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
+IDEMPOTENCY_KEY = "idempotency-key"
 
 
 @frozen(kw_only=True)
@@ -79,7 +80,9 @@
             case (Refusal() as refusal, _) | (_, Refusal() as refusal):
                 return encode_refusal(refusal)
             case job, wait_s:
-                operation = SubmitOperation(request=job, job_id=job_id)
+                # An id names the job already; a key beside it has no effect.
+                key = request.headers.get(IDEMPOTENCY_KEY) if job_id is None else None
+                operation = SubmitOperation(request=job, job_id=job_id, key=key)
                 return self._wait_after(self.perform(operation), wait_s)
 
     def _wait_after(self, accepted, wait_s: float) -> Response:
