--- a/gentianhub/siblings/links.py
+++ b/gentianhub/siblings/links.py
@@ -33,16 +33,18 @@
 )
 from gentianhub.siblings.wire import (
     HEADER_BYTES,
+    SHORT_BYTES,
     UNKNOWN_RECEIVER,
     DamagedFrame,
+    FrameReader,
     FrameTooLarge,
     LinkEnded,
     MalformedMessage,
     ReceivedFrame,
     decode_message,
+    decode_short_message,
     encode_message,
     pack_frame,
-    read_frame,
 )
 
 HANDSHAKE_TIMEOUT_S = 1.0
@@ -111,20 +113,21 @@
         case HandshakeFailed(reason=reason, has_ended=has_ended):
             failed = DialFailed(target=target, reason=reason, has_ended=has_ended)
             context.manager.put(failed)
-        case (sock, Hello() as peer):
+        case (frames, Hello() as peer):
             dialler = context.hello.sender.name
-            _run_link(sock, Link(peer=peer, dialler=dialler, target=target), context)
+            _run_link(frames, Link(peer=peer, dialler=dialler, target=target), context)
 
 
 def accept_link(sock, context: LinkContext) -> None:
     """Greet a process that has connected and run the link until it ends."""
-    match _exchange_hello(sock, context, None):
+    frames = FrameReader(sock=sock)
+    match _exchange_hello(frames, context, None):
         case HandshakeFailed(reason=reason):
             # The service manager's port checks end here as well.
             logger.debug("link not accepted: %s", reason)
             sock.close()
         case Hello() as peer:
-            _run_link(sock, Link(peer=peer, dialler=peer.sender.name), context)
+            _run_link(frames, Link(peer=peer, dialler=peer.sender.name), context)
 
 
 def _connect(target: DialTarget, context: LinkContext):
@@ -135,16 +138,18 @@
         return HandshakeFailed(reason=repr(error), has_ended=True)
     except OSError as error:
         return HandshakeFailed(reason=repr(error))
-    greeting = _exchange_hello(sock, context, target)
+    frames = FrameReader(sock=sock)
+    greeting = _exchange_hello(frames, context, target)
     if isinstance(greeting, HandshakeFailed):
         sock.close()
         return greeting
-    return sock, greeting
+    return frames, greeting
 
 
 def _exchange_hello(
-    sock, context: LinkContext, target: DialTarget | None
+    frames: FrameReader, context: LinkContext, target: DialTarget | None
 ) -> Hello | HandshakeFailed:
+    sock = frames.sock
     sock.settimeout(HANDSHAKE_TIMEOUT_S)
     try:
         # Nagle's algorithm would delay heartbeats and forwarded requests.
@@ -152,7 +157,7 @@
         sock.sendall(pack_frame(UNKNOWN_RECEIVER, encode_message(context.hello)))
     except OSError as error:
         return HandshakeFailed(reason=repr(error))
-    greeting = read_frame(sock, MAX_HELLO_BYTES)
+    greeting = frames.read_frame(MAX_HELLO_BYTES)
     match greeting:
         case ReceivedFrame(body=body):
             greeting = decode_message(body)
@@ -170,16 +175,16 @@
             return HandshakeFailed(reason=f"no greeting: {greeting!r:.100}")
 
 
-def _run_link(sock, link: Link, context: LinkContext) -> None:
-    link.writer = spawn_task(_write_frames, sock, link)
+def _run_link(frames: FrameReader, link: Link, context: LinkContext) -> None:
+    link.writer = spawn_task(_write_frames, frames.sock, link)
     try:
         context.manager.put(LinkOpened(link=link))
         reason = "refused"
         if link.verdict.take():
-            reason = _read_messages(sock, link, context)
+            reason = _read_messages(frames, link, context)
     finally:
         link.writer.kill()
-        sock.close()
+        frames.sock.close()
     context.manager.put(LinkClosed(link=link, reason=reason))
 
 
@@ -203,15 +208,16 @@
         return
 
 
-def _read_messages(sock, link: Link, context: LinkContext) -> str:
+def _read_messages(frames: FrameReader, link: Link, context: LinkContext) -> str:
     """Pass messages on until the link ends; return the reason for its end."""
     while True:
-        frame = read_frame(sock)
+        frame = frames.read_frame()
         match frame:
             case FrameTooLarge() | DamagedFrame() | LinkEnded():
                 return repr(frame)
         link.received_bytes += HEADER_BYTES + len(frame.body)
-        message = decode_message(frame.body)
+        is_short = len(frame.body) <= SHORT_BYTES
+        message = (decode_short_message if is_short else decode_message)(frame.body)
         match message:
             case MalformedMessage(reason=reason):
                 return reason
--- a/gentianhub/siblings/tests/test_fencing.py
+++ b/gentianhub/siblings/tests/test_fencing.py
@@ -51,45 +51,46 @@
         sock = socket.create_connection((LOOPBACK, self.port), timeout=20)
         self.addCleanup(sock.close)
         hello = ms.Hello(sender=peer, started_ms=started_ms, host=LOOPBACK, port=1)
-        self.send(sock, OWN, hello)
-        self.assertEqual(self.read(sock).sender, OWN)
-        return sock
+        frames = wire.FrameReader(sock=sock)
+        self.send(frames, OWN, hello)
+        self.assertEqual(self.read(frames).sender, OWN)
+        return frames
 
-    def send(self, sock, to: Incarnation, message) -> None:
-        sock.sendall(wire.pack_frame(to.token, wire.encode_message(message)))
+    def send(self, frames: wire.FrameReader, to: Incarnation, message) -> None:
+        frames.sock.sendall(wire.pack_frame(to.token, wire.encode_message(message)))
 
-    def read(self, sock):
-        frame = wire.read_frame(sock)
+    def read(self, frames: wire.FrameReader):
+        frame = frames.read_frame()
         match frame:
             case wire.ReceivedFrame(body=body):
                 return wire.decode_message(body)
             case _:
                 return frame
 
-    def read_reply(self, sock) -> ms.ForwardReply:
-        while not isinstance(message := self.read(sock), ms.ForwardReply):
+    def read_reply(self, frames: wire.FrameReader) -> ms.ForwardReply:
+        while not isinstance(message := self.read(frames), ms.ForwardReply):
             self.assertNotIsInstance(message, wire.LinkEnded)
         return message
 
     def test_only_messages_to_this_incarnation_are_acted_on(self):
-        sock = self.connect(PEER, 1)
+        frames = self.connect(PEER, 1)
         cancel = CancelOperation(job_id=JobId(owner=OLD, sequence=1))
-        self.send(sock, OLD, ms.ForwardRequest(number=7, operation=cancel))
-        self.send(sock, OLD, ev.SlotReturn(borrower=PEER, target="old", count=1))
-        reply = self.read_reply(sock)
+        self.send(frames, OLD, ms.ForwardRequest(number=7, operation=cancel))
+        self.send(frames, OLD, ev.SlotReturn(borrower=PEER, target="old", count=1))
+        reply = self.read_reply(frames)
         self.assertEqual(reply.number, 7)
         self.assertEqual(reply.reply.kind, RefusalKind.GONE)
         self.assertEqual(reply.reply.run, RunState.UNKNOWN)
         held = ev.SlotReturn(borrower=PEER, target="new", count=1)
-        self.send(sock, OWN, held)
+        self.send(frames, OWN, held)
         while isinstance(message := self.dispatcher.take(20), ev.HomesChanged):
             pass
         self.assertEqual(message, held)
 
     def test_message_in_another_name_ends_the_link(self):
-        sock = self.connect(PEER, 1)
-        self.send(sock, OWN, ev.SlotReturn(borrower=OLD, target="t", count=1))
-        while not isinstance(message := self.read(sock), wire.LinkEnded):
+        frames = self.connect(PEER, 1)
+        self.send(frames, OWN, ev.SlotReturn(borrower=OLD, target="t", count=1))
+        while not isinstance(message := self.read(frames), wire.LinkEnded):
             self.assertIsInstance(message, ms.Heartbeat)
 
     def test_predecessor_of_a_live_process_is_refused(self):
@@ -99,16 +100,16 @@
         self.assertIsInstance(self.read(self.connect(PEER, 1)), wire.LinkEnded)
 
     def test_served_request_blocks_no_other(self):
-        sock = self.connect(PEER, 1)
+        frames = self.connect(PEER, 1)
         cancel = CancelOperation(job_id=JobId(owner=OWN, sequence=1))
         for number in (1, 2):
-            self.send(sock, OWN, ms.ForwardRequest(number=number, operation=cancel))
+            self.send(frames, OWN, ms.ForwardRequest(number=number, operation=cancel))
         asked = []
         while len(asked) < 2:
             match self.dispatcher.take(20):
                 case ev.CancelJob() as event:
                     asked.append(event.reply_to)
         asked[1].offer(PENDING)
-        self.assertEqual(self.read_reply(sock).number, 2)
+        self.assertEqual(self.read_reply(frames).number, 2)
         asked[0].offer(PENDING)
-        self.assertEqual(self.read_reply(sock).number, 1)
+        self.assertEqual(self.read_reply(frames).number, 1)
--- a/gentianhub/siblings/tests/test_wire.py
+++ b/gentianhub/siblings/tests/test_wire.py
@@ -188,7 +188,7 @@
         with ours, theirs:
             theirs.sendall(content)
             theirs.shutdown(socket.SHUT_WR)
-            return wire.read_frame(ours, max_bytes)
+            return wire.FrameReader(sock=ours).read_frame(max_bytes)
 
     def test_damaged_frame_is_refused(self):
         frame = wire.pack_frame("00000000000000ff", b"12345")
--- a/gentianhub/siblings/wire.py
+++ b/gentianhub/siblings/wire.py
@@ -7,33 +7,40 @@
 """
 
 import struct
+from functools import lru_cache
+from typing import Any
 
 import xxhash
-from attrs import frozen
+from attrs import define, field, frozen
 
 from gentianhub.siblings.decoding import (
     MalformedMessage,
     decode_message,
 )
 from gentianhub.siblings.encoding import encode_message
+from gentianhub.siblings.messages import SiblingMessage
 
 __all__ = [
     "HEADER_BYTES",
     "MAX_FRAME_BYTES",
+    "SHORT_BYTES",
     "UNKNOWN_RECEIVER",
     "DamagedFrame",
+    "FrameReader",
     "FrameTooLarge",
     "LinkEnded",
     "MalformedMessage",
     "ReceivedFrame",
     "decode_message",
+    "decode_short_message",
     "encode_message",
     "pack_frame",
-    "read_frame",
 ]
 
 # Holds a caller's largest job (16 MiB) and an answer of 170 results.
 MAX_FRAME_BYTES = 32 * 1024 * 1024
+READ_BYTES = 2**16
+SHORT_BYTES = 256
 UNKNOWN_RECEIVER = "0" * 16
 
 _HEADER = struct.Struct(">IQQ")
@@ -74,36 +81,48 @@
     return _HEADER.pack(len(body), token, checksum) + body
 
 
-def read_frame(
-    sock, max_bytes: int = MAX_FRAME_BYTES
-) -> ReceivedFrame | FrameTooLarge | DamagedFrame | LinkEnded:
-    """Block until the next frame has arrived whole."""
-    match _read_exactly(sock, _HEADER.size):
-        case LinkEnded() as ended:
-            return ended
-        case header:
-            size, token, checksum = _HEADER.unpack(header)
-    if size > max_bytes:
-        return FrameTooLarge(size=size)
-    match _read_exactly(sock, size):
-        case LinkEnded() as ended:
-            return ended
-        case body if xxhash.xxh3_64_intdigest(body, seed=token) != checksum:
-            return DamagedFrame()
-        case body:
-            return ReceivedFrame(to_token=f"{token:016x}", body=body)
-
-
-def _read_exactly(sock, size: int) -> bytes | LinkEnded:
-    chunks = []
-    missing = size
-    while missing:
-        try:
-            chunk = sock.recv(min(missing, 2**18))
-        except OSError as error:
-            return LinkEnded(reason=repr(error))
-        if not chunk:
-            return LinkEnded(reason=f"closed with {missing} bytes missing")
-        chunks.append(chunk)
-        missing -= len(chunk)
-    return b"".join(chunks)
+@define(kw_only=True, eq=False)
+class FrameReader:
+    """Reads frames from a socket; one call to it often takes in several."""
+
+    sock: Any
+    _buffer: bytearray = field(init=False, factory=bytearray)
+
+    def read_frame(
+        self, max_bytes: int = MAX_FRAME_BYTES
+    ) -> ReceivedFrame | FrameTooLarge | DamagedFrame | LinkEnded:
+        """Block until the next frame has arrived whole."""
+        match self._take_bytes(HEADER_BYTES):
+            case LinkEnded() as ended:
+                return ended
+            case header:
+                size, token, checksum = _HEADER.unpack(header)
+        if size > max_bytes:
+            return FrameTooLarge(size=size)
+        match self._take_bytes(size):
+            case LinkEnded() as ended:
+                return ended
+            case body if xxhash.xxh3_64_intdigest(body, seed=token) != checksum:
+                return DamagedFrame()
+            case body:
+                return ReceivedFrame(to_token=f"{token:016x}", body=body)
+
+    def _take_bytes(self, size: int) -> bytes | LinkEnded:
+        while len(self._buffer) < size:
+            try:
+                chunk = self.sock.recv(READ_BYTES)
+            except OSError as error:
+                return LinkEnded(reason=repr(error))
+            if not chunk:
+                missing = size - len(self._buffer)
+                return LinkEnded(reason=f"closed with {missing} bytes missing")
+            self._buffer += chunk
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
+
+
+@lru_cache(maxsize=256)
+def decode_short_message(body: bytes) -> SiblingMessage | MalformedMessage:
+    """Decode a message whose like arrives often, such as a heartbeat."""
+    return decode_message(body)
