--- a/gentianhub/siblings/dump.py
+++ b/gentianhub/siblings/dump.py
@@ -40,7 +40,7 @@
         listed=sorted(map(str, manager.membership.listed)),
         pollers=list(map(str, mb.select_pollers(live))),
         is_poller=manager.membership.is_poller(now_s),
-        table_version=manager.history.table.version,
+        table_version=manager.tables.history.table.version,
         open_forwards=len(manager.forwards),
         links=[
             describe_link(state, manager.membership, now_s)
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -1,6 +1,7 @@
 """The sibling manager greenlet: owns membership, links and forwarded requests."""
 
 import logging
+from collections.abc import Iterable
 
 from attrs import define, field
 from gevent.pool import Group, Pool
@@ -10,18 +11,16 @@
     Incarnation,
     Mailbox,
     Step,
-    Table,
     read_monotonic_s,
 )
 from gentianhub.core.events import (
+    Event,
     HomesChanged,
-    TableAdopted,
-    TargetsLeaving,
     TargetsSeen,
     Tick,
 )
 from gentianhub.decisions import membership as mb
-from gentianhub.decisions.propagation import ChangesRead, PollDuty, TableHistory
+from gentianhub.decisions.propagation import ChangesRead, PollDuty
 from gentianhub.settings import Endpoint
 from gentianhub.siblings import forwarding as fw
 from gentianhub.siblings import messages as ms
@@ -29,18 +28,15 @@
 from gentianhub.siblings.dialling import DialBook
 from gentianhub.siblings.dump import describe_siblings
 from gentianhub.siblings.links import Link, LinkContext, dial_link
+from gentianhub.siblings.sharing import LeavingTargets, TableSharing
 from gentianhub.siblings.wire import encode_message
 
 # A silent link is closed later than its process counts as not live, so that one
 # that was only paused keeps its link and its replies.
 SILENT_LINK_S = 3.0
 IDLE_LINK_S = 30.0
-TABLE_REQUEST_TIMEOUT_S = 1.0
-MAX_CHANGES_PER_MESSAGE = 500
 # A poller whose own list is older takes the other poller's.
 HOST_LIST_FRESH_S = 2.0
-# Heartbeats repeat a sighting this long, over which a broken link is made again.
-LEAVING_REPEAT_S = 10.0
 
 logger = logging.getLogger(__name__)
 
@@ -73,15 +69,13 @@
     seeds: tuple[Endpoint, ...] = ()
     started_s: float = field(factory=read_monotonic_s)
     membership: mb.Membership = field(init=False)
-    history: TableHistory = field(init=False, factory=lambda: TableHistory())
+    tables: TableSharing = field(init=False, factory=lambda: TableSharing())
+    leaving: LeavingTargets = field(init=False, factory=lambda: LeavingTargets())
     forwards: fw.ForwardBook = field(init=False, factory=lambda: fw.ForwardBook())
     dials: DialBook = field(init=False, factory=lambda: DialBook())
     links: dict[Incarnation, LinkState] = field(init=False, factory=dict)
     hosts: mb.HostList | None = field(init=False, default=None)
     _hosts_read_s: float = field(init=False, default=float("-inf"))
-    _leaving: dict[str, float] = field(init=False, factory=dict)
-    _told_leaving: dict[str, float] = field(init=False, factory=dict)
-    _table_asked_s: float = field(init=False, default=float("-inf"))
     _told_duty: PollDuty | None = field(init=False, default=None)
     _heartbeat: ms.Heartbeat | None = field(init=False, default=None)
     _heartbeat_body: bytes = field(init=False, default=b"")
@@ -136,9 +130,9 @@
             case mb.HostList():
                 self._read_hosts(notice, now_s)
             case ChangesRead(changes=changes):
-                list(self.history.adopt_changes(changes))
+                list(self.tables.history.adopt_changes(changes))
             case nt.TargetSeenLeaving(target=target):
-                self._leaving[target] = now_s + LEAVING_REPEAT_S
+                self.leaving.see_target(target, now_s)
             case nt.DescribeSiblings(reply_to=to):
                 to.offer(describe_siblings(self, now_s))
 
@@ -150,8 +144,8 @@
         self._see(mb.PeerHeard(incarnation=link.incarnation), now_s)
         match message:
             case ms.Heartbeat(table_version=version, leaving=leaving):
-                self._request_table(link, version, now_s)
-                self._tell_leaving(leaving, now_s)
+                self.tables.request_table(link, version, now_s)
+                self._tell(self.leaving.take_news(leaving, now_s))
             case ms.ForwardRequest():
                 state.used_s = now_s
                 self._serve_request(message, link)
@@ -159,12 +153,17 @@
                 state.used_s = now_s
                 self.forwards.deliver_reply(message, link.incarnation)
             case ms.TableRequest(after=after):
-                self._send_table(link, after)
-            case ms.TableDeltas(changes=changes, snapshot=snapshot):
-                self._adopt_deltas(changes, snapshot)
+                self.tables.send_table(link, after)
+            case ms.TableDeltas():
+                self._tell(self.tables.adopt_deltas(message))
             case mb.HostList():
                 self._adopt_hosts(message, link, now_s)
 
+    def _tell(self, events: Iterable[Event]) -> None:
+        """Pass events on to the dispatcher."""
+        for event in events:
+            self.context.dispatcher.put(event)
+
     def _see(self, event: mb.MembershipEvent, now_s: float) -> None:
         """Feed the membership; pass a change of homes on."""
         for change in self.membership.handle(event, now_s):
@@ -185,9 +184,17 @@
             ),
         )
         current = self.links.get(link.incarnation)
-        if self.membership.is_superseded(introduced, now_s) or (
-            current is not None and not _is_preferred(link, current.link)
-        ):
+        if self.membership.is_superseded(introduced, now_s):
+            logger.warning(
+                "link refused: a later process of this name lives",
+                extra={
+                    "step": Step.SIBLING_LINK.value,
+                    "peer": str(link.incarnation),
+                },
+            )
+            link.verdict.offer(False)
+            return
+        if current is not None and not _is_preferred(link, current.link):
             link.verdict.offer(False)
             return
         if current is not None:
@@ -263,13 +270,9 @@
         self._tell_duty(now_s)
 
     def _send_heartbeats(self, now_s: float) -> None:
-        self._leaving = {
-            target: until_s
-            for target, until_s in self._leaving.items()
-            if now_s < until_s
-        }
         heartbeat = ms.Heartbeat(
-            table_version=self.history.table.version, leaving=tuple(self._leaving)
+            table_version=self.tables.history.table.version,
+            leaving=self.leaving.list_own(now_s),
         )
         if heartbeat != self._heartbeat:
             self._heartbeat = heartbeat
@@ -289,7 +292,7 @@
             state.link.close()
 
     def _tell_duty(self, now_s: float) -> None:
-        table = self.history.table
+        table = self.tables.history.table
         duty = PollDuty(is_poller=self.membership.is_poller(now_s), table=table)
         told = self._told_duty
         is_news = (
@@ -335,43 +338,6 @@
 
     # Table and host list
 
-    def _request_table(self, link: Link, version: int, now_s: float) -> None:
-        own_version = self.history.table.version
-        is_asked = now_s - self._table_asked_s < TABLE_REQUEST_TIMEOUT_S
-        if version > own_version and not is_asked:
-            self._table_asked_s = now_s
-            link.send(encode_message(ms.TableRequest(after=own_version)))
-
-    def _send_table(self, link: Link, after: int) -> None:
-        changes = self.history.find_changes(after)
-        if changes is None:
-            deltas = ms.TableDeltas(snapshot=self.history.table)
-        else:
-            deltas = ms.TableDeltas(changes=changes[:MAX_CHANGES_PER_MESSAGE])
-        link.send(encode_message(deltas))
-
-    def _adopt_deltas(self, changes, snapshot: Table | None) -> None:
-        self._table_asked_s = float("-inf")
-        adopted = []
-        if snapshot is not None:
-            adopted += self.history.adopt_table(snapshot)
-        adopted += self.history.adopt_changes(changes)
-        for table in adopted[-1:]:
-            self.context.dispatcher.put(TableAdopted(table=table))
-
-    def _tell_leaving(self, targets: tuple[str, ...], now_s: float) -> None:
-        """Tell the dispatcher once of each sighting."""
-        self._told_leaving = {
-            target: until_s
-            for target, until_s in self._told_leaving.items()
-            if now_s < until_s
-        }
-        news = tuple(name for name in targets if name not in self._told_leaving)
-        for name in targets:
-            self._told_leaving[name] = now_s + LEAVING_REPEAT_S
-        if news:
-            self.context.dispatcher.put(TargetsLeaving(targets=news))
-
     def _read_hosts(self, hosts: mb.HostList, now_s: float) -> None:
         """Take the platform's list; pass a change on to all near siblings."""
         self._hosts_read_s = now_s
