--- a/gentianhub/siblings/tests/test_fencing.py
+++ b/gentianhub/siblings/tests/test_fencing.py
@@ -1,5 +1,6 @@
 import unittest
 
+from attrs import evolve
 from gevent import socket
 
 from gentianhub.core import (
@@ -14,8 +15,8 @@
 from gentianhub.core import events as ev
 from gentianhub.core.operations import CancelOperation
 from gentianhub.settings import Endpoint
+from gentianhub.siblings import SendSlotMessage, open_siblings, wire
 from gentianhub.siblings import messages as ms
-from gentianhub.siblings import open_siblings, wire
 from gentianhub.stand_ins.processes import LOOPBACK, reserve_ports
 
 
@@ -36,12 +37,13 @@
     def setUp(self):
         (self.port,) = reserve_ports(1)
         self.dispatcher = Mailbox(limit=100)
+        self.mailbox = Mailbox(limit=100)
         self.enterContext(
             open_siblings(
                 own=OWN,
                 address=Endpoint(host=LOOPBACK, port=self.port),
                 seeds=(),
-                mailbox=Mailbox(limit=100),
+                mailbox=self.mailbox,
                 dispatcher=self.dispatcher,
                 watcher=Mailbox(limit=100),
             )
@@ -93,6 +95,17 @@
         while not isinstance(message := self.read(frames), wire.LinkEnded):
             self.assertIsInstance(message, ms.Heartbeat)
 
+    def test_slot_message_goes_to_the_incarnation_it_names(self):
+        frames = self.connect(PEER, 1)
+        demand = ev.SlotDemand(borrower=OWN, number=1, wanted=2)
+        other = evolve(demand, number=2)
+        successor = build_incarnation("e2", "d")
+        self.mailbox.put(SendSlotMessage(to=successor, message=other))
+        self.mailbox.put(SendSlotMessage(to=PEER, message=demand))
+        while isinstance(message := self.read(frames), ms.Heartbeat):
+            pass
+        self.assertEqual(message, demand)
+
     def test_predecessor_of_a_live_process_is_refused(self):
         successor = build_incarnation("e2", "d")
         live = self.connect(successor, 2)
--- a/gentianhub/siblings/tests/test_processes.py
+++ b/gentianhub/siblings/tests/test_processes.py
@@ -8,6 +8,7 @@
 from gentianhub.stand_ins.processes import (
     EntryPlan,
     TargetPlan,
+    build_first_change,
     reserve_ports,
     start_deployment,
     start_entry,
@@ -222,3 +223,22 @@
         for entry in (newcomer, *entries):
             _, answer = entry.call("callers", "GET", path)
             self.assertEqual(answer["state"], "complete")
+        self.check_table_reaches_all((newcomer, *entries))
+
+    def check_table_reaches_all(self, entries):
+        """Two of the processes poll; the third one has only its siblings to ask."""
+        pollers = [self.read_siblings(entry)["is_poller"] for entry in entries]
+        self.assertEqual(sorted(pollers), [False, True, True])
+        platform = self.deployment.platform
+        platform.call("platform", "POST", "/faults", {"down": False})
+        row = {"sheet": "services", "name": "renders", "team": "desk"}
+        change = build_first_change([row]) | {"version": 2}
+        writes = [
+            {"key": "table/head", "value": {"version": 2}},
+            {"key": "table/change/000000000002", "value": change},
+        ]
+        content = {"checks": [], "writes": writes}
+        platform.call("platform", "POST", "/table/transact", content)
+        for entry in entries:
+            while entry.call("operators", "GET", "/dump")[1]["table_version"] != 2:
+                gevent.sleep(POLL_S)
