Take an owner for replaced only while its successor is linked

Cause: the incarnation last heard under a name was taken for the successor of any other one, also when it was stale and the owner asked for was the newer one. A job of a restarted process got 410 through processes that had not met it yet. Change: only a linked incarnation counts; otherwise the address is dialled.

--- a/gentianhub/decisions/membership.py
+++ b/gentianhub/decisions/membership.py
@@ -5,7 +5,7 @@
 from them only decide who lends slots and who reads the platform.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 import xxhash
 from attrs import define, field, frozen
@@ -159,12 +159,19 @@
             if self._is_near(peer.incarnation.name) and self._is_live(peer, now_s):
                 yield peer.incarnation
 
-    def locate_owner(self, owner: Incarnation) -> OwnerLocation:
-        """Return where the owner of a job may be reached, if anywhere."""
+    def locate_owner(
+        self, owner: Incarnation, connected: Container[Incarnation]
+    ) -> OwnerLocation:
+        """Return where the owner of a job may be reached, if anywhere.
+
+        Another incarnation of its name replaces it only while it is connected: one
+        that was heard of earlier may itself have been replaced by the owner.
+        """
         peer = self.peers.get(owner.name)
         if owner.name == self.own.name:
             return OwnerReplaced(by=self.own)
-        if peer is not None and peer.incarnation != owner and not peer.has_ended:
+        is_other = peer is not None and peer.incarnation != owner
+        if is_other and peer.incarnation in connected:
             return OwnerReplaced(by=peer.incarnation)
         if owner.name in self.listed:
             return OwnerKnown(address=self.listed[owner.name])
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -316,7 +316,7 @@
             self._find_owner(forward, now_s)
 
     def _find_owner(self, forward: nt.Forward, now_s: float) -> None:
-        match self.membership.locate_owner(forward.owner):
+        match self.membership.locate_owner(forward.owner, self.links):
             case mb.OwnerReplaced(by=by):
                 fw.refuse_gone(forward, f"{by} runs in its place")
             case mb.OwnerUnlisted():
--- a/gentianhub/siblings/service.py
+++ b/gentianhub/siblings/service.py
@@ -16,7 +16,7 @@
 from gentianhub.siblings.manager import SiblingManager
 from gentianhub.siblings.messages import Hello
 
-MAX_ACCEPTED_LINKS = 1024
+MAX_ACCEPTED_LINKS = 4096
 
 
 @contextmanager
