--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -177,6 +177,7 @@
 
     def _take_outcome(self, event: ev.TaskEnded, now_s: float) -> Iterator[fx.Effect]:
         refused_by = self.targets.take_outcome(event, now_s)
+        self.holdings.release(event.target)
         if event.leaving:
             self.holdings.drop_target(event.target)
         record = self.ledger.records[event.task_id.job_id.sequence]
--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -136,10 +136,12 @@
         )
 
     def take_outcome(self, event: TaskEnded, now_s: float) -> tuple[str, ...]:
-        """Free the slot and learn; return the targets that did not run the task."""
+        """Learn from an outcome; return the targets that did not run the task.
+
+        The task's slot is still in use; the dispatcher frees it afterwards.
+        """
         target, task_id = event.target, event.task_id
         in_use = self.in_use.get(target, 0)
-        self.holdings.release(target)
         if event.leaving:
             self.departures.announce(target)
         attempt = self._open.pop(task_id)
@@ -163,7 +165,7 @@
         self, event: TaskEnded, outcome: NotRun, attempt: OpenAttempt, now_s: float
     ) -> None:
         target, task_id = event.target, event.task_id
-        others = self.in_use.get(target, 0)
+        others = self.in_use.get(target, 1) - 1
         match outcome.step:
             case _ if event.leaving:
                 self.ejections.release_probe(target, task_id, now_s)
