Order tasks by fair queuing and shed load

Cause: first-in-first-out lets a burst of one service or long work delay all others, and jobs accepted in a peak miss their deadlines after it. A resubmission of a job that may have run is no longer refused as "not run" while draining or after its service left the table. Retries of ended jobs are not queued.

--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -3,7 +3,7 @@
 import heapq
 from collections.abc import Iterator
 
-from attrs import define, evolve, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from gentianhub.core import (
     Complete,
@@ -13,6 +13,7 @@
     NotRun,
     Refusal,
     RefusalKind,
+    RunState,
     Step,
     Table,
     TaskId,
@@ -20,9 +21,12 @@
 )
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
+from gentianhub.decisions.admission import Admission, build_admission
+from gentianhub.decisions.fairness import FairOrder
 from gentianhub.decisions.ledger import JobRecord, Ledger, TaskState
-from gentianhub.decisions.order import FirstInFirstOut, QueuedTask, TaskOrder
+from gentianhub.decisions.order import QueuedTask, TaskOrder
 from gentianhub.decisions.retries import GiveUp, Retries, RetryAt
+from gentianhub.decisions.runtimes import RunTimes
 from gentianhub.decisions.slots import SlotHoldings
 from gentianhub.decisions.targets import KnownTargets, StartRequest
 
@@ -57,7 +61,13 @@
     """
 
     owner: Incarnation
-    order: TaskOrder = field(factory=lambda: FirstInFirstOut())
+    runtimes: RunTimes = field(factory=lambda: RunTimes())
+    order: TaskOrder = Factory(
+        lambda self: FairOrder(runtimes=self.runtimes), takes_self=True
+    )
+    admission: Admission = Factory(
+        lambda self: build_admission(self.order, self.runtimes), takes_self=True
+    )
     targets: KnownTargets = field(factory=lambda: KnownTargets())
     retries: Retries = field(factory=lambda: Retries())
     table: Table = field(factory=lambda: Table())
@@ -98,6 +108,8 @@
                 self._leave_targets(targets, now_s)
             case ev.TableAdopted(table=table):
                 self._adopt_table(table)
+            case ev.HomesChanged(processes=processes):
+                self.order.set_processes(len(processes))
             case ev.DrainBegun():
                 self.is_draining = True
             case ev.DescribeState(reply_to=to):
@@ -106,7 +118,7 @@
         yield from self._start_tasks(now_s)
 
     def _submit_job(self, event: ev.SubmitJob, now_s: float) -> Iterator[fx.Effect]:
-        refusal = self._refuse_job(event)
+        refusal = self._refuse_job(event, now_s)
         answer = refusal or self.ledger.accept_job(event.request, event.job_id, now_s)
         yield fx.Reply(to=event.reply_to, message=answer)
         if not isinstance(answer, Refusal) and not answer.known:
@@ -115,9 +127,11 @@
             heapq.heappush(self._deadlines, deadline)
             self._queue_job(record, now_s)
 
-    def _refuse_job(self, event: ev.SubmitJob) -> Refusal | None:
-        known = event.job_id and event.job_id.sequence in self.ledger.records
-        if self.is_draining and not known:
+    def _refuse_job(self, event: ev.SubmitJob, now_s: float) -> Refusal | None:
+        if event.job_id is not None and not self._is_unused(event.job_id):
+            # The job may have run: only the ledger can say what is certain of it.
+            return None
+        if self.is_draining:
             return Refusal(
                 kind=RefusalKind.UNAVAILABLE,
                 step=Step.DRAIN,
@@ -126,16 +140,14 @@
                 expected="submission through another entry process",
                 retry_after_s=RETRY_AFTER_S,
             )
-        if event.request.service not in self.table.services:
-            return Refusal(
-                kind=RefusalKind.MALFORMED,
-                step=Step.ADMIT_JOB,
-                peer="caller",
-                reason=f"no service {event.request.service!r} in the table",
-                expected="one of: " + ", ".join(sorted(self.table.services)),
-                field="service",
-            )
-        return None
+        return self.admission.refuse(event.request, self.table, now_s)
+
+    def _is_unused(self, job_id: JobId) -> bool:
+        match self.ledger.find_job(job_id):
+            case Refusal(run=RunState.NOT_RUN):
+                return True
+            case _:
+                return False
 
     def _queue_job(self, record: JobRecord, now_s: float) -> None:
         for index in range(len(record.states)):
@@ -164,6 +176,7 @@
         request = _describe_start(entry)
         target = self.targets.choose(request, now_s)
         self.targets.take_start(target, request, now_s)
+        self._note_start(entry, now_s)
         self.ledger.mark_sent(entry.task_id)
         if not entry.refused_by:
             self.retries.count_first_try(entry.service, now_s)
@@ -180,6 +193,7 @@
         if event.leaving:
             self.holdings.drop_target(event.target)
         record = self.ledger.records[event.task_id.job_id.sequence]
+        self._note_end(record, event, now_s)
         match event.outcome:
             case NotRun() if not record.is_failing:
                 yield from self._retry_task(record, event, refused_by, now_s)
@@ -205,6 +219,26 @@
                 outcome = evolve(last, reason=f"{last.reason}; not retried: {reason}")
                 yield from self._end_task(record, evolve(event, outcome=outcome), now_s)
 
+    def _note_start(self, entry: QueuedTask, now_s: float) -> None:
+        self.order.start(entry, now_s)
+        key = (entry.task_id.job_id.sequence, entry.task_id.index)
+        self.runtimes.watch_start(key, entry.service, entry.kind, now_s)
+
+    def _note_end(self, record: JobRecord, event: ev.TaskEnded, now_s: float) -> None:
+        index = event.task_id.index
+        self.runtimes.watch_end((event.task_id.job_id.sequence, index))
+        match event.outcome:
+            case Complete(run_s=run_s):
+                request = record.job.request
+                kind = request.tasks[index].kind
+                self.runtimes.observe(request.service, kind, run_s, now_s)
+                self.order.end(event.task_id, run_s)
+            case Failed(run_s=run_s):
+                # A failure tells nothing about how long the kind runs.
+                self.order.end(event.task_id, run_s)
+            case NotRun() | Unknown():
+                self.order.end(event.task_id, 0.0)
+
     def _delay_task(self, entry: QueuedTask, due_s: float) -> None:
         self._delayed_count += 1
         heapq.heappush(self._delayed, (due_s, self._delayed_count, entry))
@@ -212,6 +246,9 @@
     def _release_retries(self, now_s: float) -> None:
         while self._delayed and self._delayed[0][0] <= now_s:
             entry = heapq.heappop(self._delayed)[2]
+            record = self.ledger.records.get(entry.task_id.job_id.sequence)
+            if record is None or not self._is_queued(record, entry.task_id):
+                continue
             match self.retries.release(entry.service, now_s):
                 case RetryAt(due_s=due_s) if due_s < entry.deadline_at_s:
                     self._delay_task(entry, due_s)
@@ -230,6 +267,7 @@
         self, record: JobRecord, reason: str, now_s: float
     ) -> Iterator[fx.Effect]:
         """End the queued tasks of a job; those that were sent may end."""
+        self.order.drop_job(record.job.id.sequence)
         outcome = NotRun(step=Step.WAIT_FOR_SLOT, peer=str(self.owner), reason=reason)
         yield from self._announce(self.ledger.end_queued_tasks(record, outcome, now_s))
 
@@ -282,6 +320,9 @@
             if record is not None and record.answer is None:
                 yield from self._expire_job(record, now_s)
         self.ledger.forget_old(now_s)
+        for key in self.runtimes.find_overdue(now_s):
+            self.order.mark_long(key)
+        self._count_slots(now_s)
 
     def _see_targets(self, targets, now_s: float) -> Iterator[fx.Effect]:
         self.targets.see_list(targets, now_s)
@@ -294,6 +335,7 @@
             self.holdings.drop_target(name)
         for name in sorted(usable):
             self._hold_slots(name)
+        self._count_slots(now_s)
         yield from ()
 
     def _leave_targets(self, targets: tuple[str, ...], now_s: float) -> None:
@@ -306,10 +348,14 @@
         self.holdings.set_held(target, self.table.get_target(target).slots)
         self.targets.add_idle(target)
 
+    def _count_slots(self, now_s: float) -> None:
+        self.order.set_slots(sum(self.holdings.held.values()), now_s)
+
     def _adopt_table(self, table: Table) -> None:
         if table.version <= self.table.version:
             return
         self.table = table
+        self.order.adopt_table(table)
         for name in self.holdings.held:
             self._hold_slots(name)
 
@@ -343,6 +389,7 @@
         service=request.service,
         kind=request.tasks[index].kind,
         job_tasks=len(request.tasks),
+        accepted_s=record.job.accepted_s,
         deadline_at_s=record.job.deadline_at_s,
     )
 
--- /dev/null
+++ b/gentianhub/decisions/fairness.py
@@ -0,0 +1,346 @@
+"""Two-level virtual-time fair queuing: teams, their services, jobs in a service."""
+
+import math
+
+from attrs import define, evolve, field, frozen
+
+from gentianhub.core import ServiceRow, Table, TaskId, TeamRow
+from gentianhub.decisions.heaps import LazyHeap
+from gentianhub.decisions.nodes import AGEING, ServiceNode, TeamNode, WaitingJob
+from gentianhub.decisions.order import QueuedTask
+from gentianhub.decisions.runtimes import RunClass, RunTimes
+
+# Part of the slots that long tasks may always hold. They may hold more while short
+# work uses less; a slot that a long task holds cannot be taken back from it.
+LONG_SHARE = 0.2
+# The slots kept for short work are its recent peak use times this factor.
+SHORT_HEADROOM = 1.25
+SHORT_PEAK_DECAY_S = 30.0
+
+TaskKey = tuple[int, int]
+
+
+@frozen(kw_only=True)
+class Backlog:
+    """What waits before a new job of a service.
+
+    Work is in seconds of one slot; `rate` is the slots that the service can count
+    on while all that has queued work competes.
+    """
+
+    service_tasks: int
+    service_work_s: float
+    wait_s: float
+    rate: float
+
+
+@frozen(kw_only=True)
+class _Attempt:
+    service: ServiceNode
+    run_class: RunClass
+    charged_s: float
+
+
+@define(kw_only=True, eq=False)
+class FairOrder:
+    """Default order of tasks.
+
+    Teams share slots by weight, services of a team likewise. A node that had no
+    queued task starts at the current virtual time: it gets its share with the
+    next slots that become idle and no credit for the time before.
+    """
+
+    runtimes: RunTimes
+    long_share: float = LONG_SHARE
+    ageing: float = AGEING
+    slots: int = field(init=False, default=0)
+    processes: int = field(init=False, default=1)
+    queued: int = field(init=False, default=0)
+    queued_work_s: float = field(init=False, default=0.0)
+    _table: Table = field(init=False, factory=Table)
+    _teams: dict[str, TeamNode] = field(init=False, factory=dict)
+    _services: dict[str, ServiceNode] = field(init=False, factory=dict)
+    _jobs: dict[tuple[int, RunClass], WaitingJob] = field(init=False, factory=dict)
+    _attempts: dict[TaskKey, _Attempt] = field(init=False, factory=dict)
+    _ready: dict[RunClass, LazyHeap] = field(init=False)
+    _clock_s: float = field(init=False, default=0.0)
+    _active_weight: float = field(init=False, default=0.0)
+    _running: dict[RunClass, int] = field(init=False)
+    _short_peak: float = field(init=False, default=0.0)
+    _peak_at_s: float | None = field(init=False, default=None)
+
+    def __attrs_post_init__(self):
+        self._ready = {run_class: LazyHeap() for run_class in RunClass}
+        self._running = dict.fromkeys(RunClass, 0)
+
+    def __len__(self) -> int:
+        return self.queued
+
+    def push(self, entry: QueuedTask, now_s: float) -> None:
+        """Add a task."""
+        service = self._get_service(entry.service)
+        self._activate(service)
+        expected_s = self.runtimes.expect_s(entry.service, entry.kind)
+        run_class = self.runtimes.classify(entry.service, entry.kind)
+        self._put(service, entry, expected_s, run_class)
+        service.add_queued(expected_s)
+        service.team.add_queued(expected_s)
+        self.queued += 1
+        self.queued_work_s += expected_s
+        self._place(service)
+
+    def _activate(self, service: ServiceNode) -> None:
+        team = service.team
+        if not team.queued:
+            team.virtual_s = max(team.virtual_s, self._clock_s)
+            self._active_weight += team.weight
+        if not service.queued:
+            service.virtual_s = max(service.virtual_s, team.clock_s)
+            team.active_weight += service.weight
+
+    def _put(
+        self,
+        service: ServiceNode,
+        entry: QueuedTask,
+        expected_s: float,
+        run_class: RunClass,
+    ) -> None:
+        sequence = entry.task_id.job_id.sequence
+        job = self._jobs.get((sequence, run_class))
+        if job is None:
+            job = self._jobs[(sequence, run_class)] = WaitingJob(
+                sequence=sequence,
+                accepted_s=entry.accepted_s,
+                run_class=run_class,
+                ageing=self.ageing,
+            )
+        job.push(entry, expected_s)
+        service.jobs[run_class].put(job.key, job)
+
+    def _place(self, service: ServiceNode) -> None:
+        service.place()
+        team = service.team
+        for run_class, services in team.services.items():
+            if len(services) and team.may_start:
+                self._ready[run_class].put(team.virtual_s, team)
+            else:
+                self._ready[run_class].remove(team)
+
+    def pop(self, now_s: float) -> QueuedTask | None:
+        """Remove and return the task that is next, or None if none may start."""
+        while (found := self._select()) is not None:
+            service, run_class = found
+            _, job = service.jobs[run_class].peek()
+            entry, expected_s = self._take(service, job)
+            current = self.runtimes.classify(entry.service, entry.kind)
+            if current is not run_class:
+                # The kind was reclassified while the task was queued.
+                self._put(service, entry, expected_s, current)
+                self._place(service)
+                continue
+            self._forget(service, 1, expected_s)
+            self._place(service)
+            return entry
+        return None
+
+    def _select(self) -> tuple[ServiceNode, RunClass] | None:
+        best = None
+        for run_class, teams in self._ready.items():
+            first = teams.peek() if self._has_room(run_class) else None
+            if first is not None and (best is None or first[0] < best[0]):
+                best = (*first, run_class)
+        if best is None:
+            return None
+        _, team, run_class = best
+        _, service = team.services[run_class].peek()
+        return service, run_class
+
+    def _has_room(self, run_class: RunClass) -> bool:
+        match run_class:
+            case RunClass.LONG:
+                return self._running[RunClass.LONG] < self.count_long_limit()
+            case RunClass.SHORT | RunClass.UNSEEN:
+                return True
+
+    def count_long_limit(self) -> int:
+        """Return how many slots long tasks may hold now."""
+        unused = self.slots - SHORT_HEADROOM * self._short_peak
+        return int(max(1, self.slots * self.long_share, unused))
+
+    def _take(self, service: ServiceNode, job: WaitingJob) -> tuple[QueuedTask, float]:
+        entry, expected_s = job.pop()
+        if job.tasks:
+            service.jobs[job.run_class].put(job.key, job)
+        else:
+            service.jobs[job.run_class].remove(job)
+            del self._jobs[(job.sequence, job.run_class)]
+        return entry, expected_s
+
+    def _forget(self, service: ServiceNode, count: int, work_s: float) -> None:
+        """Count tasks of a service that are no longer queued."""
+        team = service.team
+        service.remove_queued(count, work_s)
+        team.remove_queued(count, work_s)
+        self.queued -= count
+        self.queued_work_s = self.queued_work_s - work_s if self.queued else 0.0
+        if not service.queued:
+            team.active_weight -= service.weight
+        if not team.queued:
+            self._active_weight -= team.weight
+
+    def start(self, entry: QueuedTask, now_s: float) -> None:
+        """Note that a popped task was sent to a target."""
+        service = self._services[entry.service]
+        team = service.team
+        run_class = self.runtimes.classify(entry.service, entry.kind)
+        expected_s = self.runtimes.expect_s(entry.service, entry.kind)
+        key = (entry.task_id.job_id.sequence, entry.task_id.index)
+        self._attempts[key] = _Attempt(
+            service=service, run_class=run_class, charged_s=expected_s
+        )
+        self._clock_s = max(self._clock_s, team.virtual_s)
+        team.clock_s = max(team.clock_s, service.virtual_s)
+        for node, clock_s in ((team, self._clock_s), (service, team.clock_s)):
+            node.catch_up(clock_s)
+            node.charge(expected_s)
+            node.running += 1
+        self._running[run_class] += 1
+        self._place(service)
+
+    def end(self, task_id: TaskId, run_s: float) -> None:
+        """Note the end of an attempt that held a slot for `run_s` seconds."""
+        attempt = self._attempts.pop((task_id.job_id.sequence, task_id.index))
+        service = attempt.service
+        for node in (service.team, service):
+            node.charge(run_s - attempt.charged_s)
+            node.running -= 1
+        self._running[attempt.run_class] -= 1
+        self._place(service)
+
+    def mark_long(self, key: TaskKey) -> None:
+        """Count a running task as long: it has run past the short limit."""
+        attempt = self._attempts[key]
+        self._running[attempt.run_class] -= 1
+        self._running[RunClass.LONG] += 1
+        self._attempts[key] = evolve(attempt, run_class=RunClass.LONG)
+
+    def drop_job(self, sequence: int) -> None:
+        """Forget the queued tasks of a job, in constant time per class."""
+        for run_class in RunClass:
+            job = self._jobs.pop((sequence, run_class), None)
+            if job is not None:
+                service = self._services[job.tasks[0][2].service]
+                service.jobs[run_class].remove(job)
+                self._forget(service, len(job.tasks), job.work_s)
+                self._place(service)
+
+    def describe_backlog(self, service_name: str) -> Backlog:
+        """Return what waits before a new job of a service."""
+        service = self._get_service(service_name)
+        team = service.team
+        team_weights = self._active_weight + (0 if team.queued else team.weight)
+        weights = team.active_weight + (0 if service.queued else service.weight)
+        share = team.weight / team_weights * service.weight / weights
+        limits = [n.limit for n in (team, service) if n.limit is not None]
+        slots = max(1, self.slots)
+        rate = min([share * slots, *limits])
+        wait_s = min(
+            self.queued_work_s / slots, service.queued_work_s / (share * slots)
+        )
+        for node in (team, service):
+            if node.limit:
+                wait_s = max(wait_s, node.queued_work_s / node.limit)
+        return Backlog(
+            service_tasks=service.queued,
+            service_work_s=service.queued_work_s,
+            wait_s=wait_s,
+            rate=rate,
+        )
+
+    def count_active_services(self) -> int:
+        """Return the services with queued tasks."""
+        return sum(1 for node in self._services.values() if node.queued)
+
+    def set_slots(self, slots: int, now_s: float) -> None:
+        """Note how many slots there are to share, and how many short work uses."""
+        if self._peak_at_s is None:
+            # Nothing is known of the short work to come.
+            self._peak_at_s, self._short_peak = now_s, float(slots)
+        self.slots = slots
+        running = self._running[RunClass.SHORT] + self._running[RunClass.UNSEEN]
+        waiting = sum(len(self._ready[c]) for c in (RunClass.SHORT, RunClass.UNSEEN))
+        decay = math.exp((self._peak_at_s - now_s) / SHORT_PEAK_DECAY_S)
+        self._short_peak = max(self._short_peak * decay, running + waiting)
+        self._peak_at_s = now_s
+
+    def set_processes(self, processes: int) -> None:
+        """Note how many entry processes divide the limits of the data centre."""
+        if processes != self.processes:
+            self.processes = max(1, processes)
+            self._set_rows()
+
+    def adopt_table(self, table: Table) -> None:
+        """Take weights and limits from a version of the table."""
+        self._table = table
+        self._set_rows()
+
+    def _set_rows(self) -> None:
+        for name, team in self._teams.items():
+            team.set_row(self._get_team_row(name), self.processes)
+        for name, service in list(self._services.items()):
+            row = self._table.services.get(name)
+            if row is not None:
+                service.set_row(row, self.processes)
+                self._move(service, row.team)
+            elif not service.queued and not service.running:
+                del self._services[name]
+        self._sum_weights()
+
+    def _move(self, service: ServiceNode, team_name: str) -> None:
+        old = service.team
+        if old.name != team_name:
+            for services in old.services.values():
+                services.remove(service)
+            new = service.team = self._get_team(team_name)
+            for node, sign in ((old, -1), (new, 1)):
+                node.queued += sign * service.queued
+                node.queued_work_s += sign * service.queued_work_s
+                node.running += sign * service.running
+            service.virtual_s = max(service.virtual_s, new.clock_s)
+            new.virtual_s = max(new.virtual_s, self._clock_s)
+            for team in (old, new):
+                self._place_team(team)
+        self._place(service)
+
+    def _place_team(self, team: TeamNode) -> None:
+        for run_class, services in team.services.items():
+            if not len(services):
+                self._ready[run_class].remove(team)
+
+    def _sum_weights(self) -> None:
+        teams = self._teams.values()
+        self._active_weight = sum(team.weight for team in teams if team.queued)
+        for team in teams:
+            team.active_weight = 0.0
+        for service in self._services.values():
+            if service.queued:
+                service.team.active_weight += service.weight
+
+    def _get_service(self, name: str) -> ServiceNode:
+        service = self._services.get(name)
+        if service is None:
+            row = self._table.services.get(name) or ServiceRow(name=name, team=name)
+            service = ServiceNode(name=name, team=self._get_team(row.team))
+            service.set_row(row, self.processes)
+            self._services[name] = service
+        return service
+
+    def _get_team(self, name: str) -> TeamNode:
+        team = self._teams.get(name)
+        if team is None:
+            team = self._teams[name] = TeamNode(name=name)
+            team.set_row(self._get_team_row(name), self.processes)
+        return team
+
+    def _get_team_row(self, name: str) -> TeamRow:
+        return self._table.teams.get(name) or TeamRow(name=name)
--- a/gentianhub/decisions/order.py
+++ b/gentianhub/decisions/order.py
@@ -5,17 +5,21 @@
 
 from attrs import Factory, define, frozen
 
-from gentianhub.core import TaskId
+from gentianhub.core import Table, TaskId
 
 
 @frozen(kw_only=True)
 class QueuedTask:
-    """A task that waits for a slot; `refused_by` are targets that did not run it."""
+    """A task that waits for a slot; times are on the monotonic clock.
+
+    `refused_by` are targets that did not run it.
+    """
 
     task_id: TaskId
     service: str
     kind: str
     job_tasks: int
+    accepted_s: float
     deadline_at_s: float
     refused_by: tuple[str, ...] = ()
 
@@ -23,22 +27,43 @@
 class TaskOrder(Protocol):
     """What the dispatcher asks of an order.
 
-    Entries of jobs that have ended are dropped by the dispatcher when they are
-    popped, so that a cancellation does not search the queue.
+    The dispatcher skips a popped task that is no longer queued, so an order may
+    forget `drop_job`; `start` and `end` come in pairs for each attempt.
     """
 
     def push(self, entry: QueuedTask, now_s: float) -> None:
         """Add a task."""
 
     def pop(self, now_s: float) -> QueuedTask | None:
-        """Remove and return the task that is next, or None."""
+        """Remove and return the task that is next, or None if none may start."""
+
+    def start(self, entry: QueuedTask, now_s: float) -> None:
+        """Note that a popped task was sent to a target."""
+
+    def end(self, task_id: TaskId, run_s: float) -> None:
+        """Note the end of an attempt that held a slot for `run_s` seconds."""
+
+    def mark_long(self, key: tuple[int, int]) -> None:
+        """Note that a running task (sequence, index) has run past the short limit."""
+
+    def drop_job(self, sequence: int) -> None:
+        """Forget the queued tasks of a job."""
+
+    def adopt_table(self, table: Table) -> None:
+        """Take weights and limits from a version of the table."""
+
+    def set_processes(self, processes: int) -> None:
+        """Note how many entry processes divide the limits of the data centre."""
+
+    def set_slots(self, slots: int, now_s: float) -> None:
+        """Note how many slots there are to share."""
 
     def __len__(self) -> int: ...
 
 
 @define(kw_only=True, eq=False)
 class FirstInFirstOut:
-    """Baseline order: by arrival."""
+    """Baseline order: by arrival, without weights and limits."""
 
     _entries: deque[QueuedTask] = Factory(deque)
 
@@ -50,5 +75,26 @@
         """Remove and return the oldest task, or None."""
         return self._entries.popleft() if self._entries else None
 
+    def start(self, entry: QueuedTask, now_s: float) -> None:
+        """Do nothing: there are no limits to count for."""
+
+    def end(self, task_id: TaskId, run_s: float) -> None:
+        """Do nothing: there are no limits to count for."""
+
+    def mark_long(self, key: tuple[int, int]) -> None:
+        """Do nothing: there are no classes."""
+
+    def drop_job(self, sequence: int) -> None:
+        """Do nothing: the dispatcher skips the tasks."""
+
+    def adopt_table(self, table: Table) -> None:
+        """Do nothing: there are no weights."""
+
+    def set_processes(self, processes: int) -> None:
+        """Do nothing: there are no limits."""
+
+    def set_slots(self, slots: int, now_s: float) -> None:
+        """Do nothing: there are no shares."""
+
     def __len__(self) -> int:
         return len(self._entries)
