Lend target slots between entry processes

Cause: each entry process held every slot of every target, so several processes over-committed the targets. The home of a target (rendezvous hashing) now lends its slots; without HomesChanged a process is alone and holds every slot as before.

--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -23,6 +23,7 @@
 from gentianhub.decisions.ledger import JobRecord, Ledger, TaskState
 from gentianhub.decisions.order import FirstInFirstOut, QueuedTask, TaskOrder
 from gentianhub.decisions.retries import GiveUp, Retries, RetryAt
+from gentianhub.decisions.sharing import SlotSharing
 from gentianhub.decisions.slots import SlotHoldings
 from gentianhub.decisions.targets import KnownTargets, StartRequest
 
@@ -41,6 +42,8 @@
     queued_tasks: int
     slots_held: dict[str, int]
     slots_in_use: dict[str, int]
+    slots_lent: dict[str, int]
+    slots_reserved: dict[str, int]
     unused_targets: dict[str, str]
     target_limits: dict[str, int]
     target_speeds: dict[str, float]
@@ -62,6 +65,7 @@
     retries: Retries = field(factory=lambda: Retries())
     table: Table = field(factory=lambda: Table())
     ledger: Ledger = field(init=False)
+    sharing: SlotSharing = field(init=False)
     is_draining: bool = field(init=False, default=False)
     _delayed: list[tuple[float, int, QueuedTask]] = field(init=False, factory=list)
     _delayed_count: int = field(init=False, default=0)
@@ -69,6 +73,7 @@
 
     def __attrs_post_init__(self):
         self.ledger = Ledger(owner=self.owner)
+        self.sharing = SlotSharing(owner=self.owner, holdings=self.targets.holdings)
 
     @property
     def holdings(self) -> SlotHoldings:
@@ -93,17 +98,27 @@
             case ev.Tick():
                 yield from self._pass_time(now_s)
             case ev.TargetsSeen(targets=targets):
-                yield from self._see_targets(targets, now_s)
+                self._see_targets(targets, now_s)
             case ev.TargetsLeaving(targets=targets):
                 self._leave_targets(targets, now_s)
             case ev.TableAdopted(table=table):
-                self._adopt_table(table)
+                self._adopt_table(table, now_s)
             case ev.DrainBegun():
                 self.is_draining = True
             case ev.DescribeState(reply_to=to):
                 yield fx.Reply(to=to, message=self.describe_state(now_s))
+            case (
+                ev.HomesChanged()
+                | ev.SlotDemand()
+                | ev.SlotGrant()
+                | ev.SlotReturn()
+                | ev.SlotsHeld()
+            ):
+                self.sharing.take_message(event, now_s)
         self._release_retries(now_s)
+        self._open_slots(now_s)
         yield from self._start_tasks(now_s)
+        yield from self.sharing.settle_slots(len(self.order), 1.0, now_s)
 
     def _submit_job(self, event: ev.SubmitJob, now_s: float) -> Iterator[fx.Effect]:
         refusal = self._refuse_job(event)
@@ -177,8 +192,9 @@
 
     def _take_outcome(self, event: ev.TaskEnded, now_s: float) -> Iterator[fx.Effect]:
         refused_by = self.targets.take_outcome(event, now_s)
+        self.sharing.keep_released(event.target, now_s)
         if event.leaving:
-            self.holdings.drop_target(event.target)
+            self.sharing.drop_target(event.target)
         record = self.ledger.records[event.task_id.job_id.sequence]
         match event.outcome:
             case NotRun() if not record.is_failing:
@@ -283,35 +299,33 @@
                 yield from self._expire_job(record, now_s)
         self.ledger.forget_old(now_s)
 
-    def _see_targets(self, targets, now_s: float) -> Iterator[fx.Effect]:
+    def _see_targets(self, targets, now_s: float) -> None:
         self.targets.see_list(targets, now_s)
-        usable = {
-            target.name
-            for target in targets
-            if not self.targets.departures.is_leaving(target.name)
-        }
-        for name in set(self.holdings.held) - usable:
-            self.holdings.drop_target(name)
-        for name in sorted(usable):
-            self._hold_slots(name)
-        yield from ()
+        names = {target.name for target in targets}
+        is_leaving = self.targets.departures.is_leaving
+        self._share_targets({n for n in names if not is_leaving(n)}, now_s)
 
     def _leave_targets(self, targets: tuple[str, ...], now_s: float) -> None:
         for name in targets:
             self.targets.departures.take_news(name, now_s)
             if self.targets.departures.is_leaving(name):
-                self.holdings.drop_target(name)
+                self.sharing.drop_target(name)
 
-    def _hold_slots(self, target: str) -> None:
-        self.holdings.set_held(target, self.table.get_target(target).slots)
-        self.targets.add_idle(target)
-
-    def _adopt_table(self, table: Table) -> None:
+    def _adopt_table(self, table: Table, now_s: float) -> None:
         if table.version <= self.table.version:
             return
         self.table = table
+        self._share_targets(set(self.holdings.held), now_s)
+
+    def _share_targets(self, names: set[str], now_s: float) -> None:
+        slots = {name: self.table.get_target(name).slots for name in sorted(names)}
+        self.sharing.set_targets(slots, now_s)
+
+    def _open_slots(self, now_s: float) -> None:
+        self.sharing.open_slots(len(self.order), now_s)
         for name in self.holdings.held:
-            self._hold_slots(name)
+            if self.holdings.count_idle(name):
+                self.targets.add_idle(name)
 
     def find_open_jobs(self) -> Iterator[JobId]:
         """Yield the jobs without an answer."""
@@ -330,6 +344,8 @@
             queued_tasks=len(self.order) + len(self._delayed),
             slots_held=dict(self.holdings.held),
             slots_in_use=dict(self.holdings.in_use),
+            slots_lent=self.sharing.lending.count_lent(),
+            slots_reserved=self.sharing.count_reserved(now_s),
             unused_targets=self.targets.describe_unused(now_s),
             target_limits=self.targets.limits.describe(),
             target_speeds=self.targets.describe_speeds(),
--- /dev/null
+++ b/gentianhub/decisions/homes.py
@@ -0,0 +1,59 @@
+"""Home of each target: the entry process that lends its slots.
+
+Rendezvous hashing needs no agreement and moves only the targets of a process
+that joins or leaves.
+"""
+
+from attrs import define, field, frozen
+from xxhash import xxh3_64_intdigest
+
+from gentianhub.core import Incarnation
+
+
+@define(kw_only=True, eq=False)
+class Homes:
+    """The live entry processes of the data centre and the targets they lend.
+
+    Parameters
+    ----------
+    owner : Incarnation
+        This process.
+    processes : tuple of Incarnation
+        The live processes; a process that is alone is home of every target.
+    """
+
+    owner: Incarnation
+    processes: tuple[Incarnation, ...] = ()
+    _cache: dict[str, Incarnation] = field(init=False, factory=dict)
+
+    @property
+    def others(self) -> frozenset[Incarnation]:
+        """The live processes other than this one."""
+        return frozenset(self.processes) - {self.owner}
+
+    def find_home(self, target: str) -> Incarnation:
+        """Return the process that lends the slots of a target."""
+        home = self._cache.get(target)
+        if home is None:
+            candidates = {self.owner, *self.processes}
+            home = max(candidates, key=lambda process: rank_home(process, target))
+            self._cache[target] = home
+        return home
+
+
+@frozen(kw_only=True, order=True)
+class HomeRank:
+    """Rank of a process for a target; the incarnation breaks ties."""
+
+    score: int
+    process: Incarnation
+
+
+def rank_home(process: Incarnation, target: str) -> HomeRank:
+    """Return the rank of a process for a target.
+
+    The score depends on the name alone, so that a restarted process is home of
+    the same targets as before.
+    """
+    score = xxh3_64_intdigest(f"{process.name}/{target}".encode())
+    return HomeRank(score=score, process=process)
--- /dev/null
+++ b/gentianhub/decisions/sharing.py
@@ -0,0 +1,179 @@
+"""Sharing of target slots between entry processes: composes both sides.
+
+This process is home of some targets and lends their slots (`LendingLedger`); it
+borrows from the other homes (`Borrower`). For its own targets it is a borrower
+whose grants take no message.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterator, Mapping
+
+from attrs import define, field
+
+from gentianhub.core import Incarnation
+from gentianhub.core import effects as fx
+from gentianhub.core import events as ev
+from gentianhub.decisions.borrowing import Borrower
+from gentianhub.decisions.homes import Homes
+from gentianhub.decisions.lending import LEASE_S, LendingLedger
+from gentianhub.decisions.slots import SlotHoldings
+
+UPKEEP_PERIOD_S = 0.05
+
+
+@define(kw_only=True, eq=False)
+class SlotSharing:
+    """Keeps the slots of this process, as a home and as a borrower.
+
+    Before the first `HomesChanged` the process is alone and holds every slot.
+    """
+
+    owner: Incarnation
+    holdings: SlotHoldings = field(factory=lambda: SlotHoldings())
+    homes: Homes = field(init=False)
+    lending: LendingLedger = field(init=False)
+    borrower: Borrower = field(init=False)
+    _capacities: dict[str, int] = field(init=False, factory=dict)
+    _next_upkeep_s: float = field(init=False, default=-math.inf)
+
+    def __attrs_post_init__(self):
+        self.homes = Homes(owner=self.owner)
+        self.lending = LendingLedger(owner=self.owner)
+        self.borrower = Borrower(owner=self.owner, holdings=self.holdings)
+
+    def take_message(
+        self, event: ev.SlotMessage | ev.HomesChanged, now_s: float
+    ) -> None:
+        """Take a message of another process, or a change of their number."""
+        match event:
+            case ev.SlotDemand():
+                self.lending.take_demand(event, now_s)
+            case ev.SlotReturn():
+                self.lending.take_return(event)
+            case ev.SlotsHeld():
+                self.lending.take_report(event, now_s)
+            case ev.SlotGrant():
+                self.borrower.take_grant(event, now_s)
+            case ev.HomesChanged(processes=processes):
+                self._change_homes(processes, now_s)
+
+    def set_targets(self, capacities: Mapping[str, int], now_s: float) -> None:
+        """Share these targets, given the slots of each."""
+        for target in set(self._capacities) - set(capacities):
+            self.drop_target(target)
+        for target, slots in capacities.items():
+            is_new = target not in self._capacities
+            self._capacities[target] = slots
+            if is_new:
+                self._place_target(target, now_s)
+            elif target in self.lending.capacity:
+                self.lending.capacity[target] = slots
+        self._update_borrower()
+
+    def drop_target(self, target: str) -> None:
+        """Start nothing more on a target; tasks that run there may end."""
+        self._capacities.pop(target, None)
+        self.lending.remove_target(target)
+        self.holdings.drop_target(target)
+        self._update_borrower()
+
+    def _change_homes(self, processes: tuple[Incarnation, ...], now_s: float) -> None:
+        self.homes = Homes(owner=self.owner, processes=processes)
+        for target in self._capacities:
+            if self.holdings.homes[target] != self.homes.find_home(target):
+                self._move_target(target, now_s)
+        self._update_borrower()
+        self.borrower.require_sync(self.borrower.borrowings)
+
+    def _move_target(self, target: str, now_s: float) -> None:
+        """Take over a target from its former home, or leave it to the next one."""
+        if self.holdings.homes[target] == self.owner:
+            self.lending.remove_target(target)
+            self.holdings.remove_idle(target, self.holdings.count_idle(target))
+            self.holdings.renew_lease(target, now_s + LEASE_S)
+        self._place_target(target, now_s)
+
+    def _place_target(self, target: str, now_s: float) -> None:
+        home = self.homes.find_home(target)
+        self.holdings.assign_home(target, home)
+        if home != self.owner:
+            return
+        self.lending.add_target(
+            target, self._capacities[target], self.homes.others, now_s
+        )
+        self.lending.lend_to_owner(target, self.holdings.held[target])
+        self.holdings.renew_lease(target, math.inf)
+
+    def _update_borrower(self) -> None:
+        capacities = Counter({home: 0 for home in self.homes.others})
+        for target, slots in self._capacities.items():
+            capacities[self.holdings.homes[target]] += slots
+        del capacities[self.owner]
+        self.borrower.set_homes(capacities)
+
+    def release_slot(self, target: str, now_s: float) -> None:
+        """Free the slot of a task that ended; give it back where others wait."""
+        self.holdings.release(target, now_s)
+        self.keep_released(target, now_s)
+
+    def keep_released(self, target: str, now_s: float) -> None:
+        """Keep a slot that was released, or give it back where others wait."""
+        if target in self.holdings.held:
+            self.holdings.idle_since[target] = now_s
+        self.borrower.return_contended(target)
+
+    def open_slots(self, queued: int, now_s: float) -> None:
+        """Bring the slots that may start tasks now into `holdings`."""
+        ended = self.holdings.expire_leases(now_s)
+        self.borrower.require_sync(ended)
+        self.lending.pass_time(now_s, self.homes.others)
+        self._return_own()
+        if self.lending.is_contended():
+            self._want_own(queued)
+            self._lend()
+        elif queued or not self.homes.others:
+            for target in self.lending.capacity:
+                self._take_own(target, self.lending.count_free(target), now_s)
+
+    def settle_slots(
+        self, queued: int, weight: float, now_s: float
+    ) -> Iterator[fx.SendToSibling]:
+        """Yield the messages that follow from the event that was handled."""
+        if not self.homes.others:
+            return
+        self._return_own()
+        self._want_own(queued)
+        self._lend()
+        yield from self.borrower.ask_slots(queued, now_s)
+        if now_s >= self._next_upkeep_s:
+            self._next_upkeep_s = now_s + UPKEEP_PERIOD_S
+            self.borrower.return_idle(now_s)
+            yield from self.borrower.adjust_demands(queued, weight, now_s)
+        yield from self.borrower.flush_returns()
+        yield from self.lending.collect_grants()
+
+    def count_reserved(self, now_s: float) -> dict[str, int]:
+        """Return the slots lent to processes that are lost, for the dump."""
+        return self.lending.count_reserved(now_s, self.homes.others)
+
+    def _take_own(self, target: str, count: int, now_s: float) -> None:
+        if count > 0:
+            self.lending.lend_to_owner(target, count)
+            self.holdings.add_slots(target, count, now_s)
+
+    def _return_own(self) -> None:
+        for target in self.lending.capacity:
+            count = self.holdings.count_idle(target)
+            if count:
+                self.holdings.remove_idle(target, count)
+                self.lending.lend_to_owner(target, -count)
+
+    def _want_own(self, queued: int) -> None:
+        self.lending.local.wanted = self.lending.local.total + queued
+
+    def _lend(self) -> None:
+        self.lending.lend_slots()
+        for target, count in self.lending.local_grants.items():
+            self.holdings.add_slots(target, count, 0.0)
+        self.lending.local_grants.clear()
--- a/gentianhub/decisions/slots.py
+++ b/gentianhub/decisions/slots.py
@@ -1,23 +1,83 @@
-"""Slots that this process may use now."""
+"""Slots that this process may use now: the borrower's side of their leases."""
+
+import math
+from collections import Counter
 
 from attrs import define, field
 
+from gentianhub.core import Incarnation
+
 
 @define(kw_only=True, eq=False)
 class SlotHoldings:
-    """Slots held per target, and how many of them are in use."""
+    """Slots held per target, how many are in use, and until when.
+
+    Lease ends are in seconds on this process's monotonic clock. After a lease
+    has ended, `held` counts only the slots whose tasks still run.
+    """
 
     held: dict[str, int] = field(init=False, factory=dict)
     in_use: dict[str, int] = field(init=False, factory=dict)
+    lease_ends: dict[str, float] = field(init=False, factory=dict)
+    idle_since: dict[str, float] = field(init=False, factory=dict)
+    homes: dict[str, Incarnation] = field(init=False, factory=dict)
+    held_at: Counter[Incarnation] = field(init=False, factory=Counter)
+    _expired: set[str] = field(init=False, factory=set)
 
     def set_held(self, target: str, count: int) -> None:
-        """Hold `count` slots of a target."""
-        self.held[target] = count
+        """Hold `count` slots of a target without an end."""
+        self._change_held(target, count - self.held.get(target, 0))
+        self.renew_lease(target, math.inf)
+
+    def add_slots(self, target: str, count: int, now_s: float) -> None:
+        """Hold `count` more slots of a target."""
+        if not self.count_idle(target):
+            self.idle_since[target] = now_s
+        self._change_held(target, count)
+
+    def remove_idle(self, target: str, count: int) -> None:
+        """Give up `count` idle slots of a target."""
+        assert count <= self.count_idle(target), f"{count} slots of {target} not idle"
+        self._change_held(target, -count)
+
+    def renew_lease(self, target: str, end_s: float) -> None:
+        """Let the lease of a target's slots run until `end_s`."""
+        self.lease_ends[target] = end_s
+        self._expired.discard(target)
+
+    def assign_home(self, target: str, home: Incarnation) -> None:
+        """Account the slots of a target to another home."""
+        count = self.held.get(target, 0)
+        if target in self.homes:
+            self.held_at[self.homes[target]] -= count
+        self.homes[target] = home
+        self.held_at[home] += count
+        self.held.setdefault(target, 0)
         self.in_use.setdefault(target, 0)
 
     def drop_target(self, target: str) -> None:
         """Hold no slot of a target; tasks that run there may end."""
-        self.held.pop(target, None)
+        count = self.held.pop(target, 0)
+        home = self.homes.pop(target, None)
+        if home is not None:
+            self.held_at[home] -= count
+        self.lease_ends.pop(target, None)
+        self.idle_since.pop(target, None)
+        self._expired.discard(target)
+        if not self.in_use.get(target):
+            self.in_use.pop(target, None)
+
+    def expire_leases(self, now_s: float) -> frozenset[Incarnation]:
+        """Give up the idle slots of ended leases; return the homes concerned."""
+        ended = [
+            target
+            for target, end_s in self.lease_ends.items()
+            if end_s <= now_s and target not in self._expired and self.held[target]
+        ]
+        for target in ended:
+            self._change_held(target, self.in_use[target] - self.held[target])
+            self._expired.add(target)
+        return frozenset(self.homes[target] for target in ended if target in self.homes)
 
     def count_idle(self, target: str) -> int:
         """Return the slots of a target that may start a task now."""
@@ -26,11 +86,22 @@
     def occupy(self, target: str) -> None:
         """Use one idle slot."""
         assert self.count_idle(target) > 0, f"no idle slot of {target}"
+        assert target not in self._expired, f"the lease of {target} has ended"
         self.in_use[target] += 1
 
-    def release(self, target: str) -> None:
-        """Return one slot in use."""
+    def release(self, target: str, now_s: float = 0.0) -> None:
+        """Return one slot in use; under an ended lease it is no longer held."""
         assert self.in_use.get(target, 0) > 0, f"no slot of {target} in use"
         self.in_use[target] -= 1
-        if not self.in_use[target] and target not in self.held:
+        if target in self._expired:
+            self._change_held(target, -1)
+        elif target in self.held:
+            self.idle_since[target] = now_s
+        elif not self.in_use[target]:
             del self.in_use[target]
+
+    def _change_held(self, target: str, change: int) -> None:
+        self.held[target] = self.held.get(target, 0) + change
+        self.in_use.setdefault(target, 0)
+        if target in self.homes:
+            self.held_at[self.homes[target]] += change
