--- a/gentianhub/decisions/borrowing.py
+++ b/gentianhub/decisions/borrowing.py
@@ -25,6 +25,8 @@
 # An idle slot is often used again by the next job; it is returned after this time.
 IDLE_PERIOD_S = 0.1
 SPARE_SLOTS = 2
+# Demands that wait follow the queue at this period, as each change is a message.
+ADJUST_PERIOD_S = 0.25
 
 
 @define(kw_only=True, eq=False)
@@ -177,7 +179,8 @@
                 yield from self._sync(each, wanted, weight, now_s)
             elif self._count_missing(each) and self._is_overdue(each, now_s):
                 change = abs(wanted - each.wanted)
-                if change > each.wanted // 4:
+                is_due = each.asked_s + ADJUST_PERIOD_S <= now_s
+                if is_due and change > each.wanted // 4:
                     yield self._demand(each, wanted, now_s, weight)
 
     def _count_idle(self, home: Incarnation) -> int:
--- a/gentianhub/decisions/lending.py
+++ b/gentianhub/decisions/lending.py
@@ -6,6 +6,7 @@
 and returns its slots as their tasks end.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 
@@ -169,15 +170,23 @@
             if not account.is_waiting:
                 waiting.remove(account)
 
-    def collect_grants(self) -> Iterator[fx.SendToSibling]:
-        """Yield the replies to demands, new grants and changes of contention."""
-        self._mark_contended()
+    def collect_grants(self, with_flags: bool) -> Iterator[fx.SendToSibling]:
+        """Yield replies and new grants, and `with_flags` changes of contention.
+
+        Contention often ends within milliseconds, so that a message for each
+        change costs more than the tasks themselves.
+        """
+        level = self._find_waiting_level()
         for account in self.accounts.values():
             if account is self.local or account.number is None:
                 continue
+            is_contended = _is_over_share(account, level)
             targets = sorted(account.unsent)
-            if not targets and account.is_reply_due:
+            is_changed = is_contended != account.is_contended and account.total > 0
+            if not targets and (account.is_reply_due or with_flags and is_changed):
                 targets = [NO_TARGET]
+            if targets:
+                account.is_contended = is_contended
             for target in targets:
                 yield self._build_grant(account, target)
             account.unsent.clear()
@@ -234,16 +243,9 @@
             account.granted[target] += 1
             account.unsent.add(target)
 
-    def _mark_contended(self) -> None:
-        waiting = [each for each in self.accounts.values() if each.is_waiting]
-        level = min((each.find_level(1) for each in waiting), default=None)
-        for account in self.accounts.values():
-            is_contended = level is not None and (
-                account.find_level(-1) >= level or account.total > account.wanted
-            )
-            if is_contended != account.is_contended:
-                account.is_contended = is_contended
-                account.is_reply_due |= account.total > 0
+    def _find_waiting_level(self) -> float:
+        waiting = (each for each in self.accounts.values() if each.is_waiting)
+        return min((each.find_level(1) for each in waiting), default=math.inf)
 
     def _build_grant(self, account: Account, target: str) -> fx.SendToSibling:
         grant = ev.SlotGrant(
@@ -255,3 +257,10 @@
             contended=account.is_contended,
         )
         return fx.SendToSibling(to=account.borrower, message=grant)
+
+
+def _is_over_share(account: Account, level: float) -> bool:
+    """Whether a borrower's slot should go to one that waits at `level`."""
+    if level == math.inf:
+        return False
+    return account.find_level(-1) >= level or account.total > account.wanted
--- a/gentianhub/decisions/sharing.py
+++ b/gentianhub/decisions/sharing.py
@@ -20,6 +20,7 @@
 from gentianhub.decisions.slots import SlotHoldings
 
 UPKEEP_PERIOD_S = 0.05
+FLAG_PERIOD_S = 0.25
 
 
 @define(kw_only=True, eq=False)
@@ -36,6 +37,7 @@
     borrower: Borrower = field(init=False)
     _capacities: dict[str, int] = field(init=False, factory=dict)
     _next_upkeep_s: float = field(init=False, default=-math.inf)
+    _next_flags_s: float = field(init=False, default=-math.inf)
 
     def __attrs_post_init__(self):
         self.homes = Homes(owner=self.owner)
@@ -146,12 +148,15 @@
         self._want_own(queued)
         self._lend()
         yield from self.borrower.ask_slots(queued, now_s)
+        with_flags = now_s >= self._next_flags_s
+        if with_flags:
+            self._next_flags_s = now_s + FLAG_PERIOD_S
         if now_s >= self._next_upkeep_s:
             self._next_upkeep_s = now_s + UPKEEP_PERIOD_S
             self.borrower.return_idle(now_s)
             yield from self.borrower.adjust_demands(queued, weight, now_s)
         yield from self.borrower.flush_returns()
-        yield from self.lending.collect_grants()
+        yield from self.lending.collect_grants(with_flags)
 
     def count_reserved(self, now_s: float) -> dict[str, int]:
         """Return the slots lent to processes that are lost, for the dump."""
