--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -22,6 +22,8 @@
 TICK_S = 0.05
 SLOTS = 8
 DURATION_S = 30.0
+FAULT_AT_S = 15.0
+FAULTY = 7
 WARM_UP_S = 5.0
 LOAD = 0.7
 PROCESSES = tuple(
@@ -67,6 +69,8 @@
     now_s: float = 0.0
     messages: int = 0
     ended: int = 0
+    starts: int = 0
+    over_committed: int = 0
     queues: list[deque] = field(factory=lambda: [deque() for _ in PROCESSES])
     running: Counter = field(factory=Counter)
     waiting: dict = field(factory=lambda: {name: deque() for name in SPEEDS})
@@ -81,9 +85,11 @@
     def send_task(self, target: str, task, on_end) -> None:
         """Run a task on a target, which queues what exceeds its slots."""
         if self.running[target] >= SLOTS:
+            self.over_committed += 1
             self.waiting[target].append((task, on_end))
             return
         self.running[target] += 1
+        self.starts += 1
         self.schedule(task[1] / SPEEDS[target], self._end_task, target, task, on_end)
 
     def _end_task(self, target: str, task, on_end) -> None:
@@ -192,9 +198,16 @@
 
 @define(kw_only=True, eq=False)
 class LentSlots:
-    """(d) The product's `SlotSharing`; process 1 may stop or pause at 15 s."""
+    """(d) The product's `SlotSharing`.
+
+    From 15 s on, process 7 handles nothing for `silence_s`. The others learn it
+    1 s later, and 1 s after its return.
+    """
 
     run: Run
+    silence_s: float = 0.0
+    silent: set[int] = field(factory=set)
+    held_back: list = field(factory=list)
     nodes: list[SlotSharing] = field(init=False)
 
     def __attrs_post_init__(self):
@@ -202,6 +215,24 @@
         for node in self.nodes:
             node.take_message(ev.HomesChanged(processes=PROCESSES), 0.0)
             node.set_targets(dict.fromkeys(SPEEDS, SLOTS), 0.0)
+        if self.silence_s:
+            end_s = FAULT_AT_S + self.silence_s
+            self.run.schedule(FAULT_AT_S, self.silent.add, FAULTY)
+            self.run.schedule(FAULT_AT_S + 1, self._change_homes, PROCESSES[:FAULTY])
+            self.run.schedule(end_s, self._resume)
+            self.run.schedule(end_s + 1, self._change_homes, PROCESSES)
+
+    def _resume(self) -> None:
+        self.silent.clear()
+        calls, self.held_back = self.held_back, []
+        for call, *arguments in calls:
+            call(*arguments)
+
+    def _change_homes(self, processes) -> None:
+        for process in range(len(processes)):
+            event = ev.HomesChanged(processes=processes)
+            self.nodes[process].take_message(event, self.run.now_s)
+            self.start(process)
 
     def tick(self) -> None:
         """Let time pass at every process."""
@@ -211,6 +242,8 @@
 
     def start(self, process: int) -> None:
         """Handle one event at a process."""
+        if process in self.silent:
+            return
         node, queue = self.nodes[process], self.run.queues[process]
         now_s = self.run.now_s
         node.open_slots(len(queue), now_s)
@@ -227,11 +260,17 @@
 
     def _deliver(self, effect) -> None:
         process = PROCESSES.index(effect.to)
+        if process in self.silent:
+            self.held_back.append((self._deliver, effect))
+            return
         self.nodes[process].take_message(effect.message, self.run.now_s)
         self.start(process)
 
     def _build_end(self, process: int):
         def end(target, task):
+            if process in self.silent:
+                self.held_back.append((end, target, task))
+                return
             self.nodes[process].release_slot(target, self.run.now_s)
             self.run.finish_task(task)
             self.start(process)
@@ -244,14 +283,21 @@
     "b static parts": lambda run: OwnView(run=run, limit=SLOTS // len(PROCESSES)),
     "c hand over": lambda run: HandOver(run=run),
     "d lent slots": lambda run: LentSlots(run=run),
+    "d paused 5 s": lambda run: LentSlots(run=run, silence_s=5.0),
+    "d lost": lambda run: LentSlots(run=run, silence_s=100.0),
 }
 
 
 def measure(name: str, hot_share: float, seed: int) -> str:
-    """Return one line of the report."""
+    """Return one line of the report; jobs of the faulty process are left out."""
     run = Run(jobs=build_jobs(seed, hot_share))
     run.simulate(WAYS[name](run))
-    counted = [job for job in run.jobs if job.arrival_s > WARM_UP_S]
+    is_faulty = name not in list(WAYS)[:4]
+    counted = [
+        job
+        for job in run.jobs
+        if job.arrival_s > WARM_UP_S and not (is_faulty and job.process == FAULTY)
+    ]
     ratios = sorted(
         (job.ended_s - job.arrival_s) / max(job.runs_s)
         for job in counted
@@ -262,7 +308,8 @@
     open_jobs = sum(job.left > 0 for job in counted)
     return (
         f"{name:15} hot {hot_share:.1f}  p50 {p50:6.2f}  p99 {p99:6.2f}"
-        f"  messages/task {per_task:.2f}  open {open_jobs}"
+        f"  messages/task {per_task:.2f}"
+        f"  over capacity {run.over_committed / run.starts:.1%}  open {open_jobs}"
     )
 
 
--- a/gentianhub/core/events.py
+++ b/gentianhub/core/events.py
@@ -126,7 +126,10 @@
 
 @frozen(kw_only=True)
 class SlotGrant:
-    """A home lends `count` slots of a target.
+    """A home lends slots of a target.
+
+    `count` is the slots of the target lent in answer to one demand so far, so that
+    a repeated grant adds nothing. With an empty `target` it lends none.
 
     The lease runs `lease_s` seconds from the moment the borrower sent the demand
     with number `demand_number`, on the borrower's monotonic clock.
