Test that void grants add no slots and lost borrowers are reclaimed

Cause: the stateful test repeats grants but does not compare a borrower's slots with those before. Change: direct tests of repeated, late and outdated grants and of the reservation for a lost borrower.

--- a/gentianhub/decisions/tests/test_sharing.py
+++ b/gentianhub/decisions/tests/test_sharing.py
@@ -173,3 +173,56 @@
         shares = Counter(process for process, _ in network.running)
         self.assertEqual(sorted(shares), PROCESSES[:2])
         self.assertLessEqual(abs(shares[PROCESSES[0]] - 10), 2)
+
+
+class GrantTest(unittest.TestCase):
+    """Guards against slots from void grants."""
+
+    def setUp(self):
+        self.network = Network()
+        self.network.pass_time(0.2)
+        self.borrower = PROCESSES[0]
+        self.node = self.network.nodes[self.borrower]
+        self.network.queued[self.borrower] = 100
+        self.network.handle(self.borrower)
+        self.network.deliver()
+        self.grants = [
+            effect.message
+            for _, effect in self.network.messages
+            if isinstance(effect.message, ev.SlotGrant) and effect.message.count
+        ]
+        self.assertTrue(self.grants)
+        self.held = dict(self.node.holdings.held)
+
+    def take_grants(self, delay_s):
+        for grant in self.grants:
+            self.node.take_message(grant, self.network.now_s + delay_s)
+
+    def test_repeated_grant_adds_nothing(self):
+        self.take_grants(0.0)
+        held = dict(self.node.holdings.held)
+        self.assertNotEqual(held, self.held)
+        self.take_grants(0.0)
+        self.assertEqual(held, self.node.holdings.held)
+
+    def test_grant_after_its_lease_is_ignored(self):
+        self.take_grants(LEASE_S)
+        self.assertEqual(self.held, self.node.holdings.held)
+
+    def test_grant_for_a_demand_before_the_report_is_ignored(self):
+        self.node.borrower.require_sync(PROCESSES)
+        self.network.now_s += 0.05
+        self.network.handle(self.borrower)
+        self.take_grants(0.0)
+        self.assertEqual(self.held, self.node.holdings.held)
+
+    def test_lost_borrower_is_reserved_for_the_lease_and_then_reclaimed(self):
+        lenders = [self.network.nodes[each].lending for each in PROCESSES[1:]]
+        lent = sum(sum(each.count_lent().values()) for each in lenders)
+        self.assertGreater(lent, 0)
+        self.network.paused.add(self.borrower)
+        self.network.pass_time(1.5)
+        reserved = [self.network.nodes[each].count_reserved(1.7) for each in PROCESSES]
+        self.assertEqual(sum(sum(each.values()) for each in reserved), lent)
+        self.network.pass_time(1.0)
+        self.assertEqual(sum(sum(each.count_lent().values()) for each in lenders), 0)
