--- a/gentianhub/decisions/sharing.py
+++ b/gentianhub/decisions/sharing.py
@@ -108,7 +108,7 @@
         self.holdings.renew_lease(target, math.inf)
 
     def _update_borrower(self) -> None:
-        capacities = Counter({home: 0 for home in self.homes.others})
+        capacities = Counter(dict.fromkeys(sorted(self.homes.others), 0))
         for target, slots in self._capacities.items():
             capacities[self.holdings.homes[target]] += slots
         del capacities[self.owner]
