End every job at shutdown, and stop the process when a core task dies

Cause: a drain whose time was over left jobs without an answer, and waiting for it polled. A broken assertion killed the dispatcher's greenlet and left a process that accepted connections and answered nothing. Resubmissions that found the mailbox full were refused as not run although an earlier one may have run. A lone surrogate in a task's body raised instead of giving 400. Test ports came from the range of outgoing connections, which made a run fail with address in use. Ruled out: restarting the dispatcher in place (after a broken assertion its state cannot be trusted; the service manager starts a new incarnation).

--- a/gentianhub/callers/requests.py
+++ b/gentianhub/callers/requests.py
@@ -119,7 +119,14 @@
     body = content.get("body", "")
     if not isinstance(body, str):
         raise _Malformed(field=f"{path}.body", reason="not text", expected="a string")
-    return body.encode()
+    try:
+        return body.encode()
+    except UnicodeEncodeError:
+        raise _Malformed(
+            field=f"{path}.body",
+            reason="a lone surrogate",
+            expected="text that can be written as UTF-8",
+        ) from None
 
 
 def _load_object(body: bytes) -> dict:
--- a/gentianhub/callers/tests/test_bad_input.py
+++ b/gentianhub/callers/tests/test_bad_input.py
@@ -67,6 +67,7 @@
                 **JOB,
                 "tasks": [{"kind": "check", "body_base64": "*"}],
             },
+            "tasks[0].body": {**JOB, "tasks": [{**TASK, "body": "\ud800"}]},
             "idempotent": {**JOB, "idempotent": "no"},
             "sevrice": {**JOB, "sevrice": "orders"},
         }
--- a/gentianhub/cli/demo.py
+++ b/gentianhub/cli/demo.py
@@ -115,6 +115,8 @@
     peak = sum(tally.peak_told.values())
     share = tally.peak_told["complete"] / peak if peak else 0.0
     print(f"\nat the peak: {share:.1%} of {peak} jobs complete")
+    jobs = sum(tally.told.values())
+    print(f"complete within their deadline: {tally.in_time} of {jobs} jobs")
     sent = sum(starts.values()) + refused
     print(f"messages sent to targets: {sent}, refused as full: {refused / sent:.2%}")
     doubles = sum(1 for count in starts.values() if count > 1)
--- a/gentianhub/core/events.py
+++ b/gentianhub/core/events.py
@@ -93,7 +93,19 @@
 
 @frozen(kw_only=True)
 class DrainBegun:
-    """Accept no new job; let accepted ones end."""
+    """Accept no new job; reply with `Drained` once every accepted one has ended."""
+
+    reply_to: Any
+
+
+@frozen(kw_only=True)
+class DrainExpired:
+    """End what is left: unsent tasks as not run, tasks in flight as unknown."""
+
+
+@frozen(kw_only=True)
+class Drained:
+    """Reply: every accepted job has its answer."""
 
 
 @frozen(kw_only=True)
@@ -174,6 +186,7 @@
     | TableAdopted
     | Tick
     | DrainBegun
+    | DrainExpired
     | DescribeState
     | HomesChanged
     | SlotMessage
--- a/gentianhub/core/operations.py
+++ b/gentianhub/core/operations.py
@@ -55,20 +55,27 @@
         case IssueOperation(count=count):
             return _ask(dispatcher, lambda to: ev.IssueIds(count=count, reply_to=to))
         case SubmitOperation(request=request, job_id=job_id):
+            # An earlier submission under the same id may have run.
+            run = RunState.NOT_RUN if job_id is None else RunState.UNKNOWN
             return _ask(
                 dispatcher,
                 lambda to: ev.SubmitJob(request=request, job_id=job_id, reply_to=to),
+                run,
             )
         case CancelOperation(job_id=job_id):
-            return _ask(dispatcher, lambda to: ev.CancelJob(job_id=job_id, reply_to=to))
+            return _ask(
+                dispatcher,
+                lambda to: ev.CancelJob(job_id=job_id, reply_to=to),
+                RunState.UNKNOWN,
+            )
         case WatchOperation():
             return _watch(dispatcher, operation)
 
 
-def _ask(dispatcher: Mailbox, build_event: Callable):
+def _ask(dispatcher: Mailbox, build_event: Callable, run: RunState = RunState.NOT_RUN):
     replies = Mailbox(limit=1)
     if not dispatcher.offer(build_event(replies)):
-        return _refuse_overload()
+        return _refuse_overload(run)
     return replies.take()
 
 
@@ -78,7 +85,7 @@
         job_id=operation.job_id, reply_to=replies, until_answer=operation.wait_s > 0
     )
     if not dispatcher.offer(watch):
-        return _refuse_overload(run=RunState.UNKNOWN)
+        return _refuse_overload(RunState.UNKNOWN)
     reply = replies.take(timeout_s=operation.wait_s or None)
     if not isinstance(reply, Silence):
         return reply
@@ -86,7 +93,7 @@
     return replies.take()
 
 
-def _refuse_overload(run: RunState = RunState.NOT_RUN) -> Refusal:
+def _refuse_overload(run: RunState) -> Refusal:
     return Refusal(
         kind=RefusalKind.UNAVAILABLE,
         step=Step.ADMIT_JOB,
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections.abc import Iterator
+from typing import Any
 
 from attrs import Factory, define, evolve, field, frozen
 
@@ -77,6 +78,7 @@
     ledger: Ledger = field(init=False)
     sharing: SlotSharing = field(init=False)
     is_draining: bool = field(init=False, default=False)
+    _drain_watcher: Any = field(init=False, default=None)
     _delayed: list[tuple[float, int, QueuedTask]] = field(init=False, factory=list)
     _delayed_count: int = field(init=False, default=0)
     _deadlines: list[tuple[float, int]] = field(init=False, factory=list)
@@ -113,8 +115,11 @@
                 self._leave_targets(targets, now_s)
             case ev.TableAdopted(table=table):
                 self._adopt_table(table, now_s)
-            case ev.DrainBegun():
+            case ev.DrainBegun(reply_to=to):
                 self.is_draining = True
+                self._drain_watcher = to
+            case ev.DrainExpired():
+                yield from self._end_open_jobs(now_s)
             case ev.DescribeState(reply_to=to):
                 yield fx.Reply(to=to, message=self.describe_state(now_s))
             case ev.HomesChanged(processes=processes):
@@ -126,6 +131,23 @@
         self._open_slots(now_s)
         yield from self._start_tasks(now_s)
         yield from self.sharing.settle_slots(len(self.order), 1.0, now_s)
+        yield from self._report_drained()
+
+    def _report_drained(self) -> Iterator[fx.Effect]:
+        if self._drain_watcher is not None and not self.ledger.count_open():
+            yield fx.Reply(to=self._drain_watcher, message=ev.Drained())
+            self._drain_watcher = None
+
+    def _end_open_jobs(self, now_s: float) -> Iterator[fx.Effect]:
+        lost = Unknown(
+            step=Step.DRAIN,
+            peer=str(self.owner),
+            reason="the entry process shut down before the target replied",
+        )
+        for record in self.ledger.find_open_jobs():
+            record.is_failing = True
+            yield from self._stop_job(record, "the entry process shut down", now_s)
+            yield from self._announce(self.ledger.end_sent_tasks(record, lost, now_s))
 
     def _submit_job(self, event: ev.SubmitJob, now_s: float) -> Iterator[fx.Effect]:
         refusal = self._refuse_job(event, now_s)
@@ -205,6 +227,9 @@
             self.sharing.drop_target(event.target)
         record = self.ledger.records[event.task_id.job_id.sequence]
         self._note_end(record, event, now_s)
+        if record.states[event.task_id.index] is TaskState.ENDED:
+            # The drain ended the task as unknown before its reply came.
+            return
         match event.outcome:
             case NotRun() if not record.is_failing:
                 yield from self._retry_task(record, event, refused_by, now_s)
@@ -369,19 +394,13 @@
             if self.holdings.count_idle(name):
                 self.targets.add_idle(name)
 
-    def find_open_jobs(self) -> Iterator[JobId]:
-        """Yield the jobs without an answer."""
-        for record in self.ledger.records.values():
-            if record.answer is None:
-                yield record.job.id
-
     def describe_state(self, now_s: float) -> StateDescription:
         """Return a view of the state for the dump."""
         return StateDescription(
             owner=str(self.owner),
             table_version=self.table.version,
             is_draining=self.is_draining,
-            open_jobs=sum(1 for _ in self.find_open_jobs()),
+            open_jobs=self.ledger.count_open(),
             kept_jobs=len(self.ledger.records),
             queued_tasks=len(self.order) + len(self._delayed),
             slots_held=dict(self.holdings.held),
--- a/gentianhub/decisions/ledger.py
+++ b/gentianhub/decisions/ledger.py
@@ -29,6 +29,7 @@
     Step,
     TaskId,
     TaskOutcome,
+    Unknown,
 )
 
 ID_LIFETIME_S = 300.0
@@ -206,6 +207,25 @@
                 task_id = TaskId(job_id=record.job.id, index=index)
                 yield from self.end_task(task_id, outcome, now_s)
 
+    def end_sent_tasks(
+        self, record: JobRecord, outcome: Unknown, now_s: float
+    ) -> Iterator[JobRecord]:
+        """End every task that is in flight; its reply will not be waited for."""
+        for index, state in enumerate(record.states):
+            if state is TaskState.SENT:
+                task_id = TaskId(job_id=record.job.id, index=index)
+                yield from self.end_task(task_id, outcome, now_s)
+
+    def find_open_jobs(self) -> Iterator[JobRecord]:
+        """Yield the jobs without an answer."""
+        for record in tuple(self.records.values()):
+            if record.answer is None:
+                yield record
+
+    def count_open(self) -> int:
+        """Return the number of jobs without an answer."""
+        return len(self.records) - len(self._ended)
+
     def _end_job(self, record: JobRecord, now_s: float) -> JobRecord:
         record.answer = build_answer(tuple(record.outcomes))
         record.ended_s = now_s
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -9,7 +9,7 @@
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
 from gentianhub.decisions import Dispatcher
-from gentianhub.entry.messages import CountOpenJobs, RenderMetrics
+from gentianhub.entry.messages import RenderMetrics
 from gentianhub.observability import Metrics
 from gentianhub.platform.journal import RecordAnswer
 from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
@@ -51,8 +51,6 @@
                 self.pool.forget_connection(connection)
             case RenderMetrics(reply_to=to):
                 to.offer(self.metrics.render_text())
-            case CountOpenJobs(reply_to=to):
-                to.offer(sum(1 for _ in self.decisions.find_open_jobs()))
             case ev.TargetsSeen(targets=targets):
                 self.pool.set_targets(targets)
                 self._handle_event(message)
--- a/gentianhub/entry/messages.py
+++ b/gentianhub/entry/messages.py
@@ -10,10 +10,3 @@
     """Reply with the metrics in the Prometheus text format."""
 
     reply_to: Mailbox
-
-
-@frozen(kw_only=True)
-class CountOpenJobs:
-    """Reply with the number of jobs without an answer."""
-
-    reply_to: Mailbox
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -12,18 +12,18 @@
 from gentianhub.callers import CallerPort, serve_callers
 from gentianhub.core import (
     Incarnation,
-    JobAnswer,
     JobComplete,
     JobFailed,
-    JobId,
     JobRequest,
     Mailbox,
     ProcessName,
     Refusal,
+    RefusalKind,
+    Silence,
     draw_incarnation,
     spawn_task,
 )
-from gentianhub.core.events import DrainBegun
+from gentianhub.core.events import DrainBegun, Drained, DrainExpired
 from gentianhub.core.operations import (
     Operation,
     SubmitOperation,
@@ -32,7 +32,6 @@
 )
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.dispatcher import DispatcherTask, run_timer
-from gentianhub.entry.messages import CountOpenJobs
 from gentianhub.operators import OperatorPort, serve_operators
 from gentianhub.platform import PlatformWatcher, run_watcher
 from gentianhub.platform.claims import (
@@ -51,7 +50,7 @@
 from gentianhub.settings import HostSettings, ProcessSettings
 from gentianhub.siblings import find_owner, forward_operation, open_siblings
 
-DRAIN_CHECK_S = 0.1
+EXIT_CRASHED = 70
 # The load balancer must see the failing health check before the port closes.
 BALANCER_NOTICE_S = 0.5
 
@@ -68,6 +67,7 @@
     mailbox: Mailbox = field(init=False)
     siblings: Mailbox = field(init=False)
     _drain: Event = field(init=False, factory=Event)
+    _has_crashed: bool = field(init=False, default=False)
     _claims: ClaimTask = field(init=False, factory=lambda: ClaimTask())
     _lookups: LookupTask = field(init=False, factory=lambda: LookupTask())
     _journal: JournalTask = field(init=False)
@@ -86,16 +86,22 @@
                 return self._submit_keyed(key, request)
         owner = find_owner(operation)
         if owner is not None and owner != self.incarnation:
-            return forward_operation(self.siblings, owner, operation)
+            reply = forward_operation(self.siblings, owner, operation)
+            return self._look_up_answer(operation, reply)
         reply = perform_operation(self.mailbox, operation)
         match operation, reply:
             case WatchOperation(job_id=job_id), JobComplete() | JobFailed():
                 self._journal.mailbox.offer(AnswerCollected(job_id=job_id))
         return reply
 
-    def find_answer(self, job_id: JobId) -> JobAnswer | Refusal:
-        """Return a lost owner's answer from the journal; else it is unknown."""
-        return find_answer(self._lookups.mailbox, job_id)
+    def _look_up_answer(self, operation: Operation, reply):
+        """Return a lost owner's answer from the journal if it was written there."""
+        match operation, reply:
+            case WatchOperation(job_id=job_id), Refusal(kind=RefusalKind.GONE):
+                found = find_answer(self._lookups.mailbox, job_id)
+                return reply if isinstance(found, Refusal) else found
+            case _:
+                return reply
 
     def _submit_keyed(self, key: str, request: JobRequest):
         if self._drain.is_set():
@@ -115,6 +121,8 @@
         with self._run_tasks(), self._serve_ports():
             logger.info("serving", extra={"incarnation": str(self.incarnation)})
             self._drain.wait()
+            if self._has_crashed:
+                raise SystemExit(EXIT_CRASHED)
             self._finish_jobs()
 
     @contextmanager
@@ -139,6 +147,8 @@
             spawn_task(run_journal, self._journal, *platform),
             spawn_task(run_lookups, self._lookups, *platform),
         ]
+        for task in tasks:
+            task.link_exception(self._report_crash)
         siblings = open_siblings(
             own=self.incarnation,
             address=self.process.siblings,
@@ -174,21 +184,21 @@
 
     def _finish_jobs(self) -> None:
         logger.info("draining")
-        self.mailbox.put(DrainBegun())
+        replies = Mailbox(limit=1)
+        self.mailbox.put(DrainBegun(reply_to=replies))
         gevent.sleep(BALANCER_NOTICE_S)
-        with gevent.Timeout(self.host.limits.drain_s, False):
-            while self._count_open_jobs():
-                gevent.sleep(DRAIN_CHECK_S)
+        match replies.take(timeout_s=self.host.limits.drain_s):
+            case Silence(waited_s=waited_s):
+                logger.warning("jobs left after %s s are ended", waited_s)
+                self.mailbox.put(DrainExpired())
+                replies.take()
+            case Drained():
+                logger.info("every job has ended")
         unwritten = flush_journal(self._journal.mailbox)
-        logger.info(
-            "stopped",
-            extra={
-                "open_jobs": self._count_open_jobs(),
-                "unwritten_answers": unwritten,
-            },
-        )
+        logger.info("stopped", extra={"unwritten_answers": unwritten})
 
-    def _count_open_jobs(self) -> int:
-        replies = Mailbox(limit=1)
-        self.mailbox.put(CountOpenJobs(reply_to=replies))
-        return replies.take()
+    def _report_crash(self, task: gevent.Greenlet) -> None:
+        """Stop at once: after a broken assertion no state can be trusted."""
+        logger.critical("%s ended: %r", task.name, task.exception)
+        self._has_crashed = True
+        self._drain.set()
--- a/gentianhub/stand_ins/load.py
+++ b/gentianhub/stand_ins/load.py
@@ -73,12 +73,14 @@
     told: Counter = field(factory=Counter)
     peak_told: Counter = field(factory=Counter)
     tasks: int = 0
+    in_time: int = 0
     ratios: dict[str, HdrHistogram] = field(factory=dict)
 
     def count_answer(self, job: PlannedJob, answer, response_s: float) -> None:
         """Count one job's answer."""
         name = name_answer(answer)
         self.told[(job.service, name)] += 1
+        self.in_time += name == "complete" and response_s <= job.deadline_s
         if job.is_peak:
             self.peak_told[name] += 1
         if isinstance(answer, JobComplete):
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import random
 import signal
 import sys
 import tempfile
@@ -23,6 +24,8 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 FIRST_POLL_S = 0.05
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 @frozen(kw_only=True)
@@ -84,12 +87,24 @@
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that are free now."""
+    """Return ports of the loopback address that are free now.
+
+    They lie below the range from which outgoing connections get theirs, since one
+    of those could take a port before its server does.
+    """
     with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind((LOOPBACK, 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        return [_bind_free_port(stack) for _ in range(count)]
+
+
+def _bind_free_port(stack: ExitStack) -> int:
+    while True:
+        port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
+        sock = stack.enter_context(socket.socket())
+        try:
+            sock.bind((LOOPBACK, port))
+        except OSError:
+            continue
+        return port
 
 
 @contextmanager
