Watch leaving targets in the fault run, and compute the capacity page from slopes

Cause: no run checked that a leaving target gets nothing new after 2 s, and the capacity page was to be worked out by a command. Change: the fault run counts messages to a leaving target from 2 s on, unless a fault could keep the news away; benchmarks/capacity.py builds docs/CAPACITY.md from the record of benchmarks/slopes.py, which now also measures the processor time of jobs and of sibling links.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -16,6 +16,8 @@
 import cattrs
 from attrs import frozen
 
+from benchmarks.heartbeats import measure_processes
+from benchmarks.overhead import TABLE_ROWS, measure_throughput
 from gentianhub.core import (
     Complete,
     Incarnation,
@@ -34,10 +36,18 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.decisions.versions import TableChange, apply_change
 from gentianhub.platform.rows import decode_change, decode_targets, encode_change
+from gentianhub.stand_ins.processes import (
+    EntryPlan,
+    TargetPlan,
+    start_deployment,
+    wait_until_serving,
+)
 
 RECORD = Path(__file__).resolve().parent.parent / "docs" / "capacity-slopes.json"
 OWNER = Incarnation(name=ProcessName(data_centre="olten", process="e1"), token="0" * 16)
 REPEATS = 5
+THROUGHPUT_S = 5.0
+HEARTBEATS_S = 10.0
 
 
 @frozen(kw_only=True)
@@ -244,8 +254,43 @@
     return fit_slope("memory of a target", "bytes", "targets", points)
 
 
+def measure_entry_cpu() -> Slope:
+    """Processor time of an entry process for a job, against its tasks."""
+    targets = [TargetPlan(name=f"t{number}", slots=64) for number in range(4)]
+    points = []
+    with start_deployment(
+        targets=targets, entries=[EntryPlan(name="e1")], table_rows=TABLE_ROWS
+    ) as deployment:
+        wait_until_serving(deployment)
+        entry = deployment.entries["e1"]
+        for job_tasks, callers in ((1, 32), (10, 16), (100, 4)):
+            found = measure_throughput(entry, job_tasks, callers, THROUGHPUT_S)
+            points.append((job_tasks, 1e6 * job_tasks / found.tasks_per_core_s))
+    return fit_slope("entry process: a job", "us", "tasks in the job", points)
+
+
+def measure_sibling_links() -> Iterator[Slope]:
+    """Processor time, bytes and memory of idle links, against the processes."""
+    shares, sizes, memory = [], [], []
+    for count in (3, 12, 24, 48):
+        rates = list(measure_processes(count, HEARTBEATS_S))
+        others = count - 1
+        cores = statistics.median(rate.core_share for rate in rates)
+        shares.append((others, cores * 1e6))
+        both_ways = (
+            rate.sent_bytes_per_s + rate.received_bytes_per_s for rate in rates
+        )
+        sizes.append((others, statistics.median(both_ways)))
+        memory.append((others, statistics.median(rate.memory_bytes for rate in rates)))
+    yield fit_slope("links: processor time", "us/s", "other processes", shares)
+    yield fit_slope("links: frames both ways", "bytes/s", "other processes", sizes)
+    yield fit_slope("links: memory of a process", "bytes", "other processes", memory)
+
+
 def measure_all() -> Iterator[Slope]:
     """Yield every slope."""
+    yield measure_entry_cpu()
+    yield from measure_sibling_links()
     yield measure_queued_tasks()
     yield measure_kept_answers()
     yield measure_target_state()
--- /dev/null
+++ b/benchmarks/tests/test_capacity.py
@@ -0,0 +1,12 @@
+"""The capacity page is what the recorded slopes give."""
+
+import unittest
+
+from benchmarks.capacity import PAGE, build_page
+
+
+class CapacityPageTest(unittest.TestCase):
+    """Guards against a page whose figures no record supports."""
+
+    def test_page_is_recomputed_from_the_record(self):
+        self.assertEqual(PAGE.read_text(), build_page())
--- a/gentianhub/fault_run/faults.py
+++ b/gentianhub/fault_run/faults.py
@@ -7,8 +7,9 @@
 import gevent
 from attrs import define, field
 
-from gentianhub.core import read_monotonic_s
+from gentianhub.core import read_monotonic_s, spawn_task
 from gentianhub.fault_run import plan as faults
+from gentianhub.fault_run.audit import Violation
 from gentianhub.fault_run.testbed import Testbed
 from gentianhub.stand_ins.sites import Reachable, Unreachable
 
@@ -17,6 +18,9 @@
 PLATFORM = "platform"
 # A cut link or a platform that was away is tried again within this time.
 SETTLING_S = 2.0
+# A target that is leaving gets nothing new this long after its first sign.
+LEAVING_LIMIT_S = 2.0
+LEAVING_WATCH_S = 2.0
 
 
 @define(kw_only=True, eq=False)
@@ -35,6 +39,8 @@
     testbed: Testbed
     counts: dict[str, int] = field(factory=dict)
     spells: list[FaultSpell] = field(factory=list)
+    violations: list[Violation] = field(factory=list)
+    leaving_checks: int = 0
     _busy: set[str] = field(factory=set)
 
     def run_fault(self, planned: faults.PlannedFault) -> None:
@@ -81,7 +87,9 @@
                     yield
             case faults.LeaveTarget(target=name):
                 with self._faulty_target(name, "is_leaving"):
+                    check = spawn_task(self._check_leaving, name)
                     yield
+                    check.join()
             case _:
                 with self._cut(fault):
                     yield
@@ -119,6 +127,27 @@
         yield
         child.call("target", "POST", "/faults", {switch: False})
 
+    def _check_leaving(self, name: str) -> None:
+        """Expect no message to a leaving target once its siblings may know."""
+        child = self.testbed.children[name]
+        begun_s = read_monotonic_s()
+        gevent.sleep(LEAVING_LIMIT_S)
+        before = child.call("target", "GET", "/starts")[1]["refused"]
+        gevent.sleep(LEAVING_WATCH_S)
+        after = child.call("target", "GET", "/starts")[1]["refused"]
+        near = [
+            plan.name
+            for plan in self.testbed.plan.entries
+            if plan.data_centre == child.data_centre
+        ]
+        is_excused = any(self.was_disturbed(entry, begun_s) for entry in near)
+        if after > before and not is_excused:
+            subject = f"{name} refused {after - before} messages"
+            self.violations.append(
+                Violation(promise="a leaving target gets no new work", subject=subject)
+            )
+        self.leaving_checks += not is_excused
+
     @contextmanager
     def _cut_off(self, data_centre: str) -> Iterator[None]:
         """Cut the links between a data centre and the others, and its platform."""
--- a/gentianhub/fault_run/run.py
+++ b/gentianhub/fault_run/run.py
@@ -51,6 +51,7 @@
     violations: list[Violation] = field(factory=list)
     faults: dict[str, int] = field(factory=dict)
     starts: int = 0
+    leaving_checks: int = 0
     in_force_p99_ms: float = 0.0
     in_force_max_ms: float = 0.0
 
@@ -97,7 +98,12 @@
     result.traces = [trace for caller, _ in callers for trace in caller.traces]
     starts = list(read_starts(testbed.locate_starts(target.name) for target in TARGETS))
     result.starts = len(starts)
-    result.violations = [*audit_run(result.traces, starts), *watch.violations]
+    result.violations = [
+        *audit_run(result.traces, starts),
+        *watch.violations,
+        *injector.violations,
+    ]
+    result.leaving_checks = injector.leaving_checks
     result.in_force_p99_ms = watch.in_force_ms.get_value_at_percentile(99)
     result.in_force_max_ms = watch.in_force_ms.get_max_value()
     return result
@@ -148,6 +154,7 @@
         "table in force where no fault was in the way:"
         f" p99 {result.in_force_p99_ms} ms, longest {result.in_force_max_ms} ms"
     )
+    print(f"leaving targets watched: {result.leaving_checks}")
     print(f"broken promises: {len(result.violations)}")
     for violation in result.violations[:MAX_PRINTED_VIOLATIONS]:
         print(f"  {violation.promise}: {violation.subject}")
