Generate the settings reference, and tell faults of settings files in full

The generator required a meaning for each key, and none was given, so the page did not exist. A file whose top value is a list or a number, and one that is not UTF-8, ended the command with a traceback; a wrong object was told as "'str' object has no attribute 'keys'".

Every field has its meaning; the page is generated and a test keeps it up to date. Objects and lists are checked before their content, with the keys that are expected. An infinite drain_s is refused, because a drain must end. A hook for each class was preferred over translating cattrs' messages, which have no value in them.

--- a/gentianhub/settings/loader.py
+++ b/gentianhub/settings/loader.py
@@ -1,10 +1,18 @@
 """Reading and checking of settings files: JSON with comments."""
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import get_args, get_origin
 
+import attrs
 import cattrs
 import pyjson5
-from cattrs.errors import ClassValidationError, ForbiddenExtraKeysError
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+from cattrs.gen import make_dict_structure_fn
 from cattrs.v import transform_error
 
 from gentianhub.core import SettingsError, Step
@@ -34,6 +42,31 @@
     return value
 
 
+@_converter.register_structure_hook_factory(attrs.has)
+def _build_object_hook(cls: type) -> Callable:
+    structure = make_dict_structure_fn(cls, _converter, _cattrs_forbid_extra_keys=True)
+    names = ", ".join(attribute.name for attribute in attrs.fields(cls))
+
+    def structure_object(value, kind):
+        if not isinstance(value, dict):
+            raise TypeError(f"{value!r} is not an object with the keys {names}")
+        return structure(value, kind)
+
+    return structure_object
+
+
+@_converter.register_structure_hook_factory(lambda kind: get_origin(kind) is tuple)
+def _build_list_hook(kind: type) -> Callable:
+    inner = get_args(kind)[0]
+
+    def structure_list(value, _):
+        if not isinstance(value, list):
+            raise TypeError(f"{value!r} is not a list of objects")
+        return tuple(_converter.structure(value, list[inner]))
+
+    return structure_list
+
+
 def load_settings(path: Path) -> HostSettings:
     """Return the checked settings in a file.
 
@@ -44,14 +77,18 @@
         fault.
     """
     try:
-        content = pyjson5.decode(path.read_text())
+        content = pyjson5.decode(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise _build_error(path, [str(error)]) from None
+    except UnicodeDecodeError as error:
+        raise _build_error(path, [f"not UTF-8: {error}"]) from None
     except pyjson5.Json5Exception as error:
         raise _build_error(path, [f"not JSON with comments: {error}"]) from None
     try:
         return _converter.structure(content, HostSettings)
-    except ClassValidationError as error:
+    except TypeError as error:
+        raise _build_error(path, [f"{error} @ $"]) from None
+    except (ClassValidationError, IterableValidationError) as error:
         raise _build_error(path, transform_error(error, "$", _describe)) from None
 
 
--- a/gentianhub/settings/model.py
+++ b/gentianhub/settings/model.py
@@ -1,5 +1,7 @@
 """Checked settings of the daemons; every field has its unit in its name."""
 
+import math
+
 from attrs import field, frozen, validators
 
 from gentianhub.core.ids import NAME_PATTERN
@@ -8,12 +10,17 @@
 _valid_port = validators.and_(validators.ge(1), validators.le(65535))
 
 
+def _explain(meaning: str) -> dict[str, str]:
+    """Return the metadata that docs/settings.md is generated from."""
+    return {"meaning": meaning}
+
+
 @frozen(kw_only=True)
 class Endpoint:
     """An IP address and a port."""
 
-    host: str = field(validator=validators.min_len(1))
-    port: int = field(validator=_valid_port)
+    host: str = field(validator=validators.min_len(1), metadata=_explain("IP address"))
+    port: int = field(validator=_valid_port, metadata=_explain("TCP port, 1 to 65535"))
 
     def as_pair(self) -> tuple[str, int]:
         """Return the address in the form that sockets take."""
@@ -24,32 +31,86 @@
 class ProcessSettings:
     """Ports of one entry process."""
 
-    name: str = field(validator=_valid_name)
-    callers: Endpoint
-    siblings: Endpoint
-    operators: Endpoint
+    name: str = field(
+        validator=_valid_name,
+        metadata=_explain(
+            "name selected by `--process`, unique in the data centre: 1 to 31"
+            " lower-case letters, digits and hyphens"
+        ),
+    )
+    callers: Endpoint = field(
+        metadata=_explain("address for callers; the load balancer lists it")
+    )
+    siblings: Endpoint = field(
+        metadata=_explain("address for other entry processes, as they reach it")
+    )
+    operators: Endpoint = field(
+        metadata=_explain("address for operators: dump, metrics, drain, log level")
+    )
 
 
 @frozen(kw_only=True)
 class LimitSettings:
     """Limits of one entry process."""
 
-    caller_connections: int = field(default=1024, validator=validators.ge(1))
-    dispatcher_mailbox: int = field(default=10_000, validator=validators.ge(1))
-    siblings_mailbox: int = field(default=10_000, validator=validators.ge(1))
-    drain_s: float = field(default=30.0, validator=validators.ge(0))
+    caller_connections: int = field(
+        default=1024,
+        validator=validators.ge(1),
+        metadata=_explain(
+            "caller connections served at once; others wait to be accepted"
+        ),
+    )
+    dispatcher_mailbox: int = field(
+        default=10_000,
+        validator=validators.ge(1),
+        metadata=_explain("messages that may wait for the dispatcher"),
+    )
+    siblings_mailbox: int = field(
+        default=10_000,
+        validator=validators.ge(1),
+        metadata=_explain("messages that may wait for the sibling manager"),
+    )
+    drain_s: float = field(
+        default=30.0,
+        validator=validators.and_(validators.ge(0), validators.lt(math.inf)),
+        metadata=_explain(
+            "seconds that accepted jobs have to end after SIGTERM or `POST /drain`"
+        ),
+    )
 
 
 @frozen(kw_only=True)
 class HostSettings:
     """Settings of one entry host: its data centre, platform and processes."""
 
-    data_centre: str = field(validator=_valid_name)
-    platform: Endpoint
-    processes: tuple[ProcessSettings, ...] = field(validator=validators.min_len(1))
-    limits: LimitSettings = field(factory=LimitSettings)
-    # Sibling ports that a process asks when the platform does not answer.
-    siblings: tuple[Endpoint, ...] = ()
+    data_centre: str = field(
+        validator=_valid_name,
+        metadata=_explain(
+            "data centre of this host, as in the host list: 1 to 31 lower-case letters,"
+            " digits and hyphens"
+        ),
+    )
+    platform: Endpoint = field(
+        metadata=_explain("address of the table service, object store and host list")
+    )
+    processes: tuple[ProcessSettings, ...] = field(
+        validator=validators.min_len(1),
+        metadata=_explain("entry processes of this host, at least one"),
+    )
+    limits: LimitSettings = field(
+        factory=LimitSettings, metadata=_explain("limits of each entry process")
+    )
+    siblings: tuple[Endpoint, ...] = field(
+        default=(),
+        metadata=_explain(
+            "sibling ports that a process asks when the platform does not answer"
+        ),
+    )
     log_level: str = field(
-        default="info", validator=validators.in_(("debug", "info", "warning", "error"))
+        default="info",
+        validator=validators.in_(("debug", "info", "warning", "error")),
+        metadata=_explain(
+            "lowest level written: `debug`, `info`, `warning` or `error`; an operator"
+            " can change it in a running process"
+        ),
     )
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -3,6 +3,7 @@
 Run with `python -m tools.settings_reference`; a test keeps the page up to date.
 """
 
+import json
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -13,9 +14,11 @@
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "settings.md"
 HEADING = """# Settings
 
-JSON with comments, one file for each entry host. Unknown keys, missing keys, wrong
-types and values out of range are refused together before anything starts. This page is
-made by `python -m tools.settings_reference` from `gentianhub/settings/model.py`.
+JSON with comments, one file for each entry host; `examples/host.json` is one. Unknown
+keys, missing keys, wrong types and values out of range are refused before anything
+starts, each with its key path and what was expected. The range of an object's values is
+checked once all its keys have the right type. This page is made by
+`python -m tools.settings_reference` from `gentianhub/settings/model.py`.
 
 | key | type | default | meaning |
 | --- | --- | --- | --- |
@@ -42,15 +45,23 @@
     """Return the table row of one key."""
     meaning = attribute.metadata.get("meaning", "")
     assert meaning, f"no meaning is given for {path}"
-    default = "required"
-    if attribute.default is not attrs.NOTHING:
-        is_factory = isinstance(attribute.default, attrs.Factory)
-        default = "see below" if is_factory else f"`{attribute.default}`"
-        if is_factory and attribute.default.factory is tuple:
-            default = "none"
+    default = describe_default(attribute.default)
     return f"| `{path}` | {name_type(attribute.type)} | {default} | {meaning} |"
 
 
+def describe_default(default) -> str:
+    """Return the reader's form of a default."""
+    match default:
+        case attrs.NOTHING:
+            return "required"
+        case attrs.Factory():
+            return "the defaults of its keys"
+        case ():
+            return "empty"
+        case _:
+            return f"`{json.dumps(default)}`"
+
+
 def find_settings_class(kind) -> type | None:
     """Return the settings class that a type is, or is a list of."""
     if attrs.has(kind):
