Read only idle targets in a borrower's upkeep, and renew once for each demand

A profile of SlotSharing with 8 processes and 240 targets at 70% load showed return_idle reading every target each 50 ms (1.63 s of 2,000 calls), every grant renewing the leases of all targets (0.25 s in 6,066 calls with 24 targets) and Homes.others building a set at each use (1.00 s in 70,221 calls).

return_idle and the count of idle slots read the targets with idle slots. All leases of a home are renewed at the first grant for a demand, later grants renew the granted target. A process that shares targets still takes and gives back all its own free slots at an event with a queue.

--- a/gentianhub/decisions/borrowing.py
+++ b/gentianhub/decisions/borrowing.py
@@ -45,6 +45,7 @@
     is_answered: bool = True
     is_contended: bool = False
     must_sync: bool = False
+    renewed_until_s: float = -math.inf
 
 
 @define(kw_only=True, eq=False)
@@ -85,7 +86,7 @@
             return
         borrowing.is_contended = grant.contended
         borrowing.is_answered |= grant.demand_number == borrowing.number
-        self._renew_leases(grant.home, lease_end_s)
+        self._renew_leases(borrowing, grant.target, lease_end_s)
         if self.holdings.homes.get(grant.target) != grant.home:
             return
         key = (grant.demand_number, grant.target)
@@ -94,9 +95,18 @@
             borrowing.seen[key] = grant.count
             self.holdings.add_slots(grant.target, count, now_s)
 
-    def _renew_leases(self, home: Incarnation, end_s: float) -> None:
-        for target, its_home in self.holdings.homes.items():
-            if its_home == home and self.holdings.lease_ends.get(target, 0.0) < end_s:
+    def _renew_leases(self, borrowing: Borrowing, granted: str, end_s: float) -> None:
+        """Renew the leases of a home, with all its targets once for each demand.
+
+        The granted target may have been added since.
+        """
+        targets = (granted,)
+        if borrowing.renewed_until_s < end_s:
+            borrowing.renewed_until_s = end_s
+            targets = self.holdings.homes
+        for target in targets:
+            is_later = self.holdings.lease_ends.get(target, 0.0) < end_s
+            if is_later and self.holdings.homes.get(target) == borrowing.home:
                 self.holdings.renew_lease(target, end_s)
 
     def return_slot(self, target: str) -> None:
@@ -113,10 +123,10 @@
     def return_idle(self, now_s: float) -> None:
         """Give back idle slots, but for a few where nobody else waits."""
         spare = SPARE_SLOTS
-        for target, home in self.holdings.homes.items():
-            borrowing = self.borrowings.get(home)
+        for target in sorted(self.holdings.idle):
+            borrowing = self.borrowings.get(self.holdings.homes.get(target))
             count = self.holdings.count_idle(target)
-            if borrowing is None or not count:
+            if borrowing is None:
                 continue
             if not borrowing.is_contended:
                 if now_s - self.holdings.idle_since[target] < IDLE_PERIOD_S:
@@ -186,8 +196,8 @@
     def _count_idle(self, home: Incarnation) -> int:
         return sum(
             self.holdings.count_idle(target)
-            for target, its_home in self.holdings.homes.items()
-            if its_home == home
+            for target in self.holdings.idle
+            if self.holdings.homes.get(target) == home
         )
 
     def _is_sync_due(self, borrowing: Borrowing, now_s: float) -> bool:
--- a/gentianhub/decisions/homes.py
+++ b/gentianhub/decisions/homes.py
@@ -20,16 +20,20 @@
         This process.
     processes : tuple of Incarnation
         The live processes; a process that is alone is home of every target.
+
+    Attributes
+    ----------
+    others : frozenset of Incarnation
+        The live processes other than this one.
     """
 
     owner: Incarnation
     processes: tuple[Incarnation, ...] = ()
+    others: frozenset[Incarnation] = field(init=False)
     _cache: dict[str, Incarnation] = field(init=False, factory=dict)
 
-    @property
-    def others(self) -> frozenset[Incarnation]:
-        """The live processes other than this one."""
-        return frozenset(self.processes) - {self.owner}
+    def __attrs_post_init__(self):
+        self.others = frozenset(self.processes) - {self.owner}
 
     def find_home(self, target: str) -> Incarnation:
         """Return the process that lends the slots of a target."""
