Give probes of ejected targets to large jobs only when overdue

Cause: when no ordinary slot was idle, a due probe counted as an idle slot and took the next task whatever its job, so that one failed probe cost jobs of 82 and 170 tasks. A due probe now waits up to 1 s for a task of a job of at most 4 tasks, which also lets deployments without small jobs reinstate a target while slots are idle.

Ruled out: probes for small jobs alone, as a target would then never come back where all jobs are large.

--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -29,6 +29,8 @@
 # Jobs with more tasks than this are not used as probes, because a probe that
 # fails costs its whole job.
 PROBE_JOB_TASKS = 4
+# Without small jobs a probe has to go to a large one, or no target would come back.
+PROBE_WAIT_S = 1.0
 
 
 @frozen(kw_only=True)
@@ -110,18 +112,23 @@
         """Return whether any task could start now."""
         for target in self.limits.end_pauses(now_s):
             self.add_idle(target)
-        return self.placement.has_idle(self) or self._find_probe(now_s) is not None
+        return self.placement.has_idle(self) or self._is_probe_overdue(now_s)
 
     def choose(self, request: StartRequest, now_s: float) -> str | None:
         """Return the target on which the task starts now, or None."""
         probe = self._find_probe(now_s)
-        if probe and request.job_tasks <= PROBE_JOB_TASKS and not request.refused_by:
+        fits = request.job_tasks <= PROBE_JOB_TASKS or self._is_probe_overdue(now_s)
+        if probe and fits and not request.refused_by:
             return probe
         return self.placement.choose(self, request.refused_by) or probe
 
     def _find_probe(self, now_s: float) -> str | None:
         return self.ejections.find_due_probe(now_s, self._may_probe)
 
+    def _is_probe_overdue(self, now_s: float) -> bool:
+        """Return whether a due probe has waited long enough for a small job."""
+        return self._find_probe(now_s - PROBE_WAIT_S) is not None
+
     def _may_probe(self, target: str) -> bool:
         is_leaving = self.departures.is_leaving(target)
         return not is_leaving and self.holdings.count_idle(target) > 0
--- a/gentianhub/decisions/tests/test_targets.py
+++ b/gentianhub/decisions/tests/test_targets.py
@@ -33,7 +33,7 @@
     RetryAt,
     RetryPolicy,
 )
-from gentianhub.decisions.targets import KnownTargets
+from gentianhub.decisions.targets import PROBE_WAIT_S, KnownTargets
 
 DONE = Complete(result=b"", run_s=0.1)
 FULL = NotRun(step=Step.AWAIT_REPLY, peer="t", reason="503")
@@ -163,6 +163,19 @@
         state = fixture.decisions.describe_state(fixture.now_s)
         self.assertEqual(state.unused_targets, {})
 
+    def test_large_job_is_a_probe_only_where_no_small_one_came(self):
+        # A probe that failed with one of 170 tasks cost all the others.
+        fixture = Fixture("bad", "good")
+        for _ in range(40):
+            fixture.submit()
+            fixture.run_all({"bad": BROKEN})
+        fixture.pass_time(PROBE_WAIT_S / 2)
+        for wait_s, probes in ((PROBE_WAIT_S / 2, 0), (PROBE_WAIT_S, 1)):
+            fixture.pass_time(wait_s)
+            fixture.submit(tasks=40)
+            at_bad = [start for start in fixture.starts if start.target == "bad"]
+            self.assertEqual(len(at_bad), probes)
+
     def test_bad_spell_of_everything_leaves_half_of_the_targets(self):
         names = [f"t{number}" for number in range(10)]
         for outcome in (DEAD, BROKEN, FULL):
