Give the tests of draining the mailbox that DrainBegun now takes

Ruled out: a default for reply_to (a drain that nobody waits for is a fault). Change: the tests pass a mailbox; their checks are unchanged.

--- a/gentianhub/decisions/tests/test_admission.py
+++ b/gentianhub/decisions/tests/test_admission.py
@@ -6,6 +6,7 @@
     Complete,
     Incarnation,
     JobRequest,
+    Mailbox,
     ProcessName,
     Refusal,
     RefusalKind,
@@ -98,7 +99,7 @@
         accepted, _ = self.fill()
         again = self.submit(job_id=accepted[0].job_id)
         self.assertEqual(again.known, True)
-        self.handle(ev.DrainBegun())
+        self.handle(ev.DrainBegun(reply_to=Mailbox(limit=1)))
         self.assertEqual(self.submit(job_id=accepted[0].job_id).known, True)
 
     def test_a_forgotten_job_is_unknown_while_draining(self):
@@ -106,7 +107,7 @@
         self.end(self.started[-1])
         later_s = ANSWER_RETENTION_S + 1
         self.handle(ev.Tick(), later_s)
-        self.handle(ev.DrainBegun(), later_s)
+        self.handle(ev.DrainBegun(reply_to=Mailbox(limit=1)), later_s)
         refusal = self.submit(job_id=job_id, now_s=later_s)
         self.assertIs(refusal.run, RunState.UNKNOWN)
 
