Put long tasks on the slowest idle target; split the dispatcher's module

Selection by speed gave the fastest targets to long tasks, which kept short ones from them for many times their length. Change: a task of a kind classed as long takes the slowest idle target, from a second heap; the state description and the heap of delayed tasks have modules of their own.

--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import Factory, define, evolve, field, frozen
+from attrs import Factory, define, evolve, field
 
 from gentianhub.core import (
     Complete,
@@ -23,11 +23,13 @@
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
 from gentianhub.decisions.admission import Admission, build_admission
+from gentianhub.decisions.delays import DelayedTasks
+from gentianhub.decisions.description import StateDescription
 from gentianhub.decisions.fairness import FairOrder
 from gentianhub.decisions.ledger import JobRecord, Ledger, TaskState
 from gentianhub.decisions.order import QueuedTask, TaskOrder
 from gentianhub.decisions.retries import GiveUp, Retries, RetryAt
-from gentianhub.decisions.runtimes import RunTimes
+from gentianhub.decisions.runtimes import RunClass, RunTimes
 from gentianhub.decisions.sharing import SlotSharing
 from gentianhub.decisions.slots import SlotHoldings
 from gentianhub.decisions.targets import KnownTargets, StartRequest
@@ -35,25 +37,6 @@
 RETRY_AFTER_S = 1.0
 
 
-@frozen(kw_only=True)
-class StateDescription:
-    """A readable view of the dispatcher's state, for the dump."""
-
-    owner: str
-    table_version: int
-    is_draining: bool
-    open_jobs: int
-    kept_jobs: int
-    queued_tasks: int
-    slots_held: dict[str, int]
-    slots_in_use: dict[str, int]
-    slots_lent: dict[str, int]
-    slots_reserved: dict[str, int]
-    unused_targets: dict[str, str]
-    target_limits: dict[str, int]
-    target_speeds: dict[str, float]
-
-
 @define(kw_only=True, eq=False)
 class Dispatcher:
     """Decides which task starts where and when.
@@ -79,8 +62,7 @@
     sharing: SlotSharing = field(init=False)
     is_draining: bool = field(init=False, default=False)
     _drain_watcher: Any = field(init=False, default=None)
-    _delayed: list[tuple[float, int, QueuedTask]] = field(init=False, factory=list)
-    _delayed_count: int = field(init=False, default=0)
+    _delayed: DelayedTasks = field(init=False, factory=lambda: DelayedTasks())
     _deadlines: list[tuple[float, int]] = field(init=False, factory=list)
 
     def __attrs_post_init__(self):
@@ -205,7 +187,7 @@
     def _start_task(
         self, record: JobRecord, entry: QueuedTask, now_s: float
     ) -> fx.StartTask:
-        request = _describe_start(entry)
+        request = self._describe_start(entry)
         target = self.targets.choose(request, now_s)
         self.targets.take_start(target, request, now_s)
         self._note_start(entry, now_s)
@@ -220,6 +202,17 @@
             deadline_at_s=entry.deadline_at_s,
         )
 
+    def _describe_start(self, entry: QueuedTask) -> StartRequest:
+        run_class = self.runtimes.classify(entry.service, entry.kind)
+        return StartRequest(
+            task_id=entry.task_id,
+            service=entry.service,
+            kind=entry.kind,
+            job_tasks=entry.job_tasks,
+            is_long=run_class is RunClass.LONG,
+            refused_by=entry.refused_by,
+        )
+
     def _take_outcome(self, event: ev.TaskEnded, now_s: float) -> Iterator[fx.Effect]:
         refused_by = self.targets.take_outcome(event, now_s)
         self.sharing.release_slot(event.target, now_s)
@@ -249,7 +242,7 @@
             case RetryAt(due_s=due_s):
                 self.ledger.requeue_task(event.task_id)
                 entry = evolve(_describe_task(record, index), refused_by=refused_by)
-                self._delay_task(entry, due_s)
+                self._delayed.push(entry, due_s)
             case GiveUp(reason=reason):
                 last = event.outcome
                 outcome = evolve(last, reason=f"{last.reason}; not retried: {reason}")
@@ -275,19 +268,14 @@
             case NotRun() | Unknown():
                 self.order.end(event.task_id, 0.0)
 
-    def _delay_task(self, entry: QueuedTask, due_s: float) -> None:
-        self._delayed_count += 1
-        heapq.heappush(self._delayed, (due_s, self._delayed_count, entry))
-
     def _release_retries(self, now_s: float) -> None:
-        while self._delayed and self._delayed[0][0] <= now_s:
-            entry = heapq.heappop(self._delayed)[2]
+        for entry in self._delayed.pop_due(now_s):
             record = self.ledger.records.get(entry.task_id.job_id.sequence)
             if record is None or not self._is_queued(record, entry.task_id):
                 continue
             match self.retries.release(entry.service, now_s):
                 case RetryAt(due_s=due_s) if due_s < entry.deadline_at_s:
-                    self._delay_task(entry, due_s)
+                    self._delayed.push(entry, due_s)
                 case None:
                     self.order.push(entry, now_s)
 
@@ -422,13 +410,3 @@
         accepted_s=record.job.accepted_s,
         deadline_at_s=record.job.deadline_at_s,
     )
-
-
-def _describe_start(entry: QueuedTask) -> StartRequest:
-    return StartRequest(
-        task_id=entry.task_id,
-        service=entry.service,
-        kind=entry.kind,
-        job_tasks=entry.job_tasks,
-        refused_by=entry.refused_by,
-    )
--- a/gentianhub/decisions/placement.py
+++ b/gentianhub/decisions/placement.py
@@ -133,25 +133,36 @@
     policy: PlacementPolicy = field(factory=lambda: FastestIdle())
     rng: random.Random = field(factory=random.Random)
     _idle: SpeedHeap = field(init=False)
+    _idle_slowest: SpeedHeap = field(init=False)
     _turn: int = field(init=False, default=0)
 
     def __attrs_post_init__(self):
         self._idle = SpeedHeap(get_speed=self.get_speed, rng=self.rng)
+        self._idle_slowest = SpeedHeap(
+            get_speed=lambda target: -self.get_speed(target), rng=self.rng
+        )
 
     def add_idle(self, target: str) -> None:
         """Take note that a target may have an idle slot."""
         self._idle.add(target)
+        self._idle_slowest.add(target)
 
     def has_idle(self, view: IdleView) -> bool:
         """Return whether any target has an idle slot."""
         return self._idle.choose(view, ()) is not None
 
-    def choose(self, view: IdleView, avoid: tuple[str, ...]) -> str | None:
+    def choose(
+        self, view: IdleView, avoid: tuple[str, ...], *, is_long: bool = False
+    ) -> str | None:
         """Return the target for a task, or None if every slot is in use.
 
-        A target of `avoid` is chosen only if no other one is idle.
+        A target of `avoid` is chosen only if no other one is idle. A long task
+        takes the slowest target, because it would keep the fastest ones from
+        short work for many times as long as a short task.
         """
         match self.policy:
+            case FastestIdle() if is_long:
+                return self._idle_slowest.choose(view, avoid)
             case FastestIdle():
                 return self._idle.choose(view, avoid)
             case MostIdle():
--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -50,6 +50,7 @@
     service: str
     kind: str
     job_tasks: int
+    is_long: bool = False
     refused_by: tuple[str, ...] = ()
 
 
@@ -120,7 +121,10 @@
         fits = request.job_tasks <= PROBE_JOB_TASKS or self._is_probe_overdue(now_s)
         if probe and fits and not request.refused_by:
             return probe
-        return self.placement.choose(self, request.refused_by) or probe
+        chosen = self.placement.choose(
+            self, request.refused_by, is_long=request.is_long
+        )
+        return chosen or probe
 
     def _find_probe(self, now_s: float) -> str | None:
         return self.ejections.find_due_probe(now_s, self._may_probe)
