Run one task at a time on a target of which nothing is known

The first job has 170 tasks and filled all slots of both targets before the first failure was known. Ruled out: waiting for a reply without a time bound (after a restart under tasks of 30 s a process would use an eighth of its slots for 30 s). Change: a target without a complete reply gets one task at a time, for at most 1 s from its first start.

--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -25,6 +25,7 @@
 )
 from gentianhub.decisions.slots import SlotHoldings
 from gentianhub.decisions.speeds import Speeds
+from gentianhub.decisions.unproven import UnprovenTargets
 
 # Jobs with more tasks than this are not used as probes, because a probe that
 # fails costs its whole job.
@@ -72,6 +73,7 @@
     rng: random.Random = field(factory=random.Random)
     speeds: Speeds = field(init=False, factory=lambda: Speeds())
     departures: Departures = field(init=False, factory=lambda: Departures())
+    unproven: UnprovenTargets = field(init=False, factory=lambda: UnprovenTargets())
     ejections: Ejections = field(init=False)
     limits: ConcurrencyLimits = field(init=False)
     placement: Placement = field(init=False)
@@ -103,6 +105,8 @@
             return 0
         used = self.in_use.get(target, 0)
         limit = self.limits.get_limit(target, self.held.get(target, 0))
+        if target in self.unproven:
+            limit = min(limit, 1)
         return max(0, min(limit - used, self.holdings.count_idle(target)))
 
     def add_idle(self, target: str) -> None:
@@ -111,7 +115,10 @@
 
     def has_idle(self, now_s: float) -> bool:
         """Return whether any task could start now."""
-        for target in self.limits.end_pauses(now_s):
+        for target in (
+            *self.limits.end_pauses(now_s),
+            *self.unproven.end_trials(now_s),
+        ):
             self.add_idle(target)
         return self.placement.has_idle(self) or self._is_probe_overdue(now_s)
 
@@ -142,6 +149,7 @@
         self.holdings.occupy(target)
         if self.ejections.is_ejected(target):
             self.ejections.begin_probe(target, request.task_id)
+        self.unproven.take_start(target, now_s)
         self._open[request.task_id] = OpenAttempt(
             request=request, started_s=now_s, level=self.in_use[target]
         )
@@ -159,6 +167,7 @@
         request = attempt.request
         match event.outcome:
             case Complete(run_s=run_s):
+                self.unproven.remove(target)
                 self.ejections.take_success(target, task_id, now_s)
                 slots = self.held.get(target, 0)
                 self.limits.take_success(target, attempt.level, in_use, slots)
@@ -201,6 +210,8 @@
             self.speeds.forget_target(gone)
             self.ejections.forget_target(gone)
             self.limits.forget_target(gone)
+            self.unproven.remove(gone)
+        self.unproven.add({target.name for target in targets} - self._known)
         self._known = {target.name for target in targets}
 
     def describe_unused(self, now_s: float) -> dict[str, str]:
--- a/gentianhub/decisions/tests/test_targets.py
+++ b/gentianhub/decisions/tests/test_targets.py
@@ -34,6 +34,7 @@
     RetryPolicy,
 )
 from gentianhub.decisions.targets import PROBE_WAIT_S, KnownTargets
+from gentianhub.decisions.unproven import UNPROVEN_S
 
 DONE = Complete(result=b"", run_s=0.1)
 FULL = NotRun(step=Step.AWAIT_REPLY, peer="t", reason="503")
@@ -106,6 +107,27 @@
             self.handle(ev.Tick())
 
 
+class UnprovenTargetTest(unittest.TestCase):
+    """Guards against a first job that fills a target which fails everything."""
+
+    def test_one_task_at_a_time_until_the_first_complete_reply(self):
+        fixture = Fixture("a", "b")
+        fixture.submit(tasks=40)
+        self.assertEqual(len(fixture.starts), 2)
+        fixture.end(fixture.starts[0], DONE)
+        proven = fixture.starts[0].target
+        targets = [start.target for start in fixture.starts[1:]]
+        self.assertEqual(targets.count(proven), 8)
+        self.assertEqual(len(targets), 9)
+
+    def test_the_time_at_one_task_is_bounded(self):
+        fixture = Fixture("a")
+        fixture.submit(tasks=40)
+        self.assertEqual(len(fixture.starts), 1)
+        fixture.pass_time(UNPROVEN_S + 0.1)
+        self.assertEqual(len(fixture.starts), 8)
+
+
 class RetryTest(unittest.TestCase):
     def test_dead_target_does_not_consume_a_task(self):
         fixture = Fixture("dead", "a", "b")
