Give test processes distinct ports, and say plainly when a port is taken

Cause: measuring 48 processes failed with address in use. Ports were drawn at random for each process; 144 draws from 22,000 ports collide in about 4 of 10 runs. The process then printed 60 lines of traceback. Change: ports are given in turn from a random one on; a process that cannot listen says so in one line and ends with code 3.

--- a/gentianhub/cli/main.py
+++ b/gentianhub/cli/main.py
@@ -17,9 +17,13 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_UNREACHABLE = 1
+EXIT_CANNOT_SERVE = 3
 
 app = typer.Typer(
-    help="Dispatcher for sub-second tasks.", no_args_is_help=True, add_completion=False
+    help="Dispatcher for sub-second tasks.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
 )
 app.add_typer(development, name="development")
 app.command("submit")(submit_job)
@@ -41,7 +45,11 @@
         print(f"{error.peer}:\n  {error.reason}", file=sys.stderr)
         raise typer.Exit(EXIT_BAD_SETTINGS) from None
     configure_logging(process=f"{host.data_centre}.{process}", level=host.log_level)
-    EntryProcess(host=host, process=selected).run()
+    try:
+        EntryProcess(host=host, process=selected).run()
+    except OSError as error:
+        print(f"{selected.name}: cannot serve: {error}", file=sys.stderr)
+        raise typer.Exit(EXIT_CANNOT_SERVE) from None
 
 
 @app.command("dump")
--- a/gentianhub/core/effects.py
+++ b/gentianhub/core/effects.py
@@ -47,11 +47,4 @@
     message: SlotMessage
 
 
-@frozen(kw_only=True)
-class CloseTarget:
-    """Close the connections to a target that is gone from the host list."""
-
-    target: str
-
-
-Effect = StartTask | Reply | JobEnded | SendToSibling | CloseTarget
+Effect = StartTask | Reply | JobEnded | SendToSibling
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -4,6 +4,7 @@
 development commands and the tests, and ends only what it started.
 """
 
+import itertools
 import json
 import random
 import signal
@@ -90,21 +91,30 @@
     """Return ports of the loopback address that are free now.
 
     They lie below the range from which outgoing connections get theirs, since one
-    of those could take a port before its server does.
+    of those could take a port before its server does. No port is given twice
+    until all have been given.
     """
-    with ExitStack() as stack:
-        return [_bind_free_port(stack) for _ in range(count)]
+    free = filter(_is_free, _PORTS)
+    return [next(free) for _ in range(count)]
+
+
+def _draw_ports() -> Iterator[int]:
+    """Yield all ports in turn for ever, from a random one on."""
+    ports = range(FIRST_PORT, LAST_PORT)
+    start = random.SystemRandom().randrange(len(ports))
+    yield from itertools.cycle((*ports[start:], *ports[:start]))
+
+
+_PORTS = _draw_ports()
 
 
-def _bind_free_port(stack: ExitStack) -> int:
-    while True:
-        port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
-        sock = stack.enter_context(socket.socket())
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
         try:
             sock.bind((LOOPBACK, port))
         except OSError:
-            continue
-        return port
+            return False
+        return True
 
 
 @contextmanager
