--- a/gentianhub/cli/table_edits.py
+++ b/gentianhub/cli/table_edits.py
@@ -82,7 +82,7 @@
             lines.append("  no entry process is listed or given: cannot know")
         if not is_everywhere:
             lines.append(
-                f"Not known to be in force everywhere after {self.wait_s:g} s. An "
+                f"Not known to be in force everywhere (limit {self.wait_s:g} s). An "
                 "entry process that is cut off keeps its version and catches up."
             )
         return finish(code, content, lines, self.as_json)
