--- a/gentianhub/cli/main.py
+++ b/gentianhub/cli/main.py
@@ -11,7 +11,7 @@
 from gentianhub.cli.jobs import cancel_job, show_job, submit_job
 from gentianhub.cli.table import table
 from gentianhub.core import SettingsError
-from gentianhub.entry.process import EntryProcess
+from gentianhub.entry import EntryProcess
 from gentianhub.observability import configure_logging
 from gentianhub.settings import load_settings, select_process
 
--- a/gentianhub/entry/__init__.py
+++ b/gentianhub/entry/__init__.py
@@ -1,1 +1,5 @@
 """Assembly of one entry process."""
+
+from gentianhub.entry.process import EntryProcess
+
+__all__ = ["EntryProcess"]
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -9,8 +9,7 @@
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
 from gentianhub.decisions import Dispatcher
-from gentianhub.entry.messages import RenderMetrics
-from gentianhub.observability import Metrics
+from gentianhub.observability import Metrics, RenderMetrics
 from gentianhub.platform.journal import RecordAnswer
 from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
 from gentianhub.targets import ConnectionClosed, ConnectionEnded, TargetPool
--- a/gentianhub/entry/messages.py
+++ b/gentianhub/observability/messages.py
@@ -1,4 +1,4 @@
-"""Messages inside an entry process that the decisions do not see."""
+"""Messages about metrics."""
 
 from attrs import frozen
 
--- a/gentianhub/operators/server.py
+++ b/gentianhub/operators/server.py
@@ -10,7 +10,7 @@
 
 from gentianhub.core import Mailbox
 from gentianhub.core.events import DescribeState
-from gentianhub.entry.messages import RenderMetrics
+from gentianhub.observability import RenderMetrics
 from gentianhub.siblings import DescribeSiblings
 from gentianhub.web import (
     BodyError,
