--- a/gentianhub/decisions/admission.py
+++ b/gentianhub/decisions/admission.py
@@ -10,6 +10,7 @@
 
 from gentianhub.core import (
     MAX_TASKS_PER_JOB,
+    Incarnation,
     JobRequest,
     Refusal,
     RefusalKind,
@@ -29,6 +30,7 @@
 MAX_RETRY_S = 30.0
 # Callers that were refused together must not come back together.
 RETRY_JITTER = 1.0
+DRAIN_RETRY_AFTER_S = 1.0
 
 
 class Admission(Protocol):
@@ -172,3 +174,15 @@
             expected="max_running and quota_slots above 0",
         )
     return None
+
+
+def refuse_draining(owner: Incarnation) -> Refusal:
+    """Return the refusal of a new job by a process that shuts down."""
+    return Refusal(
+        kind=RefusalKind.UNAVAILABLE,
+        step=Step.DRAIN,
+        peer=str(owner),
+        reason="the entry process is shutting down",
+        expected="submission through another entry process",
+        retry_after_s=DRAIN_RETRY_AFTER_S,
+    )
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -13,7 +13,6 @@
     JobId,
     NotRun,
     Refusal,
-    RefusalKind,
     RunState,
     Step,
     Table,
@@ -22,7 +21,11 @@
 )
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
-from gentianhub.decisions.admission import Admission, build_admission
+from gentianhub.decisions.admission import (
+    Admission,
+    build_admission,
+    refuse_draining,
+)
 from gentianhub.decisions.delays import DelayedTasks
 from gentianhub.decisions.description import StateDescription
 from gentianhub.decisions.fairness import FairOrder
@@ -34,8 +37,6 @@
 from gentianhub.decisions.slots import SlotHoldings
 from gentianhub.decisions.targets import KnownTargets, StartRequest
 
-RETRY_AFTER_S = 1.0
-
 
 @define(kw_only=True, eq=False)
 class Dispatcher:
@@ -146,14 +147,7 @@
             # The job may have run: only the ledger can say what is certain of it.
             return None
         if self.is_draining:
-            return Refusal(
-                kind=RefusalKind.UNAVAILABLE,
-                step=Step.DRAIN,
-                peer=str(self.owner),
-                reason="the entry process is shutting down",
-                expected="submission through another entry process",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            return refuse_draining(self.owner)
         return self.admission.refuse(event.request, self.table, now_s)
 
     def _is_unused(self, job_id: JobId) -> bool:
@@ -165,7 +159,7 @@
 
     def _queue_job(self, record: JobRecord, now_s: float) -> None:
         for index in range(len(record.states)):
-            self.order.push(_describe_task(record, index), now_s)
+            self.order.push(record.describe_task(index), now_s)
 
     def _start_tasks(self, now_s: float) -> Iterator[fx.Effect]:
         """Pair queued tasks with idle slots until one of them runs out."""
@@ -241,7 +235,7 @@
         match self.retries.decide(attempts, deadline_at_s, now_s):
             case RetryAt(due_s=due_s):
                 self.ledger.requeue_task(event.task_id)
-                entry = evolve(_describe_task(record, index), refused_by=refused_by)
+                entry = evolve(record.describe_task(index), refused_by=refused_by)
                 self._delayed.push(entry, due_s)
             case GiveUp(reason=reason):
                 last = event.outcome
@@ -398,15 +392,3 @@
             target_limits=self.targets.limits.describe(),
             target_speeds=self.targets.describe_speeds(),
         )
-
-
-def _describe_task(record: JobRecord, index: int) -> QueuedTask:
-    request = record.job.request
-    return QueuedTask(
-        task_id=TaskId(job_id=record.job.id, index=index),
-        service=request.service,
-        kind=request.tasks[index].kind,
-        job_tasks=len(request.tasks),
-        accepted_s=record.job.accepted_s,
-        deadline_at_s=record.job.deadline_at_s,
-    )
--- a/gentianhub/decisions/ledger.py
+++ b/gentianhub/decisions/ledger.py
@@ -31,6 +31,7 @@
     TaskOutcome,
     Unknown,
 )
+from gentianhub.decisions.order import QueuedTask
 
 ID_LIFETIME_S = 300.0
 ANSWER_RETENTION_S = 60.0
@@ -88,6 +89,18 @@
         started = sum(state is not TaskState.QUEUED for state in self.states)
         return JobPending(ended_tasks=self.ended_tasks, started_tasks=started)
 
+    def describe_task(self, index: int) -> QueuedTask:
+        """Return the entry with which a task waits for a slot."""
+        request = self.job.request
+        return QueuedTask(
+            task_id=TaskId(job_id=self.job.id, index=index),
+            service=request.service,
+            kind=request.tasks[index].kind,
+            job_tasks=len(request.tasks),
+            accepted_s=self.job.accepted_s,
+            deadline_at_s=self.job.deadline_at_s,
+        )
+
     def answer_size_bytes(self) -> int:
         """Return the bytes that the kept results take."""
         match self.answer:
