Restore the count of idle connections, which a test reads

Cause: it was removed as dead code; the search left test files out, and the test of connections to an earlier address failed with AttributeError. Change: the method is back.

--- a/gentianhub/targets/pool.py
+++ b/gentianhub/targets/pool.py
@@ -91,6 +91,10 @@
             idle.remove(connection)
             connection.greenlet.kill(block=False)
 
+    def count_connections(self) -> int:
+        """Return the number of idle connections."""
+        return sum(map(len, self._idle.values()))
+
     def _open_connection(self, address: TargetAddress) -> TargetConnection:
         connection = TargetConnection(address=address)
         connection.greenlet = spawn_task(run_connection, connection, self.results)
