Move the stand-in store's client to the package storage

Ruled out: a folder platform/ at the root, which would shadow the standard library's module when a program starts there.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -36,7 +36,7 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.decisions.admission import AdmitKnownServices
 from gentianhub.decisions.versions import TableChange, apply_change
-from gentianhub.platform.rows import decode_change, decode_targets, encode_change
+from gentianhub.storage.rows import decode_change, decode_targets, encode_change
 from gentianhub.stand_ins.processes import (
     EntryPlan,
     TargetPlan,
--- a/gentianhub/cli/table.py
+++ b/gentianhub/cli/table.py
@@ -26,14 +26,14 @@
     read_table_files,
     write_table_files,
 )
-from gentianhub.platform import PlatformClient
-from gentianhub.platform.changes import (
+from gentianhub.storage import PlatformClient
+from gentianhub.storage.changes import (
     read_changes,
     read_head,
     read_newer_table,
     read_table_at,
 )
-from gentianhub.platform.rows import encode_table
+from gentianhub.storage.rows import encode_table
 
 DEFAULT_WAIT_S = 10.0
 DEFAULT_HISTORY = 20
--- a/gentianhub/cli/table_edits.py
+++ b/gentianhub/cli/table_edits.py
@@ -24,8 +24,8 @@
     describe_consequences,
 )
 from gentianhub.operators.rollout import has_version, wait_for_version
-from gentianhub.platform import PlatformClient
-from gentianhub.platform.changes import ChangeApplied, ChangeUnknown, StaleVersion
+from gentianhub.storage import PlatformClient
+from gentianhub.storage.changes import ChangeApplied, ChangeUnknown, StaleVersion
 
 
 @frozen(kw_only=True)
--- a/gentianhub/cli/table_options.py
+++ b/gentianhub/cli/table_options.py
@@ -15,7 +15,7 @@
     ProcessVersion,
     read_versions,
 )
-from gentianhub.platform import PlatformClient, open_platform
+from gentianhub.storage import PlatformClient, open_platform
 from gentianhub.settings import Endpoint, HostSettings, load_settings
 
 # Longer than when serving: an operator would rather wait than repeat the command.
--- a/gentianhub/cli/table_output.py
+++ b/gentianhub/cli/table_output.py
@@ -24,7 +24,7 @@
     has_version,
 )
 from gentianhub.operators.table_files import TableFault
-from gentianhub.platform.rows import encode_row
+from gentianhub.storage.rows import encode_row
 
 
 class ExitCode(enum.IntEnum):
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -10,7 +10,7 @@
 from gentianhub.core import events as ev
 from gentianhub.decisions import Dispatcher
 from gentianhub.observability import Metrics, RenderMetrics
-from gentianhub.platform.journal import RecordAnswer
+from gentianhub.storage.journal import RecordAnswer
 from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
 from gentianhub.targets import ConnectionClosed, ConnectionEnded, TargetPool
 
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -33,20 +33,20 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.dispatcher import DispatcherTask, run_timer
 from gentianhub.operators import OperatorPort, serve_operators
-from gentianhub.platform import PlatformWatcher, run_watcher
-from gentianhub.platform.claims import (
+from gentianhub.storage import PlatformWatcher, run_watcher
+from gentianhub.storage.claims import (
     ClaimTask,
     refuse_draining,
     run_claims,
     submit_with_key,
 )
-from gentianhub.platform.journal import (
+from gentianhub.storage.journal import (
     AnswerCollected,
     JournalTask,
     flush_journal,
     run_journal,
 )
-from gentianhub.platform.lookups import LookupTask, find_answer, run_lookups
+from gentianhub.storage.lookups import LookupTask, find_answer, run_lookups
 from gentianhub.settings import HostSettings, ProcessSettings
 from gentianhub.siblings import find_owner, forward_operation, open_siblings
 
--- a/gentianhub/entry/tests/test_keyed_jobs.py
+++ b/gentianhub/entry/tests/test_keyed_jobs.py
@@ -8,8 +8,8 @@
 from geventhttpclient import HTTPClient
 
 from gentianhub.core import JobComplete, parse_job_id
-from gentianhub.platform import open_platform
-from gentianhub.platform.lookups import LookupTask
+from gentianhub.storage import open_platform
+from gentianhub.storage.lookups import LookupTask
 from gentianhub.stand_ins.processes import (
     LOOPBACK,
     EntryPlan,
--- a/gentianhub/operators/changes.py
+++ b/gentianhub/operators/changes.py
@@ -16,7 +16,7 @@
     name_sheet,
 )
 from gentianhub.operators.table_files import format_cell
-from gentianhub.platform.changes import (
+from gentianhub.storage.changes import (
     ChangeApplied,
     ChangeUnknown,
     StaleVersion,
--- a/gentianhub/platform/__init__.py
+++ b/gentianhub/storage/__init__.py
@@ -1,15 +1,15 @@
 """Peer: the platform, with its table service, object store and host list."""
 
-from gentianhub.platform.claims import ClaimTask, run_claims, submit_with_key
-from gentianhub.platform.client import (
+from gentianhub.storage.claims import ClaimTask, run_claims, submit_with_key
+from gentianhub.storage.client import (
     Conflict,
     PlatformClient,
     VersionedRow,
     open_platform,
 )
-from gentianhub.platform.journal import JournalTask, flush_journal, run_journal
-from gentianhub.platform.lookups import LookupTask, find_answer, run_lookups
-from gentianhub.platform.watcher import PlatformWatcher, run_watcher
+from gentianhub.storage.journal import JournalTask, flush_journal, run_journal
+from gentianhub.storage.lookups import LookupTask, find_answer, run_lookups
+from gentianhub.storage.watcher import PlatformWatcher, run_watcher
 
 __all__ = [
     "ClaimTask",
--- a/gentianhub/platform/changes.py
+++ b/gentianhub/storage/changes.py
@@ -17,8 +17,8 @@
     find_snapshot_version,
     has_snapshot,
 )
-from gentianhub.platform.client import Conflict, VersionedRow
-from gentianhub.platform.rows import (
+from gentianhub.storage.client import Conflict, VersionedRow
+from gentianhub.storage.rows import (
     CHANGE_PREFIX,
     HEAD_KEY,
     build_change_key,
--- a/gentianhub/platform/claims.py
+++ b/gentianhub/storage/claims.py
@@ -25,8 +25,8 @@
 )
 from gentianhub.core.operations import IssueOperation, Operation, SubmitOperation
 from gentianhub.decisions import IdBlock
-from gentianhub.platform.changes import TableStore
-from gentianhub.platform.client import Conflict, VersionedRow, open_platform
+from gentianhub.storage.changes import TableStore
+from gentianhub.storage.client import Conflict, VersionedRow, open_platform
 
 CLAIM_PREFIX = "claim/"
 CLAIM_BOUND_S = 1.0
--- a/gentianhub/platform/journal.py
+++ b/gentianhub/storage/journal.py
@@ -22,9 +22,9 @@
     Step,
     read_monotonic_s,
 )
-from gentianhub.platform.changes import TableStore
-from gentianhub.platform.client import open_platform
-from gentianhub.platform.objects import (
+from gentianhub.storage.changes import TableStore
+from gentianhub.storage.client import open_platform
+from gentianhub.storage.objects import (
     BatchRange,
     JournalBatch,
     JournalIndex,
--- a/gentianhub/platform/lookups.py
+++ b/gentianhub/storage/lookups.py
@@ -23,9 +23,9 @@
     Step,
     read_monotonic_s,
 )
-from gentianhub.platform.client import open_platform
-from gentianhub.platform.journal import JournalStore
-from gentianhub.platform.objects import (
+from gentianhub.storage.client import open_platform
+from gentianhub.storage.journal import JournalStore
+from gentianhub.storage.objects import (
     JournalBatch,
     JournalIndex,
     build_batch_name,
--- a/gentianhub/platform/tests/fake_store.py
+++ b/gentianhub/storage/tests/fake_store.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from gentianhub.core import PlatformError, Step
-from gentianhub.platform import Conflict, VersionedRow
+from gentianhub.storage import Conflict, VersionedRow
 
 
 class Fault(enum.Enum):
--- a/gentianhub/platform/tests/test_changes.py
+++ b/gentianhub/storage/tests/test_changes.py
@@ -14,15 +14,15 @@
 
 from gentianhub.core import PlatformError, Table, TeamRow
 from gentianhub.decisions.versions import apply_change, build_change
-from gentianhub.platform.changes import (
+from gentianhub.storage.changes import (
     ChangeApplied,
     ChangeUnknown,
     StaleVersion,
     read_newer_table,
     write_change,
 )
-from gentianhub.platform.rows import CHANGE_PREFIX, HEAD_KEY, decode_change
-from gentianhub.platform.tests.fake_store import FakeStore, Fault
+from gentianhub.storage.rows import CHANGE_PREFIX, HEAD_KEY, decode_change
+from gentianhub.storage.tests.fake_store import FakeStore, Fault
 
 OPERATORS = 3
 NAMES = st.sampled_from(["depot", "hospitals", "workshops"])
--- a/gentianhub/platform/tests/test_claims.py
+++ b/gentianhub/storage/tests/test_claims.py
@@ -16,7 +16,7 @@
     RunState,
 )
 from gentianhub.decisions import IdBlock
-from gentianhub.platform.claims import (
+from gentianhub.storage.claims import (
     CLAIM_BOUND_S,
     CLAIM_PREFIX,
     ClaimKey,
@@ -25,7 +25,7 @@
     claim_key,
     submit_with_key,
 )
-from gentianhub.platform.tests.fake_store import FakeStore, Fault
+from gentianhub.storage.tests.fake_store import FakeStore, Fault
 
 OWNERS = [
     Incarnation(name=ProcessName(data_centre="olten", process=name), token="0" * 16)
--- a/gentianhub/platform/tests/test_journal.py
+++ b/gentianhub/storage/tests/test_journal.py
@@ -16,10 +16,10 @@
     Step,
     Unknown,
 )
-from gentianhub.platform import journal as journal_module
-from gentianhub.platform.journal import JournalTask
-from gentianhub.platform.lookups import LookupTask
-from gentianhub.platform.tests.fake_store import FakeStore, Fault
+from gentianhub.storage import journal as journal_module
+from gentianhub.storage.journal import JournalTask
+from gentianhub.storage.lookups import LookupTask
+from gentianhub.storage.tests.fake_store import FakeStore, Fault
 
 OWNER = Incarnation(name=ProcessName(data_centre="olten", process="e1"), token="0" * 16)
 COMPLETE = JobComplete(results=(b"\xff\x00", b""))
--- a/gentianhub/platform/watcher.py
+++ b/gentianhub/storage/watcher.py
@@ -8,9 +8,9 @@
 from gentianhub.core.events import TableAdopted, TargetsSeen
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.propagation import ChangesRead, PollDuty
-from gentianhub.platform.changes import read_newer_changes
-from gentianhub.platform.client import PlatformClient, open_platform
-from gentianhub.platform.rows import decode_processes, decode_targets
+from gentianhub.storage.changes import read_newer_changes
+from gentianhub.storage.client import PlatformClient, open_platform
+from gentianhub.storage.rows import decode_processes, decode_targets
 
 POLL_PERIOD_S = 0.5
 
