--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -36,13 +36,13 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.decisions.admission import AdmitKnownServices
 from gentianhub.decisions.versions import TableChange, apply_change
-from gentianhub.storage.rows import decode_change, decode_targets, encode_change
 from gentianhub.stand_ins.processes import (
     EntryPlan,
     TargetPlan,
     start_deployment,
     wait_until_serving,
 )
+from gentianhub.storage.rows import decode_change, decode_targets, encode_change
 
 RECORD = Path(__file__).resolve().parent.parent / "docs" / "capacity-slopes.json"
 OWNER = Incarnation(name=ProcessName(data_centre="olten", process="e1"), token="0" * 16)
--- /dev/null
+++ b/gentianhub/capacity/jobs.py
@@ -0,0 +1,120 @@
+"""Jobs made of steps whose tasks request capacity."""
+
+from attrs import frozen
+
+from gentianhub.capacity.resources import Resources
+
+
+@frozen(kw_only=True)
+class JobStep:
+    """A step of a job: `count` tasks with equal requests.
+
+    `estimate_s` is the caller's rough estimate of a task's run time; 0 if none was
+    given. `after` lists the steps that must be done first. `max_per_target` of 0
+    means no limit. Empty texts stand for no requirement.
+    """
+
+    count: int
+    demand: Resources
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_target: int = 0
+
+
+@frozen(kw_only=True)
+class CapacityJob:
+    """What a caller submits.
+
+    `unsupported` names the first feature of the submission that this version
+    cannot run; such a job is refused before anything of it starts.
+    """
+
+    payload: str
+    steps: tuple[JobStep, ...]
+    is_kept: bool = False
+    unsupported: str = ""
+
+
+@frozen(kw_only=True, cache_hash=True, order=True)
+class TaskKey:
+    """Names one task: job id, step and position, both from 0."""
+
+    job: str
+    step: int
+    index: int
+
+
+@frozen(kw_only=True)
+class Route:
+    """A queue of the operator's configuration.
+
+    `objective_s` is the latency allowed beside the work itself, and `stretch` the
+    factor on the work. `max_attempts` bounds runs that end as failed.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    objective_s: float = 0.0
+    stretch: float = 1.0
+    timeout_s: float = 0.0
+    has_advice: bool = False
+
+
+@frozen(kw_only=True)
+class Configuration:
+    """One version of the operator's configuration.
+
+    `guarded` names the services whose targets refuse a task that does not fit.
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    guarded: frozenset[str] = frozenset()
+    max_body_bytes: int = 262_144
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, if any."""
+        matching = (
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.prefix)
+        )
+        return max(matching, key=lambda route: len(route.prefix), default=None)
+
+
+@frozen(kw_only=True)
+class ListedTarget:
+    """A target as the service discovery lists it.
+
+    `incarnation` changes when the target starts again under the same name.
+    """
+
+    name: str
+    incarnation: int
+    host: str
+    port: int
+    data_centre: str
+    service: str
+    capacity: Resources
+    labels: tuple[str, ...] = ()
+    is_leaving: bool = False
+
+    @property
+    def port_pair(self) -> tuple[str, int]:
+        """Address as a pair of host and port."""
+        return self.host, self.port
+
+
+@frozen(kw_only=True, cache_hash=True, order=True)
+class Cell:
+    """A group of targets with one owner: share `index` of `count` of a data centre."""
+
+    data_centre: str
+    index: int = 0
+    count: int = 1
--- /dev/null
+++ b/gentianhub/capacity/ownership.py
@@ -0,0 +1,190 @@
+"""Which host owns a cell, without a coordination service.
+
+Owners claim their cells in the heartbeats that hosts exchange. The claim with the
+highest term counts, and the term is the fencing token that targets compare: of two
+hosts that both believe to own a cell, the targets serve the one with the higher term.
+The store is not needed, so that an outage of it stops no work.
+"""
+
+import hashlib
+import time
+from collections.abc import Iterator
+
+from attrs import define, field, frozen
+
+from gentianhub.capacity.events import CellClaim, HostBeat
+from gentianhub.capacity.jobs import Cell
+from gentianhub.capacity.leases import HOST_SILENCE_S
+from gentianhub.core import Incarnation
+
+# A host that has just started waits this long for claims of others, s.
+SETTLING_S = 0.5
+# A host that hears no other one is more likely cut off than alone, s.
+ISOLATION_S = 2.0
+# A host whose claims targets refuse, and that hears of no other owner, is cut off from
+# that owner. It leaves the cell alone for this time, s.
+FENCED_PAUSE_S = 5.0
+# Raises of a term after refusals, within the pause, before the host gives in.
+MAX_RAISES = 1
+RAISE_STEP = 5
+
+
+@frozen(kw_only=True)
+class CellTaken:
+    """The own host owns the cell from now on."""
+
+    cell: Cell
+    term: int
+
+
+@frozen(kw_only=True)
+class CellLost:
+    """Another host owns the cell, or targets refuse this one."""
+
+    cell: Cell
+    reason: str
+
+
+@frozen(kw_only=True)
+class OwnerKnown:
+    """The owner of a cell that this host follows."""
+
+    owner: Incarnation
+    claim: CellClaim
+
+
+@define(kw_only=True, eq=False)
+class Peer:
+    """Another host; `heard_s` is monotonic, `is_lost` says that it fell silent."""
+
+    heard_s: float
+    beat: HostBeat
+    is_lost: bool = False
+
+
+@define(kw_only=True, eq=False)
+class Ownership:
+    """Claims of all hosts, and the decision to claim a cell.
+
+    Parameters
+    ----------
+    own : Incarnation
+        This host.
+    cells : tuple of Cell
+        The cells of the host's own data centre.
+    started_s : float
+        Monotonic time of the start.
+    """
+
+    own: Incarnation
+    cells: tuple[Cell, ...]
+    started_s: float
+    is_draining: bool = False
+    expected_hosts: int = 0
+    peers: dict[Incarnation, Peer] = field(init=False, factory=dict)
+    terms: dict[Cell, int] = field(init=False, factory=dict)
+    _highest: dict[Cell, int] = field(init=False, factory=dict)
+    _paused_until_s: dict[Cell, float] = field(init=False, factory=dict)
+    _raises: dict[Cell, list[float]] = field(init=False, factory=dict)
+    _heard_any_s: float = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._heard_any_s = self.started_s
+
+    def hear(self, peer: Incarnation, beat: HostBeat, now_s: float) -> None:
+        """Take in a heartbeat."""
+        self.peers[peer] = Peer(heard_s=now_s, beat=beat)
+        self._heard_any_s = now_s
+        for claim in beat.claims:
+            highest = max(self._highest.get(claim.cell, 0), claim.term)
+            self._highest[claim.cell] = highest
+
+    def forget(self, peer: Incarnation) -> None:
+        """Drop a host that has said that it stops, or was replaced."""
+        self.peers.pop(peer, None)
+
+    def is_live(self, peer: Incarnation, now_s: float) -> bool:
+        """Whether a host was heard lately."""
+        known = self.peers.get(peer)
+        return known is not None and now_s - known.heard_s <= HOST_SILENCE_S
+
+    def find_owners(self, now_s: float) -> dict[Cell, OwnerKnown]:
+        """Return the live owner of each cell that another host claims."""
+        owners: dict[Cell, OwnerKnown] = {}
+        for peer, known in self.peers.items():
+            if not self.is_live(peer, now_s):
+                continue
+            for claim in known.beat.claims:
+                best = owners.get(claim.cell)
+                rank = (claim.term, str(peer))
+                if best is None or rank > (best.claim.term, str(best.owner)):
+                    owners[claim.cell] = OwnerKnown(owner=peer, claim=claim)
+        return owners
+
+    def decide(self, now_s: float) -> Iterator[CellTaken | CellLost]:
+        """Yield the changes of this host's claims."""
+        owners = self.find_owners(now_s)
+        for cell in self.cells:
+            other = owners.get(cell)
+            term = self.terms.get(cell)
+            if term is not None and other is not None:
+                if (other.claim.term, str(other.owner)) > (term, str(self.own)):
+                    del self.terms[cell]
+                    yield CellLost(cell=cell, reason=f"{other.owner} has claimed it")
+            elif term is None and self._should_claim(cell, other, now_s):
+                yield self._take_cell(cell)
+
+    def _should_claim(self, cell: Cell, other: OwnerKnown | None, now_s: float) -> bool:
+        if self.is_draining or now_s < self._paused_until_s.get(cell, 0.0):
+            return False
+        if other is not None and not self.peers[other.owner].beat.is_draining:
+            return False
+        if now_s < self.started_s + SETTLING_S:
+            return False
+        is_isolated = self.expected_hosts > 0 and not self._count_live(now_s)
+        if is_isolated and now_s < self._heard_any_s + ISOLATION_S:
+            return False
+        return self._is_first_in_line(cell, now_s)
+
+    def _count_live(self, now_s: float) -> int:
+        return sum(self.is_live(peer, now_s) for peer in self.peers)
+
+    def _is_first_in_line(self, cell: Cell, now_s: float) -> bool:
+        candidates = [self.own] + [
+            peer
+            for peer, known in self.peers.items()
+            if peer.name.data_centre == cell.data_centre
+            and self.is_live(peer, now_s)
+            and not known.beat.is_draining
+        ]
+        return max(candidates, key=lambda host: rank_host(cell, host)) == self.own
+
+    def _take_cell(self, cell: Cell) -> CellTaken:
+        # Terms follow the time of day, so that they rise when all hosts have lost
+        # their memory; targets compare terms, never the times themselves.
+        term = max(int(time.time()), self._highest.get(cell, 0) + 1)
+        self._highest[cell] = term
+        self.terms[cell] = term
+        return CellTaken(cell=cell, term=term)
+
+    def take_fencing(self, cell: Cell, now_s: float) -> Iterator[CellTaken | CellLost]:
+        """React to a target that has seen a higher term than this host's."""
+        if cell not in self.terms:
+            return
+        recent = [
+            at for at in self._raises.get(cell, []) if at > now_s - FENCED_PAUSE_S
+        ]
+        del self.terms[cell]
+        if len(recent) >= MAX_RAISES:
+            self._paused_until_s[cell] = now_s + FENCED_PAUSE_S
+            yield CellLost(cell=cell, reason="targets follow a higher term")
+            return
+        self._raises[cell] = [*recent, now_s]
+        self._highest[cell] = self._highest.get(cell, 0) + RAISE_STEP
+        yield self._take_cell(cell)
+
+
+def rank_host(cell: Cell, host: Incarnation) -> bytes:
+    """Return the rendezvous weight of a host for a cell."""
+    text = f"{cell.data_centre}/{cell.index}|{host.name}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- /dev/null
+++ b/gentianhub/capacity/resources.py
@@ -0,0 +1,38 @@
+"""Amounts of processor time, memory and accelerators."""
+
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class Resources:
+    """An amount that a task requests or that a target has.
+
+    `cpu_millicores` is in thousandths of a core, `memory_mb` in megabytes,
+    `accelerators` a count.
+    """
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            cpu_millicores=self.cpu_millicores + other.cpu_millicores,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            cpu_millicores=self.cpu_millicores - other.cpu_millicores,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room: "Resources") -> bool:
+        """Whether this amount is available in `room`."""
+        return (
+            self.cpu_millicores <= room.cpu_millicores
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
--- a/gentianhub/cli/table_options.py
+++ b/gentianhub/cli/table_options.py
@@ -15,8 +15,8 @@
     ProcessVersion,
     read_versions,
 )
-from gentianhub.storage import PlatformClient, open_platform
 from gentianhub.settings import Endpoint, HostSettings, load_settings
+from gentianhub.storage import PlatformClient, open_platform
 
 # Longer than when serving: an operator would rather wait than repeat the command.
 OPERATOR_TIMEOUT_S = 5.0
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -10,8 +10,8 @@
 from gentianhub.core import events as ev
 from gentianhub.decisions import Dispatcher
 from gentianhub.observability import Metrics, RenderMetrics
-from gentianhub.storage.journal import RecordAnswer
 from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
+from gentianhub.storage.journal import RecordAnswer
 from gentianhub.targets import ConnectionClosed, ConnectionEnded, TargetPool
 
 TICK_PERIOD_S = 0.05
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -33,6 +33,8 @@
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.dispatcher import DispatcherTask, run_timer
 from gentianhub.operators import OperatorPort, serve_operators
+from gentianhub.settings import HostSettings, ProcessSettings
+from gentianhub.siblings import find_owner, forward_operation, open_siblings
 from gentianhub.storage import PlatformWatcher, run_watcher
 from gentianhub.storage.claims import (
     ClaimTask,
@@ -47,8 +49,6 @@
     run_journal,
 )
 from gentianhub.storage.lookups import LookupTask, find_answer, run_lookups
-from gentianhub.settings import HostSettings, ProcessSettings
-from gentianhub.siblings import find_owner, forward_operation, open_siblings
 
 EXIT_CRASHED = 70
 # The load balancer must see the failing health check before the port closes.
--- a/gentianhub/entry/tests/test_keyed_jobs.py
+++ b/gentianhub/entry/tests/test_keyed_jobs.py
@@ -8,14 +8,14 @@
 from geventhttpclient import HTTPClient
 
 from gentianhub.core import JobComplete, parse_job_id
-from gentianhub.storage import open_platform
-from gentianhub.storage.lookups import LookupTask
 from gentianhub.stand_ins.processes import (
     LOOPBACK,
     EntryPlan,
     TargetPlan,
     start_deployment,
 )
+from gentianhub.storage import open_platform
+from gentianhub.storage.lookups import LookupTask
 
 ROWS = [
     {"sheet": "teams", "name": "desk"},
--- /dev/null
+++ b/gentianhub/host/callers.py
@@ -0,0 +1,114 @@
+"""The ports for the platform's callers and for its look at the host's readiness."""
+
+import json
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from attrs import frozen
+
+from gentianhub.core import Mailbox
+from gentianhub.host import messages as ms
+from gentianhub.platform.callers import DEADLINE_HEADER, encode_error
+from gentianhub.platform.settings import Address
+from gentianhub.web import (
+    BodyError,
+    Request,
+    Response,
+    build_application,
+    open_server,
+    watch_disconnect,
+)
+
+# Connections of callers at most; the host has 4,100 descriptors.
+MAX_CALLERS = 2000
+MAX_BODY_BYTES = 1_048_576
+MAX_CONTROL_CONNECTIONS = 64
+
+
+@frozen(kw_only=True)
+class CallerPort:
+    """Passes calls to the coordinator and waits for their answers.
+
+    `is_draining` tells whether connections are to be closed after an answer.
+    """
+
+    coordinator: Mailbox
+    is_draining: Callable[[], bool]
+
+    def handle(self, request: Request) -> Response:
+        """Return the response to one call."""
+        replies = Mailbox(limit=2)
+        call = ms.FrontRequest(
+            method=request.method,
+            host=request.headers.get("host", "").partition(":")[0],
+            path=request.path,
+            body=request.body,
+            wait_s=parse_wait_s(request.headers.get(DEADLINE_HEADER)),
+            reply_to=replies,
+        )
+        if not self.coordinator.offer(call):
+            return encode_error(503, "the coordinator's mailbox is full", 1.0)
+        gone = ms.CallerGone(reply_to=replies)
+        with watch_disconnect(request.connection, lambda: self._report(gone)):
+            response = replies.take()
+        return self._close_if_draining(response)
+
+    def _report(self, gone: ms.CallerGone) -> None:
+        self.coordinator.offer(gone)
+
+    def _close_if_draining(self, response: Response) -> Response:
+        if not self.is_draining():
+            return response
+        return Response(
+            status=response.status,
+            body=response.body,
+            headers={**response.headers, "Connection": "close"},
+        )
+
+
+def parse_wait_s(text: str | None) -> float | None:
+    """Return how long the caller waits, s; None if it does not say."""
+    try:
+        return max(0.0, float(text) / 1000) if text else None
+    except ValueError:
+        return None
+
+
+def _refuse_body(error: BodyError) -> Response:
+    return encode_error(error.status, error.reason)
+
+
+@contextmanager
+def serve_callers(address: Address, port: CallerPort) -> Iterator[None]:
+    """Serve callers until the end of the block; open calls end first."""
+    application = build_application(port.handle, _refuse_body, MAX_BODY_BYTES)
+    with open_server(address.as_pair(), application, MAX_CALLERS):
+        yield
+
+
+@contextmanager
+def serve_control(
+    address: Address, coordinator: Mailbox, is_ready: Callable[[], bool]
+) -> Iterator[None]:
+    """Serve readiness, metrics and the state dump."""
+
+    def handle(request: Request) -> Response:
+        match request.path:
+            case "/metrics":
+                text = _ask(coordinator, ms.RenderHostMetrics)
+                return Response(status=200, body=text)
+            case "/dump":
+                state = _ask(coordinator, ms.DescribeHost)
+                return Response(status=200, body=json.dumps(state).encode())
+            case _:
+                return Response(status=200 if is_ready() else 503)
+
+    application = build_application(handle, _refuse_body, MAX_BODY_BYTES)
+    with open_server(address.as_pair(), application, MAX_CONTROL_CONNECTIONS):
+        yield
+
+
+def _ask(coordinator: Mailbox, build):
+    replies = Mailbox(limit=1)
+    coordinator.put(build(reply_to=replies))
+    return replies.take()
--- /dev/null
+++ b/gentianhub/host/followers.py
@@ -0,0 +1,221 @@
+"""Greenlets that follow tables of the platform's store."""
+
+import logging
+import time
+from collections.abc import Callable
+from random import Random
+
+import gevent
+from attrs import define, field
+
+from gentianhub.core import Mailbox, PlatformError
+from gentianhub.host import messages as ms
+from gentianhub.host.registry import (
+    HOSTS_TABLE,
+    HostEntry,
+    decode_host,
+    encode_host,
+)
+from gentianhub.platform.content import decode_target
+from gentianhub.platform.fields import FieldError
+from gentianhub.platform.settings import Address
+from gentianhub.platform.store import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    TARGETS_TABLE,
+    HistoryGone,
+    RowsRead,
+    StoreClient,
+    StoredRow,
+    open_store,
+)
+
+# The feed holds a request at most 30 s. A connection that has gone silent is noticed
+# after this wait, which bounds how late a configuration can be.
+FEED_WAIT_S = 1.0
+# Targets change state every heartbeat of 1.5 s; reading at every change would cost
+# many calls, and 0.4 s is well within the 2 s that a leaving target allows. Hosts
+# that own no cell keep a list that is good enough to take one over.
+OWNER_PERIOD_S = 0.4
+OTHER_PERIOD_S = 2.0
+FIRST_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+@define(kw_only=True, eq=False)
+class TableFollower:
+    """Keeps a copy of a table and reports each change of it.
+
+    Parameters
+    ----------
+    report : callable
+        Called with the rows by key after each change.
+    find_period_s : callable
+        Returns the pause between two requests, s; 0 follows at once.
+    """
+
+    table: str
+    address: Address
+    coordinator: Mailbox
+    report: Callable[[dict[str, StoredRow]], None]
+    wait_s: float = FEED_WAIT_S
+    find_period_s: Callable[[], float] = lambda: 0.0
+    random: Random = field(factory=Random)
+    _rows: dict[str, StoredRow] = field(init=False, factory=dict)
+    _version: int | None = field(init=False, default=None)
+    _failures: int = field(init=False, default=0)
+
+    def run(self) -> None:
+        """Follow the table for ever."""
+        with open_store(*self.address.as_pair()) as store:
+            while True:
+                self._read_safely(store)
+                gevent.sleep(self._find_pause_s())
+
+    def _find_pause_s(self) -> float:
+        if not self._failures:
+            return self.find_period_s()
+        longest_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(self._failures, 6))
+        return self.random.uniform(longest_s / 2, longest_s)
+
+    def _read_safely(self, store: StoreClient) -> None:
+        try:
+            self._read(store)
+        except PlatformError as error:
+            self._failures += 1
+            if self._failures == 1:
+                lost = ms.StoreLost(table=self.table, reason=str(error))
+                self.coordinator.put(lost)
+            return
+        if self._failures:
+            self._failures = 0
+            self.coordinator.put(ms.StoreRegained(table=self.table))
+
+    def _read(self, store: StoreClient) -> None:
+        if self._version is None:
+            read = store.read_rows(self.table)
+            self._rows = {row.key: row for row in read.rows}
+            self._version = read.version
+            self.report(self._rows)
+            return
+        match store.follow_rows(self.table, self._version, self.wait_s):
+            case HistoryGone():
+                logger.info("history gone", extra={"table": self.table})
+                self._version = None
+            case RowsRead(rows=rows, version=version):
+                self._version = version
+                self._apply(rows)
+
+    def _apply(self, rows: tuple[StoredRow, ...]) -> None:
+        for row in rows:
+            if row.is_removed:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
+        if rows:
+            self.report(self._rows)
+
+
+def follow_configuration(address: Address, coordinator: Mailbox) -> None:
+    """Report each configuration of the operator."""
+
+    def report(rows: dict[str, StoredRow]) -> None:
+        row = rows.get(CONFIGURATION_KEY)
+        if row is not None:
+            coordinator.put(ms.ConfigurationRead(content=row.value))
+
+    TableFollower(
+        table=OPERATOR_TABLE, address=address, coordinator=coordinator, report=report
+    ).run()
+
+
+def follow_hosts(address: Address, coordinator: Mailbox) -> None:
+    """Report the register of hosts whenever it changes."""
+
+    def report(rows: dict[str, StoredRow]) -> None:
+        hosts = tuple(_decode_rows(rows, lambda key, value: decode_host(value)))
+        versions = {row.key: row.version for row in rows.values()}
+        coordinator.put(ms.HostsRead(hosts=hosts, versions=versions))
+
+    TableFollower(
+        table=HOSTS_TABLE, address=address, coordinator=coordinator, report=report
+    ).run()
+
+
+def follow_targets(
+    address: Address, coordinator: Mailbox, is_owner: Callable[[], bool]
+) -> None:
+    """Report the list of targets whenever it changes."""
+    known: dict[tuple[str, int], object] = {}
+
+    def report(rows: dict[str, StoredRow]) -> None:
+        current = {(row.key, row.version) for row in rows.values()}
+        for key in [key for key in known if key not in current]:
+            del known[key]
+        for row in rows.values():
+            if (row.key, row.version) not in known:
+                decoded = list(_decode_rows({row.key: row}, decode_target))
+                known[(row.key, row.version)] = decoded
+        targets = tuple(target for decoded in known.values() for target in decoded)
+        coordinator.put(ms.TargetsRead(targets=targets))
+
+    TableFollower(
+        table=TARGETS_TABLE,
+        address=address,
+        coordinator=coordinator,
+        report=report,
+        wait_s=0.0,
+        find_period_s=lambda: OWNER_PERIOD_S if is_owner() else OTHER_PERIOD_S,
+    ).run()
+
+
+def _decode_rows(rows: dict[str, StoredRow], decode):
+    for row in rows.values():
+        try:
+            yield decode(row.key, row.value)
+        except FieldError as error:
+            logger.warning(
+                "row not usable", extra={"key": row.key, "reason": str(error)}
+            )
+
+
+def keep_register(own: HostEntry, address: Address, orders: Mailbox) -> None:
+    """Write this host's row, and remove rows of lost hosts when told to."""
+    with open_store(*address.as_pair()) as store:
+        _write_own(store, own)
+        while True:
+            match orders.take():
+                case ms.RemoveHost(name=name, version=version):
+                    _remove_row(store, name, version)
+                case ms.RegisterAgain():
+                    _write_own(store, own)
+
+
+def _write_own(store: StoreClient, own: HostEntry) -> None:
+    pause_s = FIRST_RETRY_S
+    while True:
+        try:
+            store.write_row(HOSTS_TABLE, own.name, encode_host(own))
+        except PlatformError as error:
+            logger.warning("host not registered", extra={"reason": str(error)})
+            gevent.sleep(pause_s)
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
+        else:
+            logger.info("host registered", extra={"host": own.name})
+            return
+
+
+def _remove_row(store: StoreClient, name: str, version: int) -> None:
+    try:
+        removed = store.remove_row(HOSTS_TABLE, name, version)
+    except PlatformError as error:
+        logger.warning("row not removed", extra={"host": name, "reason": str(error)})
+        return
+    logger.info("lost host removed", extra={"host": name, "removed": removed})
+
+
+def read_unix_ms() -> int:
+    """Return the time of day, Unix milliseconds."""
+    return round(time.time() * 1000)
--- /dev/null
+++ b/gentianhub/host/metrics.py
@@ -0,0 +1,54 @@
+"""Counters of one host, served on its metrics address."""
+
+from collections import Counter
+
+from attrs import define, field
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily
+
+from gentianhub.capacity.effects import JobVerdict
+from gentianhub.capacity.events import TaskEnd
+
+
+@define(kw_only=True, eq=False)
+class HostMetrics:
+    """Owned by the coordinator; read through `render_text`."""
+
+    starts: int = 0
+    stops: int = 0
+    submissions: Counter = field(factory=Counter)
+    answers: Counter = field(factory=Counter)
+    ends: Counter = field(factory=Counter)
+
+    def count_submission(self, route: str) -> None:
+        """Count a job that a caller has submitted."""
+        self.submissions[route] += 1
+
+    def count_answer(self, verdict: JobVerdict) -> None:
+        """Count a caller's final answer."""
+        self.answers[verdict.value] += 1
+
+    def count_end(self, end: TaskEnd) -> None:
+        """Count a report of ended tasks."""
+        self.ends[end.value] += 1
+
+    def collect(self):
+        """Yield metric families in the form that prometheus_client renders."""
+        yield _build_family("starts", "Runs started", "kind", {"start": self.starts})
+        yield _build_family("stops", "Runs stopped", "kind", {"stop": self.stops})
+        yield _build_family("jobs", "Jobs submitted", "route", self.submissions)
+        yield _build_family("answers", "Answers to callers", "verdict", self.answers)
+        yield _build_family("task_reports", "Reports of tasks", "end", self.ends)
+
+    def render_text(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+
+def _build_family(name: str, text: str, label: str, counts) -> CounterMetricFamily:
+    family = CounterMetricFamily(f"gentianhub_host_{name}", text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
+    return family
--- a/gentianhub/observability/__init__.py
+++ b/gentianhub/observability/__init__.py
@@ -3,5 +3,17 @@
 from gentianhub.observability.logs import configure_logging
 from gentianhub.observability.messages import RenderMetrics
 from gentianhub.observability.metrics import Metrics
+from gentianhub.observability.stream import (
+    LineWriter,
+    QueueingHandler,
+    open_line_writer,
+)
 
-__all__ = ["Metrics", "RenderMetrics", "configure_logging"]
+__all__ = [
+    "LineWriter",
+    "Metrics",
+    "QueueingHandler",
+    "RenderMetrics",
+    "configure_logging",
+    "open_line_writer",
+]
--- a/gentianhub/observability/logs.py
+++ b/gentianhub/observability/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 import logging
 import sys
@@ -6,9 +6,14 @@
 from pythonjsonlogger.json import JsonFormatter
 
 
-def configure_logging(*, process: str, level: str) -> None:
-    """Log JSON lines with time, level, logger, process, step and peer."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(
+    *, process: str, level: str, handler: logging.Handler | None = None
+) -> None:
+    """Log JSON lines with time, level, logger, process, step and peer.
+
+    Without a handler the lines go to standard error.
+    """
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "{asctime}{levelname}{name}{message}",
--- /dev/null
+++ b/gentianhub/platform/callers.py
@@ -0,0 +1,112 @@
+"""Submissions of the platform's callers, and the answers to them."""
+
+import json
+import re
+
+from gentianhub.capacity.effects import AnswerCaller, JobVerdict
+from gentianhub.capacity.jobs import CapacityJob, JobStep
+from gentianhub.platform.content import decode_json, decode_resources
+from gentianhub.platform.fields import FieldError, read_field
+from gentianhub.web import Response
+
+JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+MAX_PAYLOAD_BYTES = 4000
+MAX_TASKS_PER_STEP = 10_000
+DEADLINE_HEADER = "deadline-ms"
+JSON_HEADERS = {"Content-Type": "application/json"}
+# Fields of a submission or a step that ask for what this version does not do.
+UNSUPPORTED_JOB_FIELDS = ("times",)
+UNSUPPORTED_STEP_FIELDS = (
+    "gang",
+    "same_rack",
+    "long_running",
+    "fills",
+    "target_ms",
+)
+
+
+def decode_job(body: bytes) -> CapacityJob:
+    """Return the job in a submission's body.
+
+    Raises
+    ------
+    FieldError
+        If the body describes no job.
+    """
+    decoded = decode_json(body)
+    payload = read_field(decoded, "spec", str, "")
+    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise FieldError(f"spec: expected at most {MAX_PAYLOAD_BYTES} bytes")
+    phases = read_field(decoded, "phases", list)
+    steps = tuple(_decode_step(at, phase) for at, phase in enumerate(phases))
+    if not steps:
+        raise FieldError("phases: expected at least one")
+    is_kept = not read_field(decoded, "best_effort", bool, False)
+    unsupported = [name for name in UNSUPPORTED_JOB_FIELDS if decoded.get(name)]
+    unsupported += [
+        name for phase in phases for name in UNSUPPORTED_STEP_FIELDS if phase.get(name)
+    ]
+    if is_kept:
+        unsupported.append("jobs that are kept")
+    return CapacityJob(
+        payload=payload,
+        steps=steps,
+        is_kept=is_kept,
+        unsupported=unsupported[0] if unsupported else "",
+    )
+
+
+def _decode_step(at: int, content: object) -> JobStep:
+    count = read_field(content, "count", int, 1)
+    after = tuple(read_field(content, "after", list, []))
+    if not 1 <= count <= MAX_TASKS_PER_STEP:
+        raise FieldError(f"count: expected 1 to {MAX_TASKS_PER_STEP}, got {count}")
+    if not all(type(number) is int and 0 <= number < at for number in after):
+        raise FieldError(f"after: expected numbers of earlier steps, got {after!r}")
+    return JobStep(
+        count=count,
+        demand=decode_resources(content),
+        estimate_s=read_field(content, "estimate_ms", float, 0.0) / 1000,
+        after=after,
+        required_label=read_field(content, "required_label", str, ""),
+        data_rack=read_field(content, "data_rack", str, ""),
+        max_per_target=read_field(content, "max_per_server", int, 0),
+    )
+
+
+def encode_answer(answer: AnswerCaller) -> Response:
+    """Return the final response to a submission."""
+    match answer.verdict:
+        case JobVerdict.COMPLETED:
+            return encode_state(200, "completed")
+        case JobVerdict.FAILED:
+            return encode_state(200, "failed")
+        case JobVerdict.CANCELLED:
+            return encode_state(200, "cancelled")
+        case JobVerdict.NOT_RUN:
+            return encode_error(503, answer.reason, answer.retry_after_s)
+        case JobVerdict.INTERRUPTED:
+            return encode_error(504, answer.reason)
+
+
+def encode_state(status: int, state: str) -> Response:
+    """Return a response that tells a job's state."""
+    body = json.dumps({"state": state}).encode()
+    return Response(status=status, body=body, headers=JSON_HEADERS)
+
+
+def encode_error(
+    status: int, reason: str, retry_after_s: float | None = None
+) -> Response:
+    """Return a response that says why there is no result."""
+    headers = dict(JSON_HEADERS)
+    if retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(retry_after_s)))
+    body = json.dumps({"error": reason}).encode()
+    return Response(status=status, body=body, headers=headers)
+
+
+def encode_waiting(count: int) -> Response:
+    """Return the response with the number of a route's jobs that have not begun."""
+    body = json.dumps({"pending": count}).encode()
+    return Response(status=200, body=body, headers=JSON_HEADERS)
--- /dev/null
+++ b/gentianhub/platform/content.py
@@ -0,0 +1,102 @@
+"""What the operator and the targets write into the platform's store."""
+
+import json
+
+from gentianhub.capacity.jobs import Configuration, ListedTarget, Route
+from gentianhub.capacity.resources import Resources
+from gentianhub.platform.fields import FieldError, read_field, read_texts
+from gentianhub.platform.settings import make_name, parse_address
+
+READY_STATE = "ready"
+LEAVING_STATE = "draining"
+
+
+def decode_json(content: bytes) -> dict:
+    """Return the object in a body or a row.
+
+    Raises
+    ------
+    FieldError
+        If the bytes hold no JSON object.
+    """
+    try:
+        decoded = json.loads(content)
+    except (ValueError, RecursionError) as error:
+        raise FieldError(f"expected a JSON object: {error!r:.100}") from error
+    if not isinstance(decoded, dict):
+        raise FieldError(f"expected a JSON object, got {decoded!r:.60}")
+    return decoded
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """Return the operator's configuration.
+
+    Raises
+    ------
+    FieldError
+        If a field is missing or has the wrong type.
+    """
+    decoded = decode_json(content)
+    services = read_field(decoded, "services", list, [])
+    limits = read_field(decoded, "limits", dict, {})
+    return Configuration(
+        version=read_field(decoded, "version", int),
+        routes=tuple(map(_decode_route, read_field(decoded, "routes", list, []))),
+        guarded=frozenset(
+            read_field(service, "name", str)
+            for service in services
+            if read_field(service, "admission_check", bool, False)
+        ),
+        max_body_bytes=read_field(limits, "max_body_bytes", int, 262_144),
+    )
+
+
+def _decode_route(content: object) -> Route:
+    return Route(
+        name=read_field(content, "name", str),
+        host=read_field(content, "host", str),
+        prefix=read_field(content, "prefix", str),
+        service=read_field(content, "service", str),
+        priority=read_field(content, "priority", int, 0),
+        max_attempts=read_field(content, "max_attempts", int, 1),
+        objective_s=read_field(content, "slo_ms", float, 0.0) / 1000,
+        stretch=read_field(content, "stretch", float, 1.0),
+        timeout_s=read_field(content, "timeout_ms", float, 0.0) / 1000,
+        has_advice=read_field(content, "advice", dict, None) is not None,
+    )
+
+
+def decode_target(name: str, content: bytes) -> ListedTarget:
+    """Return the target that an entry of the service discovery describes.
+
+    Raises
+    ------
+    FieldError
+        If the entry does not describe a target that can be used.
+    """
+    decoded = decode_json(content)
+    state = read_field(decoded, "state", str)
+    if state not in (READY_STATE, LEAVING_STATE):
+        raise FieldError(f"state: expected ready or draining, got {state!r:.60}")
+    address = parse_address(read_field(decoded, "address", str))
+    return ListedTarget(
+        name=name,
+        # Unix milliseconds of the target's start.
+        incarnation=read_field(decoded, "born", int, 0),
+        host=address.host,
+        port=address.port,
+        data_centre=make_name(read_field(decoded, "zone", str)),
+        service=read_field(decoded, "service", str),
+        capacity=decode_resources(read_field(decoded, "capacity", dict)),
+        labels=read_texts(decoded, "labels"),
+        is_leaving=state == LEAVING_STATE,
+    )
+
+
+def decode_resources(content: dict) -> Resources:
+    """Return the amounts of an object; absent ones are zero."""
+    return Resources(
+        cpu_millicores=read_field(content, "cpu", int, 0),
+        memory_mb=read_field(content, "mem_mb", int, 0),
+        accelerators=read_field(content, "gpu", int, 0),
+    )
--- /dev/null
+++ b/gentianhub/platform/fields.py
@@ -0,0 +1,37 @@
+"""Typed reads from decoded JSON and TOML; a wrong type names the field."""
+
+from typing import Any
+
+
+class FieldError(ValueError):
+    """A field is missing or has another type than expected."""
+
+
+def read_field(content: Any, name: str, kind: type, default: Any = ...) -> Any:
+    """Return a field of an object; without a default the field is required.
+
+    Raises
+    ------
+    FieldError
+        If the field is missing or is not of this kind.
+    """
+    if not isinstance(content, dict):
+        raise FieldError(f"{name}: expected an object around it, got {content!r:.60}")
+    value = content.get(name)
+    if value is None:
+        if default is ...:
+            raise FieldError(f"{name}: missing, expected {kind.__name__}")
+        return default
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise FieldError(f"{name}: expected {kind.__name__}, got {value!r:.60}")
+    return value
+
+
+def read_texts(content: Any, name: str) -> tuple[str, ...]:
+    """Return a list of texts; an absent field is an empty list."""
+    values = read_field(content, name, list, [])
+    if not all(isinstance(value, str) for value in values):
+        raise FieldError(f"{name}: expected texts, got {values!r:.60}")
+    return tuple(values)
--- /dev/null
+++ b/gentianhub/platform/targets.py
@@ -0,0 +1,236 @@
+"""Calls to one target: starts, stops and lease renewals."""
+
+import json
+import re
+
+import gevent
+from attrs import define, field
+
+from gentianhub.capacity import effects as fx
+from gentianhub.capacity import events as ev
+from gentianhub.capacity.jobs import ListedTarget, TaskKey
+from gentianhub.core import read_monotonic_s
+from gentianhub.platform.content import decode_json
+from gentianhub.platform.fields import FieldError, read_field
+from gentianhub.web import EXCHANGE_ERRORS, HttpConnection
+
+CONNECT_TIMEOUT_S = 0.2
+# A healthy target answers a start or a stop in a few milliseconds.
+ORDER_TIMEOUT_S = 0.12
+# Added to the time that a renewal waits at the target, s.
+RENEWAL_SLACK_S = 0.2
+INCARNATION_HEADER = "Target-Instance"
+
+_TASK_PATTERN = re.compile(r"(.+)\.(\d+)\.(\d+)\.(\d+)")
+_START_REFUSALS = {
+    "fence": ev.StartVerdict.FENCED,
+    "old": ev.StartVerdict.STALE_RUN,
+    "late": ev.StartVerdict.TOO_LATE,
+    "room": ev.StartVerdict.NO_ROOM,
+}
+_RUN_ENDS = {
+    "done": ev.RunEnd.DONE,
+    "failed": ev.RunEnd.FAILED,
+    "stopped": ev.RunEnd.STOPPED,
+    "lapsed": ev.RunEnd.LAPSED,
+    "broken": ev.RunEnd.BROKEN,
+    "alone": ev.RunEnd.BROKEN,
+}
+
+
+@define(kw_only=True, eq=False)
+class TargetClock:
+    """The target's clock, as last told; shared by a target's connections."""
+
+    told_ms: int | None = None
+    told_at_s: float = 0.0
+
+    def note(self, told_ms: int) -> None:
+        """Take in a reading of the target's clock that has just arrived."""
+        self.told_ms, self.told_at_s = told_ms, read_monotonic_s()
+
+    def compute_until_ms(self, lease_s: float) -> int | None:
+        """Return the end of a lease on the target's clock, ms; None if unknown."""
+        if self.told_ms is None or lease_s <= 0:
+            return None
+        elapsed_s = read_monotonic_s() - self.told_at_s
+        return round(self.told_ms + (elapsed_s + lease_s) * 1000)
+
+
+@define(kw_only=True, eq=False)
+class TargetCalls:
+    """One connection to one target, used by one greenlet."""
+
+    target: ListedTarget
+    clock: TargetClock
+    _connection: HttpConnection = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._connection = HttpConnection(
+            host=self.target.host,
+            port=self.target.port,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            reply_timeout_s=None,
+        )
+
+    def close(self) -> None:
+        """Close the connection for good."""
+        self._connection.close()
+
+    def start(self, start: fx.StartRun) -> ev.StartAnswered:
+        """Ask the target to start a run."""
+        sent_s = read_monotonic_s()
+        verdict = self._start(start)
+        return ev.StartAnswered(
+            target=self.target.name,
+            key=start.key,
+            run=start.run,
+            verdict=verdict,
+            sent_s=sent_s,
+        )
+
+    def _start(self, start: fx.StartRun) -> ev.StartVerdict:
+        until_ms = self.clock.compute_until_ms(start.lease_s)
+        if until_ms is None:
+            return ev.StartVerdict.NOT_SENT
+        order = {
+            "task": encode_key(start.key),
+            "run": start.run,
+            "spec": start.payload,
+            "until_ms": until_ms,
+            "fence": start.term,
+        }
+        try:
+            self._connection.connect()
+        except (OSError, gevent.Timeout):
+            self._connection.reset()
+            return ev.StartVerdict.NOT_SENT
+        try:
+            status, answer = self._call("/api/run-start", order, ORDER_TIMEOUT_S)
+        except EXCHANGE_ERRORS:
+            return ev.StartVerdict.UNANSWERED
+        match status:
+            case 200:
+                return ev.StartVerdict.STARTED
+            case 409:
+                reason = read_field(answer, "reason", str, "")
+                return _START_REFUSALS.get(reason, ev.StartVerdict.REJECTED)
+            case 421:
+                return ev.StartVerdict.OTHER_INCARNATION
+            case 429 | 503:
+                return ev.StartVerdict.UNHEALTHY
+            case _:
+                return ev.StartVerdict.REJECTED
+
+    def stop(self, stop: fx.StopRun) -> ev.StopAnswered:
+        """Ask the target to stop a run, or not to begin it."""
+        order = {"task": encode_key(stop.key), "run": stop.run, "fence": stop.term}
+        try:
+            status, _ = self._call("/api/run-stop", order, ORDER_TIMEOUT_S)
+        except EXCHANGE_ERRORS:
+            status = 0
+        return ev.StopAnswered(
+            target=self.target.name,
+            key=stop.key,
+            run=stop.run,
+            is_confirmed=status == 200,
+        )
+
+    def renew(
+        self, renewal: fx.RenewLease
+    ) -> ev.TargetReported | ev.TargetSilent | ev.TargetFenced:
+        """Renew the lease of all runs and learn which run and which have ended."""
+        order: dict[str, int] = {
+            "fence": renewal.term,
+            "acked_upto": renewal.acknowledged,
+        }
+        until_ms = self.clock.compute_until_ms(renewal.lease_s)
+        if until_ms is not None:
+            order["until_ms"] = until_ms
+        if renewal.wait_s:
+            order["wait_ms"] = round(renewal.wait_s * 1000)
+        sent_s = read_monotonic_s()
+        limit_s = renewal.wait_s + RENEWAL_SLACK_S
+        try:
+            status, answer = self._call("/api/hold", order, limit_s)
+            if status == 409:
+                return ev.TargetFenced(target=self.target.name, term=renewal.term)
+            if status != 200:
+                return self._describe_silence(f"status {status}")
+            return self._decode_report(answer, sent_s)
+        except EXCHANGE_ERRORS as error:
+            return self._describe_silence(repr(error))
+
+    def _describe_silence(self, reason: str) -> ev.TargetSilent:
+        return ev.TargetSilent(target=self.target.name, reason=f"{reason:.120}")
+
+    def _decode_report(self, answer: dict, sent_s: float) -> ev.TargetReported:
+        return ev.TargetReported(
+            target=self.target.name,
+            incarnation=read_field(answer, "born", int, None),
+            sent_s=sent_s,
+            running=tuple(
+                map(_decode_running, read_field(answer, "running", list, []))
+            ),
+            ended=tuple(map(_decode_ended, read_field(answer, "ended", list, []))),
+        )
+
+    def _call(self, path: str, order: dict, limit_s: float) -> tuple[int, dict]:
+        """Return status and body; reset the connection if there is no whole answer."""
+        try:
+            with gevent.Timeout(limit_s, TimeoutError):
+                response = self._connection.request(
+                    "POST",
+                    path,
+                    body=json.dumps(order).encode(),
+                    headers={
+                        "Content-Type": "application/json",
+                        INCARNATION_HEADER: self.target.name,
+                    },
+                )
+                body = bytes(response.read())
+            answer = decode_json(body) if body else {}
+        except EXCHANGE_ERRORS:
+            self._connection.reset()
+            raise
+        told_ms = read_field(answer, "clock_ms", int, None)
+        if told_ms is not None:
+            self.clock.note(told_ms)
+        return response.status_code, answer
+
+
+def encode_key(key: TaskKey) -> str:
+    """Return a task's name on the wire; occurrences are not used, so theirs is 0."""
+    return f"{key.job}.0.{key.step}.{key.index}"
+
+
+def decode_key(text: object) -> TaskKey:
+    """Return the task that a name on the wire stands for.
+
+    Raises
+    ------
+    FieldError
+        If it is not of the form JOB.OCCURRENCE.STEP.INDEX.
+    """
+    match = _TASK_PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise FieldError(f"task: expected ID.K.STEP.INDEX, got {text!r:.60}")
+    return TaskKey(job=match[1], step=int(match[3]), index=int(match[4]))
+
+
+def _decode_running(row: object) -> ev.RunReport:
+    match row:
+        case [task, int(run), _, int() | float() as percent, *_]:
+            return ev.RunReport(key=decode_key(task), run=run, percent=int(percent))
+        case _:
+            raise FieldError(f"running: unexpected row {row!r:.80}")
+
+
+def _decode_ended(row: object) -> ev.EndReport:
+    match row:
+        case [int(number), task, int(run), str(how), *_] if how in _RUN_ENDS:
+            return ev.EndReport(
+                number=number, key=decode_key(task), run=run, end=_RUN_ENDS[how]
+            )
+        case _:
+            raise FieldError(f"ended: unexpected row {row!r:.80}")
--- /dev/null
+++ b/gentianhub/siblings/capacity_encoding.py
@@ -0,0 +1,196 @@
+"""Encoding and decoding of the messages between front hosts and cells' owners.
+
+The values are checked before they are written, because an exception of Cap'n Proto
+ends a process when it is raised in a greenlet.
+"""
+
+from gentianhub.capacity import events as ev
+from gentianhub.capacity.jobs import Cell, JobStep
+from gentianhub.capacity.resources import Resources
+
+MAX_UINT32 = 2**32 - 1
+MAX_INT32 = 2**31 - 1
+
+
+def build_message(message) -> dict | None:
+    """Return the content of a capacity message; None for any other message."""
+    match message:
+        case ev.HostBeat():
+            return {"hostBeat": _build_beat(message)}
+        case ev.RunTasks():
+            return {"runTasks": _build_order(message)}
+        case ev.CancelTasks(cell=cell, job=job):
+            return {"cancelTasks": {"cell": _build_cell(cell), "job": job}}
+        case ev.TasksEnded():
+            return {"tasksEnded": _build_end(message)}
+        case ev.ConfigurationOffer(version=version, content=content):
+            return {"configurationOffer": {"version": version, "content": content}}
+        case _:
+            return None
+
+
+def _clamp(number: int, largest: int = MAX_UINT32, smallest: int = 0) -> int:
+    """Return the nearest number that the field holds."""
+    return max(smallest, min(largest, int(number)))
+
+
+def _build_cell(cell: Cell) -> dict:
+    return {"dataCentre": cell.data_centre, "index": cell.index, "count": cell.count}
+
+
+def _build_beat(beat: ev.HostBeat) -> dict:
+    return {
+        "number": beat.number,
+        "claims": [_build_claim(claim) for claim in beat.claims],
+        "configurationVersion": beat.configuration_version,
+        "isDraining": beat.is_draining,
+    }
+
+
+def _build_claim(claim: ev.CellClaim) -> dict:
+    return {
+        "cell": _build_cell(claim.cell),
+        "term": claim.term,
+        "freeMillicores": _clamp(claim.free_millicores),
+        "queuedMillicoreS": _clamp(claim.queued_millicore_s),
+        "totalMillicores": _clamp(claim.total_millicores),
+    }
+
+
+def _build_order(order: ev.RunTasks) -> dict:
+    return {
+        "cell": _build_cell(order.cell),
+        "job": order.job,
+        "stepNumber": order.step_number,
+        "step": _build_step(order.step),
+        "indexes": list(order.indexes),
+        "payload": order.payload,
+        "route": order.route,
+        "service": order.service,
+        "priority": _clamp(order.priority, MAX_INT32, -MAX_INT32),
+        "maxAttempts": _clamp(order.max_attempts),
+        "allowanceS": order.allowance_s,
+        "stretch": order.stretch,
+        "deadlineInS": order.deadline_in_s,
+        "mayDecline": order.may_decline,
+        "isRepeat": order.is_repeat,
+    }
+
+
+def _build_step(step: JobStep) -> dict:
+    return {
+        "count": step.count,
+        "demand": {
+            "cpuMillicores": _clamp(step.demand.cpu_millicores),
+            "memoryMb": _clamp(step.demand.memory_mb),
+            "accelerators": _clamp(step.demand.accelerators),
+        },
+        "estimateS": step.estimate_s,
+        "after": list(step.after),
+        "requiredLabel": step.required_label,
+        "dataRack": step.data_rack,
+        "maxPerTarget": _clamp(step.max_per_target),
+    }
+
+
+def _build_end(ended: ev.TasksEnded) -> dict:
+    return {
+        "cell": _build_cell(ended.cell),
+        "job": ended.job,
+        "stepNumber": ended.step_number,
+        "indexes": list(ended.indexes),
+        "end": ended.end.value,
+        "hasStarted": ended.has_started,
+    }
+
+
+def _read_cell(content) -> Cell:
+    return Cell(
+        data_centre=content.dataCentre, index=content.index, count=content.count
+    )
+
+
+def _read_beat(content) -> ev.HostBeat:
+    return ev.HostBeat(
+        number=content.number,
+        claims=tuple(map(_read_claim, content.claims)),
+        configuration_version=content.configurationVersion,
+        is_draining=content.isDraining,
+    )
+
+
+def _read_claim(content) -> ev.CellClaim:
+    return ev.CellClaim(
+        cell=_read_cell(content.cell),
+        term=content.term,
+        free_millicores=content.freeMillicores,
+        queued_millicore_s=content.queuedMillicoreS,
+        total_millicores=content.totalMillicores,
+    )
+
+
+def _read_order(content) -> ev.RunTasks:
+    return ev.RunTasks(
+        cell=_read_cell(content.cell),
+        job=content.job,
+        step_number=content.stepNumber,
+        step=_read_step(content.step),
+        indexes=tuple(content.indexes),
+        payload=content.payload,
+        route=content.route,
+        service=content.service,
+        priority=content.priority,
+        max_attempts=content.maxAttempts,
+        allowance_s=content.allowanceS,
+        stretch=content.stretch,
+        deadline_in_s=content.deadlineInS,
+        may_decline=content.mayDecline,
+        is_repeat=content.isRepeat,
+    )
+
+
+def _read_step(content) -> JobStep:
+    demand = content.demand
+    return JobStep(
+        count=content.count,
+        demand=Resources(
+            cpu_millicores=demand.cpuMillicores,
+            memory_mb=demand.memoryMb,
+            accelerators=demand.accelerators,
+        ),
+        estimate_s=content.estimateS,
+        after=tuple(content.after),
+        required_label=content.requiredLabel,
+        data_rack=content.dataRack,
+        max_per_target=content.maxPerTarget,
+    )
+
+
+def _read_cancel(content) -> ev.CancelTasks:
+    return ev.CancelTasks(cell=_read_cell(content.cell), job=content.job)
+
+
+def _read_end(content) -> ev.TasksEnded:
+    return ev.TasksEnded(
+        cell=_read_cell(content.cell),
+        job=content.job,
+        step_number=content.stepNumber,
+        indexes=tuple(content.indexes),
+        end=ev.TaskEnd(content.end),
+        has_started=content.hasStarted,
+    )
+
+
+def _read_offer(content) -> ev.ConfigurationOffer:
+    return ev.ConfigurationOffer(
+        version=content.version, content=bytes(content.content)
+    )
+
+
+READERS = {
+    "hostBeat": _read_beat,
+    "runTasks": _read_order,
+    "cancelTasks": _read_cancel,
+    "tasksEnded": _read_end,
+    "configurationOffer": _read_offer,
+}
--- a/gentianhub/siblings/decoding.py
+++ b/gentianhub/siblings/decoding.py
@@ -35,6 +35,7 @@
 from gentianhub.decisions import IdBlock, JobAccepted
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.versions import Removal, Row, TableChange, name_sheet
+from gentianhub.siblings import capacity_encoding
 from gentianhub.siblings import messages as ms
 from gentianhub.siblings.encoding import schema
 
@@ -79,6 +80,8 @@
             return _read_deltas(content)
         case "hostList":
             return _read_hosts(content)
+        case _ if name in capacity_encoding.READERS:
+            return capacity_encoding.READERS[name](content)
         case _:
             return _read_slot_message(name, content)
 
--- a/gentianhub/siblings/encoding.py
+++ b/gentianhub/siblings/encoding.py
@@ -36,6 +36,7 @@
 from gentianhub.decisions import IdBlock, JobAccepted
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.versions import Row, TableChange
+from gentianhub.siblings import capacity_encoding
 from gentianhub.siblings import messages as ms
 
 capnp.remove_import_hook()
@@ -47,7 +48,8 @@
 def encode_message(message: ms.SiblingMessage) -> bytes:
     """Return the body of a frame."""
     builder = schema.Message.new_message()
-    _fill_struct(builder, _build_message(message))
+    content = capacity_encoding.build_message(message) or _build_message(message)
+    _fill_struct(builder, content)
     return builder.to_bytes()
 
 
--- a/gentianhub/siblings/messages.py
+++ b/gentianhub/siblings/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from gentianhub.capacity import events as cev
 from gentianhub.core import Incarnation, JobAnswer, JobPending, Refusal, Table
 from gentianhub.core.events import SlotMessage
 from gentianhub.core.operations import Operation
@@ -65,8 +66,17 @@
     snapshot: Table | None = None
 
 
+CapacityMessage = (
+    cev.HostBeat
+    | cev.RunTasks
+    | cev.CancelTasks
+    | cev.TasksEnded
+    | cev.ConfigurationOffer
+)
+
 SiblingMessage = (
     Hello
+    | CapacityMessage
     | Heartbeat
     | SlotMessage
     | ForwardRequest
--- a/gentianhub/storage/tests/test_outages.py
+++ b/gentianhub/storage/tests/test_outages.py
@@ -8,10 +8,10 @@
 from gentianhub.core import Mailbox, PlatformError, Table, TeamRow
 from gentianhub.core.events import TableAdopted
 from gentianhub.decisions.versions import build_change
-from gentianhub.storage import PlatformWatcher, open_platform
-from gentianhub.storage.changes import write_change
 from gentianhub.stand_ins.platform import PlatformStandIn, serve_platform
 from gentianhub.stand_ins.processes import LOOPBACK, reserve_ports
+from gentianhub.storage import PlatformWatcher, open_platform
+from gentianhub.storage.changes import write_change
 
 
 class OutageTest(unittest.TestCase):
--- a/gentianhub/web/__init__.py
+++ b/gentianhub/web/__init__.py
@@ -11,6 +11,7 @@
     Response,
     build_application,
     open_server,
+    watch_disconnect,
 )
 
 __all__ = [
@@ -22,4 +23,5 @@
     "build_application",
     "open_connection",
     "open_server",
+    "watch_disconnect",
 ]
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -4,13 +4,16 @@
 import socket
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
+from typing import Any
 from urllib.parse import parse_qs, unquote
 
 from attrs import Factory, frozen
+from gevent import get_hub
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 SOCKET_TIMEOUT_S = 30.0
+CONNECTION_KEY = "gentianhub.connection"
 STATUS_TEXTS = {
     200: "200 OK",
     202: "202 Accepted",
@@ -25,6 +28,7 @@
     429: "429 Too Many Requests",
     500: "500 Internal Server Error",
     503: "503 Service Unavailable",
+    504: "504 Gateway Timeout",
 }
 
 logger = logging.getLogger(__name__)
@@ -40,6 +44,7 @@
     headers: Mapping[str, str]
     body: bytes
     peer: str
+    connection: Any = None
 
     @property
     def segments(self) -> tuple[str, ...]:
@@ -64,9 +69,20 @@
     reason: str
 
 
+class _ConnectionHandler(WSGIHandler):
+    """Handler that gives the application the connection's socket."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self.socket
+        return environ
+
+
 class _NoDelayServer(WSGIServer):
     """WSGI server whose connections send at once and time out when silent."""
 
+    handler_class = _ConnectionHandler
+
     def handle(self, sock, address):
         # Nagle's algorithm delays keep-alive replies by 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -130,9 +146,41 @@
         },
         body=body,
         peer=environ.get("REMOTE_ADDR", "unknown"),
+        connection=environ.get(CONNECTION_KEY),
     )
 
 
+@contextmanager
+def watch_disconnect(connection, report: Callable[[], None]) -> Iterator[None]:
+    """Call `report` once if the peer closes the connection meanwhile.
+
+    A further request that arrives on the connection ends the watch.
+    """
+    watcher = get_hub().loop.io(connection.fileno(), 1)
+
+    def check() -> None:
+        watcher.stop()
+        if _is_closed(connection):
+            report()
+
+    watcher.start(check)
+    try:
+        yield
+    finally:
+        watcher.stop()
+        watcher.close()
+
+
+def _is_closed(connection) -> bool:
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return connection._sock.recv(1, flags) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 @contextmanager
 def open_server(
     address: tuple[str, int], application, max_connections: int
