Make terms unique, let both hosts dial, and refuse jobs late in a drain

A host in its drain took a job 4.9 s after SIGTERM and closed the connection without an answer when its grace ended: LOST. Ruled out: a lost stop (the second run was started, not left over) and a stale survey (the new owner had owned the cell for 0.5 s). Change: the low 20 bits of a term come from the host's token; each host of a pair dials, the link that the smaller name dialled is kept, and retries wait 0.5 s at most; a started host waits up to 1.5 s for the registered hosts of its data centre; 2.5 s after SIGTERM new jobs are refused as not run, and open ones are answered before the process ends.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -57,6 +57,13 @@
     reply_to: Any
 
 
+@frozen(kw_only=True)
+class EndJobs:
+    """The host stops; every open job gets its final answer."""
+
+    reason: str
+
+
 @frozen(kw_only=True)
 class OwnersChanged:
     """The live owners of all cells, with their loads."""
@@ -121,6 +128,9 @@
                 yield from self._take_end(event, now_s)
             case OwnersChanged(owners=owners):
                 yield from self._change_owners(owners, now_s)
+            case EndJobs(reason=reason):
+                for job in list(self.jobs.values()):
+                    yield from self._close(job, fx.JobVerdict.INTERRUPTED, reason)
             case ev.Tick():
                 yield from self._pass_time(now_s)
 
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -17,14 +17,20 @@
 from gentianhub.capacity.leases import HOST_SILENCE_S
 from gentianhub.core import Incarnation
 
-# A host that has just started waits this long for claims of others, s.
+# A host that has just started waits this long for claims of others, s; longer while
+# registered hosts of its data centre have not been heard.
 SETTLING_S = 0.5
+MAX_SETTLING_S = 1.5
+# Low bits of a term hold part of the host's token: two hosts never have equal terms,
+# because targets would take orders of both. Terms stay below 2**53.
+TOKEN_BITS = 20
 # A host that hears no other one is more likely cut off than alone, s.
 ISOLATION_S = 2.0
 # A host whose claims targets refuse, and that hears of no other owner, is cut off from
 # that owner. It leaves the cell alone for this time, s.
 FENCED_PAUSE_S = 5.0
-# Raises of a term after refusals, within the pause, before the host gives in.
+# Raises of a term after refusals, within the pause, before the host gives in. A raise
+# skips some periods, in case the clock of the other owner is ahead.
 MAX_RAISES = 1
 RAISE_STEP = 5
 
@@ -81,6 +87,7 @@
     started_s: float
     is_draining: bool = False
     expected_hosts: int = 0
+    expected_near: int = 0
     peers: dict[Incarnation, Peer] = field(init=False, factory=dict)
     terms: dict[Cell, int] = field(init=False, factory=dict)
     _highest: dict[Cell, int] = field(init=False, factory=dict)
@@ -139,13 +146,23 @@
             return False
         if other is not None and not self.peers[other.owner].beat.is_draining:
             return False
-        if now_s < self.started_s + SETTLING_S:
+        if not self._has_settled(now_s):
             return False
         is_isolated = self.expected_hosts > 0 and not self._count_live(now_s)
         if is_isolated and now_s < self._heard_any_s + ISOLATION_S:
             return False
         return self._is_first_in_line(cell, now_s)
 
+    def _has_settled(self, now_s: float) -> bool:
+        near = sum(
+            peer.name.data_centre == self.own.name.data_centre
+            and self.is_live(peer, now_s)
+            for peer in self.peers
+        )
+        is_complete = near >= self.expected_near
+        settling_s = SETTLING_S if is_complete else MAX_SETTLING_S
+        return now_s >= self.started_s + settling_s
+
     def _count_live(self, now_s: float) -> int:
         return sum(self.is_live(peer, now_s) for peer in self.peers)
 
@@ -162,7 +179,9 @@
     def _take_cell(self, cell: Cell) -> CellTaken:
         # Terms follow the time of day, so that they rise when all hosts have lost
         # their memory; targets compare terms, never the times themselves.
-        term = max(int(time.time()), self._highest.get(cell, 0) + 1)
+        period = max(int(time.time()), (self._highest.get(cell, 0) >> TOKEN_BITS) + 1)
+        token = int(self.own.token, 16) % 2**TOKEN_BITS
+        term = period << TOKEN_BITS | token
         self._highest[cell] = term
         self.terms[cell] = term
         return CellTaken(cell=cell, term=term)
@@ -180,7 +199,7 @@
             yield CellLost(cell=cell, reason="targets follow a higher term")
             return
         self._raises[cell] = [*recent, now_s]
-        self._highest[cell] = self._highest.get(cell, 0) + RAISE_STEP
+        self._highest[cell] = self._highest.get(cell, 0) + (RAISE_STEP << TOKEN_BITS)
         yield self._take_cell(cell)
 
 
--- /dev/null
+++ b/gentianhub/capacity/tests/test_ownership.py
@@ -0,0 +1,101 @@
+"""Claims on cells: unique terms, takeovers, and hosts that are cut off."""
+
+import unittest
+
+from gentianhub.capacity import ownership as ow
+from gentianhub.capacity.events import CellClaim, HostBeat
+from gentianhub.capacity.jobs import Cell
+from gentianhub.capacity.leases import HOST_SILENCE_S
+from gentianhub.core import Incarnation, ProcessName
+
+CELL = Cell(data_centre="olten")
+
+
+def build_host(name: str, token: str) -> Incarnation:
+    process = ProcessName(data_centre="olten", process=name)
+    return Incarnation(name=process, token=token * 16)
+
+
+FIRST, SECOND = build_host("e1", "a"), build_host("e2", "b")
+
+
+def build_beat(term: int = 0, is_draining: bool = False) -> HostBeat:
+    claims = (CellClaim(cell=CELL, term=term),) if term else ()
+    return HostBeat(
+        number=1, claims=claims, configuration_version=1, is_draining=is_draining
+    )
+
+
+def build_ownership(own: Incarnation, **options) -> ow.Ownership:
+    return ow.Ownership(own=own, cells=(CELL,), started_s=0.0, **options)
+
+
+class TestTerms(unittest.TestCase):
+    def test_two_hosts_that_claim_in_the_same_second_have_distinct_terms(self):
+        """Equal terms let targets take starts of two owners: a task ran twice."""
+        claims = [
+            change.term
+            for own in (FIRST, SECOND)
+            for change in build_ownership(own).decide(10.0)
+        ]
+        self.assertEqual(2, len(set(claims)))
+        self.assertLess(max(claims), 2**53)
+
+    def test_a_claim_exceeds_every_term_that_was_heard(self):
+        ownership = build_ownership(FIRST)
+        heard = 2**52
+        ownership.hear(SECOND, build_beat(heard), 1.0)
+        (change,) = ownership.decide(1.0 + 2 * HOST_SILENCE_S + ow.ISOLATION_S)
+        self.assertGreater(change.term, heard)
+
+
+class TestClaims(unittest.TestCase):
+    def test_a_started_host_waits_for_the_registered_hosts_of_its_data_centre(self):
+        """A restarted host claimed a cell whose owner it had not yet heard."""
+        ownership = build_ownership(FIRST, expected_near=1)
+        self.assertEqual([], list(ownership.decide(ow.SETTLING_S + 0.1)))
+        self.assertEqual(1, len(list(ownership.decide(ow.MAX_SETTLING_S))))
+
+    def test_a_live_claim_is_respected(self):
+        ownership = build_ownership(FIRST)
+        ownership.hear(SECOND, build_beat(5), 9.9)
+        self.assertEqual([], list(ownership.decide(10.0)))
+
+    def test_a_silent_owner_is_replaced(self):
+        ownership = build_ownership(FIRST, expected_hosts=2)
+        other = build_host("e3", "c")
+        ownership.hear(SECOND, build_beat(5), 9.0)
+        # A third host is heard, so that the own host is not the one cut off.
+        late_s = 9.0 + HOST_SILENCE_S + 0.1
+        ownership.hear(other, build_beat(is_draining=True), late_s)
+        (change,) = ownership.decide(late_s)
+        self.assertIsInstance(change, ow.CellTaken)
+
+    def test_a_host_that_hears_nobody_does_not_claim_at_once(self):
+        """A host cut off from its siblings would take targets from a live owner."""
+        ownership = build_ownership(FIRST, expected_hosts=2)
+        ownership.hear(SECOND, build_beat(5), 10.0)
+        self.assertEqual([], list(ownership.decide(10.0 + HOST_SILENCE_S + 0.1)))
+        late_s = 10.0 + ow.ISOLATION_S + 0.1
+        self.assertEqual(1, len(list(ownership.decide(late_s))))
+
+    def test_a_draining_owner_is_relieved_and_gives_up_on_the_higher_claim(self):
+        successor = build_ownership(FIRST)
+        successor.hear(SECOND, build_beat(5, is_draining=True), 10.0)
+        (taken,) = successor.decide(10.0)
+        owner = build_ownership(SECOND)
+        owner.terms[CELL] = 5
+        owner.hear(FIRST, build_beat(taken.term), 10.1)
+        (lost,) = owner.decide(10.1)
+        self.assertIsInstance(lost, ow.CellLost)
+
+    def test_a_fenced_owner_raises_its_term_once_and_then_pauses(self):
+        """Without a pause two owners that cannot hear each other alternate for ever."""
+        ownership = build_ownership(FIRST)
+        (taken,) = ownership.decide(10.0)
+        (raised,) = ownership.take_fencing(CELL, 10.1)
+        self.assertGreater(raised.term, taken.term)
+        (lost,) = ownership.take_fencing(CELL, 10.2)
+        self.assertIsInstance(lost, ow.CellLost)
+        self.assertEqual([], list(ownership.decide(10.3)))
+        self.assertEqual(1, len(list(ownership.decide(10.3 + ow.FENCED_PAUSE_S))))
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -15,6 +15,7 @@
 from gentianhub.capacity.front import (
     CallerLeft,
     CancelCapacityJob,
+    EndJobs,
     FrontBook,
     OwnersChanged,
     SubmitCapacityJob,
@@ -46,7 +47,7 @@
 DEFAULT_WAIT_S = 30.0
 # A registered host that nobody has heard for this long is removed, s.
 LOST_HOST_S = 20.0
-# Calls on open connections are still taken this long after the balancer was told, s.
+# Jobs on open connections are still taken this long after the balancer was told, s.
 NOTICE_S = 2.5
 
 logger = logging.getLogger(__name__)
@@ -158,6 +159,8 @@
                 self._log("store regained", table)
             case ms.BeginDrain(reply_to=reply_to):
                 self._begin_drain(reply_to, now_s)
+            case ms.EndOpenJobs():
+                self._run_front(EndJobs(reason="the host stops"), now_s)
             case ms.DescribeHost(reply_to=reply_to):
                 reply_to.offer(self.describe_state(now_s))
             case ms.RenderHostMetrics(reply_to=reply_to):
@@ -175,6 +178,10 @@
             return
         job_id = request.path[len(route.prefix) :].strip("/")
         match request.method:
+            case "POST" if self._is_closing(now_s):
+                self._log("job refused", job_id, reason="the host stops")
+                refusal = callers.encode_error(503, "the host stops", 0.0)
+                self._reply(request.reply_to, refusal)
             case "POST":
                 self._submit_job(request, route, job_id, now_s)
             case "GET" if not job_id:
@@ -192,6 +199,10 @@
             case _:
                 self._reply(request.reply_to, callers.encode_error(405, "unknown"))
 
+    def _is_closing(self, now_s: float) -> bool:
+        """Whether a job that came now might not end before the process does."""
+        return self.is_draining and now_s > self._drain_began_s + NOTICE_S
+
     def _describe_job(self, job_id: str) -> Response:
         job = self.front.jobs.get(job_id)
         if job is None:
@@ -453,6 +464,9 @@
         self.links.set_hosts(hosts)
         self._row_versions = versions
         self.ownership.expected_hosts = len(self.links.hosts)
+        self.ownership.expected_near = sum(
+            name.data_centre == self.own.name.data_centre for name in self.links.hosts
+        )
         if self.own.name.process not in versions:
             self.register.offer(ms.RegisterAgain())
 
--- a/gentianhub/host/links.py
+++ b/gentianhub/host/links.py
@@ -15,6 +15,11 @@
 # A link on which nothing arrived for this long is replaced, s. Open connections can go
 # silent for good while new ones work.
 SILENT_LINK_S = 0.8
+# A link that was heard within this time is kept when the other host dials as well, s.
+FRESH_LINK_S = 0.3
+# A host that cannot be reached is dialled again within this time, s; until then its
+# siblings take it as lost.
+MAX_DIAL_DELAY_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -29,14 +34,20 @@
 
 @define(kw_only=True, eq=False)
 class HostLinks:
-    """One link to each other host; of each pair the smaller name dials."""
+    """One link to each other host.
+
+    Both hosts of a pair dial, so that a new one is heard at once; of two links that
+    are opened together the one that the smaller name dialled is kept.
+    """
 
     own: ProcessName
     context: LinkContext
     seeds: tuple[DialTarget, ...] = ()
     links: dict[Incarnation, LinkState] = field(init=False, factory=dict)
     hosts: dict[ProcessName, HostEntry] = field(init=False, factory=dict)
-    dials: DialBook = field(init=False, factory=lambda: DialBook())
+    dials: DialBook = field(
+        init=False, factory=lambda: DialBook(max_delay_s=MAX_DIAL_DELAY_S)
+    )
     _dialling: Group = field(init=False, factory=Group)
 
     @property
@@ -59,6 +70,9 @@
         if link.incarnation.name == self.own:
             link.verdict.offer(False)
             return []
+        if self._is_surplus(link, now_s):
+            link.verdict.offer(False)
+            return []
         replaced = [
             known.link
             for peer, known in self.links.items()
@@ -71,6 +85,14 @@
         link.verdict.offer(True)
         return replaced
 
+    def _is_surplus(self, link: Link, now_s: float) -> bool:
+        known = self.links.get(link.incarnation)
+        return (
+            known is not None
+            and known.link.dialler < link.dialler
+            and now_s < known.heard_s + FRESH_LINK_S
+        )
+
     def close(self, link: Link) -> bool:
         """Forget a link that has ended; return whether it was in use."""
         if link.target is not None:
@@ -113,7 +135,7 @@
         targets = [
             DialTarget(name=name, host=host.address, port=host.port)
             for name, host in self.hosts.items()
-            if name not in linked and self.own < name
+            if name not in linked
         ]
         if not self.hosts and not linked:
             targets += self.seeds
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -76,6 +76,11 @@
     """Reply: nothing is left to wait for."""
 
 
+@frozen(kw_only=True)
+class EndOpenJobs:
+    """The process ends now; answer every open call."""
+
+
 @frozen(kw_only=True)
 class DescribeHost:
     """Reply with a description of the host's state."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -33,7 +33,9 @@
 MAILBOX_LIMIT = 20_000
 EXIT_CRASHED = 70
 # Part of the grace period that is left for open calls, s; the rest is for the exit.
-EXIT_MARGIN_S = 0.5
+EXIT_MARGIN_S = 0.6
+# Time for the last answers to be written, s.
+ANSWER_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -158,6 +160,9 @@
         match replies.take(timeout_s=self.settings.grace_s - EXIT_MARGIN_S):
             case Silence(waited_s=waited_s):
                 logger.warning("calls left open", extra={"waited_s": waited_s})
+                self.mailbox.put(ms.EndOpenJobs())
+                # The answers leave through the callers' greenlets.
+                gevent.sleep(ANSWER_S)
             case ms.Drained():
                 logger.info("every call has ended")
 
--- a/gentianhub/siblings/dialling.py
+++ b/gentianhub/siblings/dialling.py
@@ -22,8 +22,15 @@
 
 @define(kw_only=True, eq=False)
 class DialBook:
-    """State of the attempts by dialled address."""
+    """State of the attempts by dialled address.
 
+    Parameters
+    ----------
+    max_delay_s : float
+        Longest wait between two attempts.
+    """
+
+    max_delay_s: float = MAX_DELAY_S
     random: Random = field(factory=Random)
     _states: dict[DialTarget, DialState] = field(init=False, factory=dict)
 
@@ -45,7 +52,7 @@
         """Record a failed attempt; the next one waits longer, with full jitter."""
         failures = self._states.get(target, DialState()).failures + 1
         doublings = min(failures - 1, MAX_DOUBLINGS)
-        longest_s = min(MAX_DELAY_S, FIRST_DELAY_S * 2**doublings)
+        longest_s = min(self.max_delay_s, FIRST_DELAY_S * 2**doublings)
         delay_s = self.random.uniform(FIRST_DELAY_S / 2, longest_s)
         self._states[target] = DialState(failures=failures, due_s=now_s + delay_s)
 
