Split links from the entry processes' messages; claim cells at once after a restart

A drained host was killed at the end of its grace, since its server waited 5 s for idle connections. Ruled out: a shorter wait in all cases (a claim beside an unheard owner broke TWICE).

--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -17,8 +17,8 @@
 from gentianhub.capacity.leases import HOST_SILENCE_S
 from gentianhub.core import Incarnation
 
-# A host that has just started waits this long for claims of others, s; longer while
-# registered hosts of its data centre have not been heard.
+# A host that has just started and knows no register waits this long for claims of
+# others, s; longer while registered hosts of its data centre have not been heard.
 SETTLING_S = 0.5
 MAX_SETTLING_S = 1.5
 # Low bits of a term hold part of the host's token: two hosts never have equal terms,
@@ -80,6 +80,8 @@
         The cells of the host's own data centre.
     started_s : float
         Monotonic time of the start.
+    expected_hosts, expected_near : int
+        Registered other hosts, in all and in the own data centre; None if unknown.
     """
 
     own: Incarnation
@@ -87,7 +89,7 @@
     started_s: float
     is_draining: bool = False
     expected_hosts: int = 0
-    expected_near: int = 0
+    expected_near: int | None = None
     peers: dict[Incarnation, Peer] = field(init=False, factory=dict)
     terms: dict[Cell, int] = field(init=False, factory=dict)
     _highest: dict[Cell, int] = field(init=False, factory=dict)
@@ -159,8 +161,11 @@
             and self.is_live(peer, now_s)
             for peer in self.peers
         )
-        is_complete = near >= self.expected_near
-        settling_s = SETTLING_S if is_complete else MAX_SETTLING_S
+        if self.expected_near is None:
+            settling_s = SETTLING_S
+        else:
+            # Whoever may own the cell has been heard, or is not there.
+            settling_s = 0.0 if near >= self.expected_near else MAX_SETTLING_S
         return now_s >= self.started_s + settling_s
 
     def _count_live(self, now_s: float) -> int:
--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -22,6 +22,9 @@
 # Connections of callers at most; the host has 4,100 descriptors.
 MAX_CALLERS = 2000
 MAX_BODY_BYTES = 1_048_576
+# Every call has its answer when the ports close; callers keep idle connections open
+# until the process is gone, which must be within the grace period.
+STOP_TIMEOUT_S = 0.1
 MAX_CONTROL_CONNECTIONS = 64
 
 
@@ -82,7 +85,7 @@
 def serve_callers(address: Address, port: CallerPort) -> Iterator[None]:
     """Serve callers until the end of the block; open calls end first."""
     application = build_application(port.handle, _refuse_body, MAX_BODY_BYTES)
-    with open_server(address.as_pair(), application, MAX_CALLERS):
+    with open_server(address.as_pair(), application, MAX_CALLERS, STOP_TIMEOUT_S):
         yield
 
 
@@ -104,7 +107,9 @@
                 return Response(status=200 if is_ready() else 503)
 
     application = build_application(handle, _refuse_body, MAX_BODY_BYTES)
-    with open_server(address.as_pair(), application, MAX_CONTROL_CONNECTIONS):
+    with open_server(
+        address.as_pair(), application, MAX_CONTROL_CONNECTIONS, STOP_TIMEOUT_S
+    ):
         yield
 
 
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -23,19 +23,19 @@
 from gentianhub.capacity.jobs import Cell, Configuration, ListedTarget
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
 from gentianhub.host import messages as ms
+from gentianhub.host.encoding import encode_message
 from gentianhub.host.links import HostLinks
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.target_ports import TargetPorts
-from gentianhub.platform import callers
-from gentianhub.platform.content import decode_configuration
-from gentianhub.platform.fields import FieldError
-from gentianhub.siblings.notices import (
+from gentianhub.linking.notices import (
     DialFailed,
     LinkClosed,
     LinkOpened,
     MessageReceived,
 )
-from gentianhub.siblings.wire import encode_message
+from gentianhub.platform import callers
+from gentianhub.platform.content import decode_configuration
+from gentianhub.platform.fields import FieldError
 from gentianhub.web import Response
 
 # Heartbeats to hosts of the own data centre, and to others, every so many ticks.
--- a/gentianhub/siblings/capacity_encoding.py
+++ b/gentianhub/host/encoding.py
@@ -4,17 +4,57 @@
 ends a process when it is raised in a greenlet.
 """
 
+from pathlib import Path
+
+import capnp
+
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import Cell, JobStep
 from gentianhub.capacity.resources import Resources
+from gentianhub.linking.frames import MalformedMessage
+from gentianhub.linking.greeting import Hello, build_hello, fill_struct, read_hello
+from gentianhub.linking.links import LinkCodec
+
+capnp.remove_import_hook()
+schema = capnp.load(str(Path(__file__).with_name("host.capnp")))
 
+# Cap'n Proto counts each visit of a word; a decoded message is visited a few times.
+TRAVERSAL_LIMIT_WORDS = 2**22
 MAX_UINT32 = 2**32 - 1
 MAX_INT32 = 2**31 - 1
 
 
-def build_message(message) -> dict | None:
-    """Return the content of a capacity message; None for any other message."""
+def encode_message(message) -> bytes:
+    """Return the body of a frame."""
+    builder = schema.Message.new_message()
+    fill_struct(builder, _build_message(message))
+    return builder.to_bytes()
+
+
+def decode_message(body: bytes):
+    """Return the message in a frame's body, or a `MalformedMessage`."""
+    try:
+        with schema.Message.from_bytes(body, TRAVERSAL_LIMIT_WORDS) as reader:
+            name = str(reader.which())
+            return READERS[name](getattr(reader, name))
+    except (capnp.KjException, ValueError) as error:
+        return MalformedMessage(reason=f"{error!r:.200}")
+
+
+def build_codec() -> LinkCodec:
+    """Return the encoding of the links between hosts."""
+    return LinkCodec(
+        encode=encode_message,
+        decode=decode_message,
+        find_claimed_sender=lambda message: None,
+        refuse=lambda message, own: None,
+    )
+
+
+def _build_message(message) -> dict:
     match message:
+        case Hello():
+            return {"hello": build_hello(message)}
         case ev.HostBeat():
             return {"hostBeat": _build_beat(message)}
         case ev.RunTasks():
@@ -25,8 +65,6 @@
             return {"tasksEnded": _build_end(message)}
         case ev.ConfigurationOffer(version=version, content=content):
             return {"configurationOffer": {"version": version, "content": content}}
-        case _:
-            return None
 
 
 def _clamp(number: int, largest: int = MAX_UINT32, smallest: int = 0) -> int:
@@ -188,6 +226,7 @@
 
 
 READERS = {
+    "hello": read_hello,
     "hostBeat": _read_beat,
     "runTasks": _read_order,
     "cancelTasks": _read_cancel,
--- a/gentianhub/host/links.py
+++ b/gentianhub/host/links.py
@@ -6,11 +6,11 @@
 from gevent.pool import Group
 
 from gentianhub.core import Incarnation, Mailbox, ProcessName
+from gentianhub.host.encoding import encode_message
 from gentianhub.host.registry import HostEntry
-from gentianhub.siblings.dialling import DialBook
-from gentianhub.siblings.links import Link, LinkContext, dial_link
-from gentianhub.siblings.notices import DialTarget
-from gentianhub.siblings.wire import encode_message
+from gentianhub.linking.dialling import DialBook
+from gentianhub.linking.links import Link, LinkContext, dial_link
+from gentianhub.linking.notices import DialTarget
 
 # A link on which nothing arrived for this long is replaced, s. Open connections can go
 # silent for good while new ones work.
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -22,12 +22,13 @@
 from gentianhub.host import messages as ms
 from gentianhub.host.callers import CallerPort, serve_callers, serve_control
 from gentianhub.host.coordinator import Coordinator
+from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
 from gentianhub.host.registry import HostEntry
+from gentianhub.linking.greeting import Hello
+from gentianhub.linking.links import LinkContext, accept_link
+from gentianhub.linking.notices import DialTarget
 from gentianhub.platform.settings import HostSettings
-from gentianhub.siblings.links import LinkContext, accept_link
-from gentianhub.siblings.messages import Hello
-from gentianhub.siblings.notices import DialTarget
 
 TICK_S = 0.05
 MAILBOX_LIMIT = 20_000
@@ -70,7 +71,10 @@
             port=siblings.port,
         )
         context = LinkContext(
-            hello=hello, manager=self.mailbox, dispatcher=self.mailbox
+            hello=hello,
+            codec=build_codec(),
+            manager=self.mailbox,
+            dispatcher=self.mailbox,
         )
         seeds = tuple(
             DialTarget(name=None, host=seed.host, port=seed.port)
--- /dev/null
+++ b/gentianhub/linking/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes of the system: frames, greetings, dialling."""
--- /dev/null
+++ b/gentianhub/linking/frames.py
@@ -0,0 +1,103 @@
+"""Frames on a link: length, addressed incarnation, checksum, message.
+
+The token of the addressed incarnation stands outside the message, so that one
+encoded heartbeat serves every sibling. The checksum keeps foreign and damaged bytes
+away from Cap'n Proto, whose exceptions crash the process when they are raised in a
+greenlet.
+"""
+
+import struct
+from typing import Any
+
+import xxhash
+from attrs import define, field, frozen
+
+# Holds a caller's largest job (16 MiB) and an answer of 170 results.
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+READ_BYTES = 2**16
+UNKNOWN_RECEIVER = "0" * 16
+
+_HEADER = struct.Struct(">IQQ")
+HEADER_BYTES = _HEADER.size
+
+
+@frozen(kw_only=True)
+class MalformedMessage:
+    """Sentinel: a frame's body is no message of this schema."""
+
+    reason: str
+
+
+@frozen(kw_only=True)
+class ReceivedFrame:
+    """A whole frame: the token of the addressed incarnation and the body."""
+
+    to_token: str
+    body: bytes
+
+
+@frozen(kw_only=True)
+class FrameTooLarge:
+    """Sentinel: the frame's length is over the limit; nothing of it was read."""
+
+    size: int
+
+
+@frozen(kw_only=True)
+class LinkEnded:
+    """Sentinel: the connection ended, perhaps within a frame."""
+
+    reason: str
+
+
+@frozen(kw_only=True)
+class DamagedFrame:
+    """Sentinel: the frame's checksum is not that of its content."""
+
+
+def pack_frame(to_token: str, body: bytes) -> bytes:
+    """Return the frame that carries an encoded message."""
+    token = int(to_token, 16)
+    checksum = xxhash.xxh3_64_intdigest(body, seed=token)
+    return _HEADER.pack(len(body), token, checksum) + body
+
+
+@define(kw_only=True, eq=False)
+class FrameReader:
+    """Reads frames from a socket; one call to it often takes in several."""
+
+    sock: Any
+    _buffer: bytearray = field(init=False, factory=bytearray)
+
+    def read_frame(
+        self, max_bytes: int = MAX_FRAME_BYTES
+    ) -> ReceivedFrame | FrameTooLarge | DamagedFrame | LinkEnded:
+        """Block until the next frame has arrived whole."""
+        match self._take_bytes(HEADER_BYTES):
+            case LinkEnded() as ended:
+                return ended
+            case header:
+                size, token, checksum = _HEADER.unpack(header)
+        if size > max_bytes:
+            return FrameTooLarge(size=size)
+        match self._take_bytes(size):
+            case LinkEnded() as ended:
+                return ended
+            case body if xxhash.xxh3_64_intdigest(body, seed=token) != checksum:
+                return DamagedFrame()
+            case body:
+                return ReceivedFrame(to_token=f"{token:016x}", body=body)
+
+    def _take_bytes(self, size: int) -> bytes | LinkEnded:
+        while len(self._buffer) < size:
+            try:
+                chunk = self.sock.recv(READ_BYTES)
+            except OSError as error:
+                return LinkEnded(reason=repr(error))
+            if not chunk:
+                missing = size - len(self._buffer)
+                return LinkEnded(reason=f"closed with {missing} bytes missing")
+            self._buffer += chunk
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
--- /dev/null
+++ b/gentianhub/linking/greeting.py
@@ -0,0 +1,87 @@
+"""The greeting that opens a link, and the names in it."""
+
+from attrs import frozen
+
+from gentianhub.core import Incarnation, ProcessName
+
+PROTOCOL_VERSION = 1
+
+
+@frozen(kw_only=True)
+class Hello:
+    """First message on a link, in both directions.
+
+    `started_ms` is Unix time; `host` and `port` are the sender's own listener.
+    """
+
+    sender: Incarnation
+    started_ms: int
+    host: str
+    port: int
+    protocol_version: int = PROTOCOL_VERSION
+
+
+def check_size(number: int, bits: int) -> int:
+    """Return the number if an unsigned field of this width holds it."""
+    if not 0 <= number < 2**bits:
+        raise OverflowError(f"{number} does not fit {bits} bits")
+    return number
+
+
+def fill_struct(builder, content: dict) -> None:
+    """Set the fields of a Cap'n Proto struct; members of unions are initialised."""
+    for name, value in content.items():
+        match value:
+            case dict():
+                fill_struct(builder.init(name), value)
+            case [dict(), *_]:
+                elements = builder.init(name, len(value))
+                for index, element in enumerate(value):
+                    fill_struct(elements[index], element)
+            case _:
+                setattr(builder, name, value)
+
+
+def build_hello(hello: Hello) -> dict:
+    """Return the content of a greeting."""
+    return {
+        "protocolVersion": hello.protocol_version,
+        "sender": build_incarnation(hello.sender),
+        "startedMs": hello.started_ms,
+        "host": hello.host,
+        "port": check_size(hello.port, 16),
+    }
+
+
+def build_name(name: ProcessName) -> dict:
+    """Return the content of a process's name."""
+    return {"dataCentre": name.data_centre, "process": name.process}
+
+
+def build_incarnation(incarnation: Incarnation) -> dict:
+    """Return the content of an incarnation."""
+    return {
+        "name": build_name(incarnation.name),
+        "token": int(incarnation.token, 16),
+    }
+
+
+def read_hello(content) -> Hello:
+    """Return a greeting."""
+    return Hello(
+        protocol_version=content.protocolVersion,
+        sender=read_incarnation(content.sender),
+        started_ms=content.startedMs,
+        host=content.host,
+        port=content.port,
+    )
+
+
+def read_name(content) -> ProcessName:
+    """Return a process's name."""
+    return ProcessName(data_centre=content.dataCentre, process=content.process)
+
+
+def read_incarnation(content) -> Incarnation:
+    """Return an incarnation."""
+    return Incarnation(name=read_name(content.name), token=f"{content.token:016x}")
--- a/gentianhub/siblings/links.py
+++ b/gentianhub/linking/links.py
@@ -1,39 +1,17 @@
-"""Links to other entry processes: two greenlets that own one TCP connection."""
+"""Links to other processes: two greenlets that own one TCP connection."""
 
 import logging
 import socket
+from collections.abc import Callable
+from typing import Any
 
 import gevent
 from attrs import define, field, frozen
 from gevent import socket as gsocket
 
-from gentianhub.core import (
-    Incarnation,
-    Mailbox,
-    ProcessName,
-    Refusal,
-    RefusalKind,
-    RunState,
-    Step,
-    spawn_task,
-)
-from gentianhub.core import events as ev
-from gentianhub.siblings.messages import (
-    PROTOCOL_VERSION,
-    ForwardReply,
-    ForwardRequest,
-    Hello,
-)
-from gentianhub.siblings.notices import (
-    DialFailed,
-    DialTarget,
-    LinkClosed,
-    LinkOpened,
-    MessageReceived,
-)
-from gentianhub.siblings.wire import (
+from gentianhub.core import Incarnation, Mailbox, ProcessName, Step, spawn_task
+from gentianhub.linking.frames import (
     HEADER_BYTES,
-    SHORT_BYTES,
     UNKNOWN_RECEIVER,
     DamagedFrame,
     FrameReader,
@@ -41,11 +19,16 @@
     LinkEnded,
     MalformedMessage,
     ReceivedFrame,
-    decode_message,
-    decode_short_message,
-    encode_message,
     pack_frame,
 )
+from gentianhub.linking.greeting import PROTOCOL_VERSION, Hello
+from gentianhub.linking.notices import (
+    DialFailed,
+    DialTarget,
+    LinkClosed,
+    LinkOpened,
+    MessageReceived,
+)
 
 HANDSHAKE_TIMEOUT_S = 1.0
 # A second of slot messages at one per 4 ms; a slower peer loses its link.
@@ -55,11 +38,30 @@
 logger = logging.getLogger(__name__)
 
 
+@frozen(kw_only=True)
+class LinkCodec:
+    """Encoding of a link's messages.
+
+    `find_claimed_sender` returns the sender that a message for the dispatcher names,
+    None for a message to the manager. `refuse` returns the reply to a message that
+    is meant for an earlier incarnation, if it needs one.
+    """
+
+    encode: Callable[[Any], bytes]
+    decode: Callable[[bytes], Any]
+    find_claimed_sender: Callable[[Any], Incarnation | None]
+    refuse: Callable[[Any, Incarnation], Any]
+
+
 @frozen(kw_only=True)
 class LinkContext:
-    """What every link of a process needs: its own greeting and two mailboxes."""
+    """What every link of a process needs.
+
+    Its own greeting, the encoding of messages, and two mailboxes.
+    """
 
     hello: Hello
+    codec: LinkCodec
     manager: Mailbox
     dispatcher: Mailbox
 
@@ -154,13 +156,13 @@
     try:
         # Nagle's algorithm would delay heartbeats and forwarded requests.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.sendall(pack_frame(UNKNOWN_RECEIVER, encode_message(context.hello)))
+        sock.sendall(pack_frame(UNKNOWN_RECEIVER, context.codec.encode(context.hello)))
     except OSError as error:
         return HandshakeFailed(reason=repr(error))
     greeting = frames.read_frame(MAX_HELLO_BYTES)
     match greeting:
         case ReceivedFrame(body=body):
-            greeting = decode_message(body)
+            greeting = context.codec.decode(body)
         case FrameTooLarge() | DamagedFrame() | LinkEnded():
             return HandshakeFailed(reason=repr(greeting))
     match greeting:
@@ -216,44 +218,29 @@
             case FrameTooLarge() | DamagedFrame() | LinkEnded():
                 return repr(frame)
         link.received_bytes += HEADER_BYTES + len(frame.body)
-        is_short = len(frame.body) <= SHORT_BYTES
-        message = (decode_short_message if is_short else decode_message)(frame.body)
-        match message:
-            case MalformedMessage(reason=reason):
-                return reason
-            case _ if frame.to_token != context.hello.sender.token:
-                link.refused_messages += 1
-                _refuse_message(message, link, context)
-            case (
-                ev.SlotDemand(borrower=claimed)
-                | ev.SlotReturn(borrower=claimed)
-                | ev.SlotsHeld(borrower=claimed)
-                | ev.SlotGrant(home=claimed)
-            ):
-                if claimed != link.incarnation:
-                    return f"{link.incarnation} speaks for {claimed}"
-                context.dispatcher.put(message)
-            case _:
-                context.manager.put(MessageReceived(link=link, message=message))
+        message = context.codec.decode(frame.body)
+        if isinstance(message, MalformedMessage):
+            return message.reason
+        if frame.to_token != context.hello.sender.token:
+            link.refused_messages += 1
+            _refuse_message(message, link, context)
+            continue
+        claimed = context.codec.find_claimed_sender(message)
+        if claimed is None:
+            context.manager.put(MessageReceived(link=link, message=message))
+        elif claimed != link.incarnation:
+            return f"{link.incarnation} speaks for {claimed}"
+        else:
+            context.dispatcher.put(message)
 
 
 def _refuse_message(message, link: Link, context: LinkContext) -> None:
     """Refuse a message for an earlier incarnation, so that nothing is done twice."""
-    match message:
-        case ForwardRequest(number=number):
-            refusal = Refusal(
-                kind=RefusalKind.GONE,
-                step=Step.FORWARD_REQUEST,
-                peer=str(context.hello.sender),
-                reason="the request is for an earlier incarnation; it may have run",
-                run=RunState.UNKNOWN,
-            )
-            link.send(encode_message(ForwardReply(number=number, reply=refusal)))
-        case _:
-            logger.warning(
-                "message for an earlier incarnation refused",
-                extra={
-                    "step": Step.SIBLING_LINK.value,
-                    "peer": str(link.incarnation),
-                },
-            )
+    reply = context.codec.refuse(message, context.hello.sender)
+    if reply is not None:
+        link.send(context.codec.encode(reply))
+        return
+    logger.warning(
+        "message for an earlier incarnation refused",
+        extra={"step": Step.SIBLING_LINK.value, "peer": str(link.incarnation)},
+    )
--- a/gentianhub/siblings/decoding.py
+++ b/gentianhub/siblings/decoding.py
@@ -3,20 +3,17 @@
 import math
 
 import capnp
-from attrs import frozen
 
 from gentianhub.core import (
     Complete,
     EntryAddress,
     Failed,
-    Incarnation,
     JobComplete,
     JobFailed,
     JobId,
     JobPending,
     JobRequest,
     NotRun,
-    ProcessName,
     Refusal,
     RefusalKind,
     RunState,
@@ -35,7 +32,8 @@
 from gentianhub.decisions import IdBlock, JobAccepted
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.versions import Removal, Row, TableChange, name_sheet
-from gentianhub.siblings import capacity_encoding
+from gentianhub.linking.frames import MalformedMessage
+from gentianhub.linking.greeting import read_hello, read_incarnation, read_name
 from gentianhub.siblings import messages as ms
 from gentianhub.siblings.encoding import schema
 
@@ -43,13 +41,6 @@
 TRAVERSAL_LIMIT_WORDS = 2**26
 
 
-@frozen(kw_only=True)
-class MalformedMessage:
-    """Sentinel: a frame's body is no message of this schema."""
-
-    reason: str
-
-
 def decode_message(body: bytes) -> ms.SiblingMessage | MalformedMessage:
     """Return the message in a frame's body."""
     try:
@@ -67,7 +58,7 @@
             leaving = tuple(content.leaving)
             return ms.Heartbeat(table_version=content.tableVersion, leaving=leaving)
         case "hello":
-            return _read_hello(content)
+            return read_hello(content)
         case "forwardRequest":
             operation = _read_operation(content.operation)
             return ms.ForwardRequest(number=content.number, operation=operation)
@@ -80,8 +71,6 @@
             return _read_deltas(content)
         case "hostList":
             return _read_hosts(content)
-        case _ if name in capacity_encoding.READERS:
-            return capacity_encoding.READERS[name](content)
         case _:
             return _read_slot_message(name, content)
 
@@ -90,14 +79,14 @@
     match name:
         case "slotDemand":
             return ev.SlotDemand(
-                borrower=_read_incarnation(content.borrower),
+                borrower=read_incarnation(content.borrower),
                 number=content.number,
                 wanted=content.wanted,
                 weight=content.weight,
             )
         case "slotGrant":
             return ev.SlotGrant(
-                home=_read_incarnation(content.home),
+                home=read_incarnation(content.home),
                 target=content.target,
                 count=content.count,
                 demand_number=content.demandNumber,
@@ -106,38 +95,20 @@
             )
         case "slotReturn":
             return ev.SlotReturn(
-                borrower=_read_incarnation(content.borrower),
+                borrower=read_incarnation(content.borrower),
                 target=content.target,
                 count=content.count,
             )
         case "slotsHeld":
             counts = tuple((entry.target, entry.count) for entry in content.counts)
-            borrower = _read_incarnation(content.borrower)
+            borrower = read_incarnation(content.borrower)
             return ev.SlotsHeld(borrower=borrower, counts=counts)
         case _:
             raise ValueError(f"unknown message {name}")
 
 
-def _read_hello(content) -> ms.Hello:
-    return ms.Hello(
-        protocol_version=content.protocolVersion,
-        sender=_read_incarnation(content.sender),
-        started_ms=content.startedMs,
-        host=content.host,
-        port=content.port,
-    )
-
-
-def _read_name(content) -> ProcessName:
-    return ProcessName(data_centre=content.dataCentre, process=content.process)
-
-
-def _read_incarnation(content) -> Incarnation:
-    return Incarnation(name=_read_name(content.name), token=f"{content.token:016x}")
-
-
 def _read_job_id(content) -> JobId:
-    return JobId(owner=_read_incarnation(content.owner), sequence=content.sequence)
+    return JobId(owner=read_incarnation(content.owner), sequence=content.sequence)
 
 
 def _read_operation(content) -> op.Operation:
@@ -187,7 +158,7 @@
             return _read_refusal(content.refusal)
         case "ids":
             ids = content.ids
-            owner = _read_incarnation(ids.owner)
+            owner = read_incarnation(ids.owner)
             return IdBlock(owner=owner, first=ids.first, count=ids.count)
         case "accepted":
             accepted = content.accepted
@@ -297,7 +268,7 @@
     return HostList(
         processes=tuple(
             EntryAddress(
-                name=_read_name(process.name),
+                name=read_name(process.name),
                 host=process.host,
                 port=process.port,
                 leaving=process.leaving,
--- a/gentianhub/siblings/encoding.py
+++ b/gentianhub/siblings/encoding.py
@@ -14,14 +14,12 @@
 from gentianhub.core import (
     Complete,
     Failed,
-    Incarnation,
     JobComplete,
     JobFailed,
     JobId,
     JobPending,
     JobRequest,
     NotRun,
-    ProcessName,
     Refusal,
     ServiceRow,
     Table,
@@ -36,7 +34,13 @@
 from gentianhub.decisions import IdBlock, JobAccepted
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.versions import Row, TableChange
-from gentianhub.siblings import capacity_encoding
+from gentianhub.linking.greeting import (
+    build_hello,
+    build_incarnation,
+    build_name,
+    check_size,
+    fill_struct,
+)
 from gentianhub.siblings import messages as ms
 
 capnp.remove_import_hook()
@@ -48,37 +52,16 @@
 def encode_message(message: ms.SiblingMessage) -> bytes:
     """Return the body of a frame."""
     builder = schema.Message.new_message()
-    content = capacity_encoding.build_message(message) or _build_message(message)
-    _fill_struct(builder, content)
+    fill_struct(builder, _build_message(message))
     return builder.to_bytes()
 
 
-def _fill_struct(builder, content: dict) -> None:
-    for name, value in content.items():
-        match value:
-            case dict():
-                _fill_struct(builder.init(name), value)
-            case [dict(), *_]:
-                elements = builder.init(name, len(value))
-                for index, element in enumerate(value):
-                    _fill_struct(elements[index], element)
-            case _:
-                setattr(builder, name, value)
-
-
-def _check_size(number: int, bits: int) -> int:
-    """Return the number if an unsigned field of this width holds it."""
-    if not 0 <= number < 2**bits:
-        raise OverflowError(f"{number} does not fit {bits} bits")
-    return number
-
-
 def _build_message(message: ms.SiblingMessage) -> dict:
     match message:
         case ms.Heartbeat(table_version=version, leaving=leaving):
             return {"heartbeat": {"tableVersion": version, "leaving": list(leaving)}}
         case ms.Hello():
-            return {"hello": _build_hello(message)}
+            return {"hello": build_hello(message)}
         case ms.ForwardRequest(number=number, operation=operation):
             content = {"number": number, "operation": _build_operation(operation)}
             return {"forwardRequest": content}
@@ -98,17 +81,17 @@
     match message:
         case ev.SlotDemand():
             content = {
-                "borrower": _build_incarnation(message.borrower),
+                "borrower": build_incarnation(message.borrower),
                 "number": message.number,
-                "wanted": _check_size(message.wanted, 32),
+                "wanted": check_size(message.wanted, 32),
                 "weight": message.weight,
             }
             return {"slotDemand": content}
         case ev.SlotGrant():
             content = {
-                "home": _build_incarnation(message.home),
+                "home": build_incarnation(message.home),
                 "target": message.target,
-                "count": _check_size(message.count, 32),
+                "count": check_size(message.count, 32),
                 "demandNumber": message.demand_number,
                 "leaseS": message.lease_s,
                 "contended": message.contended,
@@ -116,51 +99,30 @@
             return {"slotGrant": content}
         case ev.SlotReturn(borrower=borrower, target=target, count=count):
             content = {
-                "borrower": _build_incarnation(borrower),
+                "borrower": build_incarnation(borrower),
                 "target": target,
-                "count": _check_size(count, 32),
+                "count": check_size(count, 32),
             }
             return {"slotReturn": content}
         case ev.SlotsHeld(borrower=borrower, counts=counts):
             content = {
-                "borrower": _build_incarnation(borrower),
+                "borrower": build_incarnation(borrower),
                 "counts": [
-                    {"target": name, "count": _check_size(count, 32)}
+                    {"target": name, "count": check_size(count, 32)}
                     for name, count in counts
                 ],
             }
             return {"slotsHeld": content}
 
 
-def _build_hello(hello: ms.Hello) -> dict:
-    return {
-        "protocolVersion": hello.protocol_version,
-        "sender": _build_incarnation(hello.sender),
-        "startedMs": hello.started_ms,
-        "host": hello.host,
-        "port": _check_size(hello.port, 16),
-    }
-
-
-def _build_name(name: ProcessName) -> dict:
-    return {"dataCentre": name.data_centre, "process": name.process}
-
-
-def _build_incarnation(incarnation: Incarnation) -> dict:
-    return {
-        "name": _build_name(incarnation.name),
-        "token": int(incarnation.token, 16),
-    }
-
-
 def _build_job_id(job_id: JobId) -> dict:
-    return {"owner": _build_incarnation(job_id.owner), "sequence": job_id.sequence}
+    return {"owner": build_incarnation(job_id.owner), "sequence": job_id.sequence}
 
 
 def _build_operation(operation: op.Operation) -> dict:
     match operation:
         case op.IssueOperation(count=count):
-            return {"issue": _check_size(count, 32)}
+            return {"issue": check_size(count, 32)}
         case op.SubmitOperation(request=request, job_id=None):
             return {"submit": {"request": _build_request(request)}}
         case op.SubmitOperation(request=request, job_id=job_id):
@@ -196,7 +158,7 @@
         case Refusal():
             return {"refusal": _build_refusal(reply)}
         case IdBlock(owner=owner, first=first, count=count):
-            content = {"owner": _build_incarnation(owner)}
+            content = {"owner": build_incarnation(owner)}
             return {"ids": content | {"first": first, "count": count}}
         case JobAccepted(job_id=job_id, known=known):
             return {"accepted": {"jobId": _build_job_id(job_id), "known": known}}
@@ -284,8 +246,8 @@
             return {"name": name, "service": content}
         case TargetRow(name=name, slots=slots, connections=connections):
             content = {
-                "slots": _check_size(slots, 32),
-                "connections": _check_size(connections, 32),
+                "slots": check_size(slots, 32),
+                "connections": check_size(connections, 32),
             }
             return {"name": name, "target": content}
 
@@ -293,9 +255,9 @@
 def _build_hosts(hosts: HostList) -> dict:
     processes = [
         {
-            "name": _build_name(process.name),
+            "name": build_name(process.name),
             "host": process.host,
-            "port": _check_size(process.port, 16),
+            "port": check_size(process.port, 16),
             "leaving": process.leaving,
         }
         for process in hosts.processes
@@ -305,7 +267,7 @@
             "name": target.name,
             "dataCentre": target.data_centre,
             "host": target.host,
-            "port": _check_size(target.port, 16),
+            "port": check_size(target.port, 16),
             "leaving": target.leaving,
         }
         for target in hosts.targets
@@ -314,7 +276,7 @@
 
 
 def _mark_absent_count(count: int | None) -> int:
-    return ABSENT_COUNT if count is None else _check_size(count, 63)
+    return ABSENT_COUNT if count is None else check_size(count, 63)
 
 
 def _mark_absent_number(number: float | None) -> float:
--- a/gentianhub/siblings/gentianhub.capnp
+++ b/gentianhub/siblings/gentianhub.capnp
@@ -223,80 +223,6 @@
   targets @1 :List(TargetAddress);
 }
 
-struct Cell {
-  dataCentre @0 :Text;
-  index @1 :UInt16;
-  count @2 :UInt16;
-}
-
-struct Resources {
-  cpuMillicores @0 :UInt32;
-  memoryMb @1 :UInt32;
-  accelerators @2 :UInt32;
-}
-
-struct JobStep {
-  count @0 :UInt32;
-  demand @1 :Resources;
-  estimateS @2 :Float64;
-  after @3 :List(UInt32);
-  requiredLabel @4 :Text;
-  dataRack @5 :Text;
-  maxPerTarget @6 :UInt32;
-}
-
-struct RunTasks {
-  cell @0 :Cell;
-  job @1 :Text;
-  stepNumber @2 :UInt32;
-  step @3 :JobStep;
-  indexes @4 :List(UInt32);
-  payload @5 :Text;
-  route @6 :Text;
-  service @7 :Text;
-  priority @8 :Int32;
-  maxAttempts @9 :UInt32;
-  allowanceS @10 :Float64;
-  stretch @11 :Float64;
-  deadlineInS @12 :Float64;
-  mayDecline @13 :Bool;
-  isRepeat @14 :Bool;
-}
-
-struct CancelTasks {
-  cell @0 :Cell;
-  job @1 :Text;
-}
-
-struct TasksEnded {
-  cell @0 :Cell;
-  job @1 :Text;
-  stepNumber @2 :UInt32;
-  indexes @3 :List(UInt32);
-  end @4 :Text;
-  hasStarted @5 :Bool;
-}
-
-struct CellClaim {
-  cell @0 :Cell;
-  term @1 :UInt64;
-  freeMillicores @2 :UInt32;
-  queuedMillicoreS @3 :UInt32;
-  totalMillicores @4 :UInt32;
-}
-
-struct HostBeat {
-  number @0 :UInt64;
-  claims @1 :List(CellClaim);
-  configurationVersion @2 :UInt64;
-  isDraining @3 :Bool;
-}
-
-struct ConfigurationOffer {
-  version @0 :UInt64;
-  content @1 :Data;
-}
-
 struct Message {
   union {
     hello @0 :Hello;
@@ -310,10 +236,5 @@
     tableRequest @8 :TableRequest;
     tableDeltas @9 :TableDeltas;
     hostList @10 :HostList;
-    hostBeat @11 :HostBeat;
-    runTasks @12 :RunTasks;
-    cancelTasks @13 :CancelTasks;
-    tasksEnded @14 :TasksEnded;
-    configurationOffer @15 :ConfigurationOffer;
   }
 }
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -21,13 +21,13 @@
 )
 from gentianhub.decisions import membership as mb
 from gentianhub.decisions.propagation import ChangesRead, PollDuty
+from gentianhub.linking.dialling import DialBook
+from gentianhub.linking.links import Link, LinkContext, dial_link
 from gentianhub.settings import Endpoint
 from gentianhub.siblings import forwarding as fw
 from gentianhub.siblings import messages as ms
 from gentianhub.siblings import notices as nt
-from gentianhub.siblings.dialling import DialBook
 from gentianhub.siblings.dump import describe_siblings
-from gentianhub.siblings.links import Link, LinkContext, dial_link
 from gentianhub.siblings.sharing import LeavingTargets, TableSharing
 from gentianhub.siblings.wire import encode_message
 
--- a/gentianhub/siblings/messages.py
+++ b/gentianhub/siblings/messages.py
@@ -2,29 +2,24 @@
 
 from attrs import frozen
 
-from gentianhub.capacity import events as cev
-from gentianhub.core import Incarnation, JobAnswer, JobPending, Refusal, Table
+from gentianhub.core import JobAnswer, JobPending, Refusal, Table
 from gentianhub.core.events import SlotMessage
 from gentianhub.core.operations import Operation
 from gentianhub.decisions import IdBlock, JobAccepted
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.versions import TableChange
+from gentianhub.linking.greeting import PROTOCOL_VERSION, Hello
 
-PROTOCOL_VERSION = 1
-
-
-@frozen(kw_only=True)
-class Hello:
-    """First message on a link, in both directions.
-
-    `started_ms` is Unix time; `host` and `port` are the sender's own listener.
-    """
-
-    sender: Incarnation
-    started_ms: int
-    host: str
-    port: int
-    protocol_version: int = PROTOCOL_VERSION
+__all__ = [
+    "PROTOCOL_VERSION",
+    "ForwardReply",
+    "ForwardRequest",
+    "Heartbeat",
+    "Hello",
+    "SiblingMessage",
+    "TableDeltas",
+    "TableRequest",
+]
 
 
 @frozen(kw_only=True)
@@ -66,17 +61,8 @@
     snapshot: Table | None = None
 
 
-CapacityMessage = (
-    cev.HostBeat
-    | cev.RunTasks
-    | cev.CancelTasks
-    | cev.TasksEnded
-    | cev.ConfigurationOffer
-)
-
 SiblingMessage = (
     Hello
-    | CapacityMessage
     | Heartbeat
     | SlotMessage
     | ForwardRequest
--- a/gentianhub/siblings/service.py
+++ b/gentianhub/siblings/service.py
@@ -11,10 +11,11 @@
 from gentianhub.core import Incarnation, Mailbox, spawn_task
 from gentianhub.core.events import Tick
 from gentianhub.decisions.membership import HEARTBEAT_PERIOD_S
+from gentianhub.linking.links import LinkContext, accept_link
 from gentianhub.settings import Endpoint
-from gentianhub.siblings.links import LinkContext, accept_link
 from gentianhub.siblings.manager import SiblingManager
 from gentianhub.siblings.messages import Hello
+from gentianhub.siblings.wire import build_codec
 
 MAX_ACCEPTED_LINKS = 4096
 
@@ -48,7 +49,9 @@
         host=address.host,
         port=address.port,
     )
-    context = LinkContext(hello=hello, manager=mailbox, dispatcher=dispatcher)
+    context = LinkContext(
+        hello=hello, codec=build_codec(), manager=mailbox, dispatcher=dispatcher
+    )
     manager = SiblingManager(context=context, watcher=watcher, seeds=seeds)
     server = StreamServer(
         address.as_pair(),
--- a/gentianhub/siblings/sharing.py
+++ b/gentianhub/siblings/sharing.py
@@ -6,7 +6,7 @@
 
 from gentianhub.core.events import TableAdopted, TargetsLeaving
 from gentianhub.decisions.propagation import TableHistory
-from gentianhub.siblings.links import Link
+from gentianhub.linking.links import Link
 from gentianhub.siblings.messages import TableDeltas, TableRequest
 from gentianhub.siblings.wire import encode_message
 
--- a/gentianhub/siblings/wire.py
+++ b/gentianhub/siblings/wire.py
@@ -1,24 +1,25 @@
-"""Frames between entry processes: length, addressed incarnation, checksum, message.
+"""Messages between entry processes as the bodies of frames."""
 
-The token of the addressed incarnation stands outside the message, so that one
-encoded heartbeat serves every sibling. The checksum keeps foreign and damaged bytes
-away from Cap'n Proto, whose exceptions crash the process when they are raised in a
-greenlet (see `encoding`).
-"""
-
-import struct
 from functools import lru_cache
-from typing import Any
-
-import xxhash
-from attrs import define, field, frozen
 
-from gentianhub.siblings.decoding import (
+from gentianhub.core import Incarnation, Refusal, RefusalKind, RunState, Step
+from gentianhub.core import events as ev
+from gentianhub.linking.frames import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    UNKNOWN_RECEIVER,
+    DamagedFrame,
+    FrameReader,
+    FrameTooLarge,
+    LinkEnded,
     MalformedMessage,
-    decode_message,
+    ReceivedFrame,
+    pack_frame,
 )
+from gentianhub.linking.links import LinkCodec
+from gentianhub.siblings.decoding import decode_message
 from gentianhub.siblings.encoding import encode_message
-from gentianhub.siblings.messages import SiblingMessage
+from gentianhub.siblings.messages import ForwardReply, ForwardRequest, SiblingMessage
 
 __all__ = [
     "HEADER_BYTES",
@@ -31,98 +32,62 @@
     "LinkEnded",
     "MalformedMessage",
     "ReceivedFrame",
+    "build_codec",
     "decode_message",
     "decode_short_message",
     "encode_message",
     "pack_frame",
 ]
 
-# Holds a caller's largest job (16 MiB) and an answer of 170 results.
-MAX_FRAME_BYTES = 32 * 1024 * 1024
-READ_BYTES = 2**16
 SHORT_BYTES = 256
-UNKNOWN_RECEIVER = "0" * 16
-
-_HEADER = struct.Struct(">IQQ")
-HEADER_BYTES = _HEADER.size
-
-
-@frozen(kw_only=True)
-class ReceivedFrame:
-    """A whole frame: the token of the addressed incarnation and the body."""
-
-    to_token: str
-    body: bytes
-
-
-@frozen(kw_only=True)
-class FrameTooLarge:
-    """Sentinel: the frame's length is over the limit; nothing of it was read."""
-
-    size: int
-
-
-@frozen(kw_only=True)
-class LinkEnded:
-    """Sentinel: the connection ended, perhaps within a frame."""
-
-    reason: str
-
-
-@frozen(kw_only=True)
-class DamagedFrame:
-    """Sentinel: the frame's checksum is not that of its content."""
-
-
-def pack_frame(to_token: str, body: bytes) -> bytes:
-    """Return the frame that carries an encoded message."""
-    token = int(to_token, 16)
-    checksum = xxhash.xxh3_64_intdigest(body, seed=token)
-    return _HEADER.pack(len(body), token, checksum) + body
-
-
-@define(kw_only=True, eq=False)
-class FrameReader:
-    """Reads frames from a socket; one call to it often takes in several."""
-
-    sock: Any
-    _buffer: bytearray = field(init=False, factory=bytearray)
-
-    def read_frame(
-        self, max_bytes: int = MAX_FRAME_BYTES
-    ) -> ReceivedFrame | FrameTooLarge | DamagedFrame | LinkEnded:
-        """Block until the next frame has arrived whole."""
-        match self._take_bytes(HEADER_BYTES):
-            case LinkEnded() as ended:
-                return ended
-            case header:
-                size, token, checksum = _HEADER.unpack(header)
-        if size > max_bytes:
-            return FrameTooLarge(size=size)
-        match self._take_bytes(size):
-            case LinkEnded() as ended:
-                return ended
-            case body if xxhash.xxh3_64_intdigest(body, seed=token) != checksum:
-                return DamagedFrame()
-            case body:
-                return ReceivedFrame(to_token=f"{token:016x}", body=body)
-
-    def _take_bytes(self, size: int) -> bytes | LinkEnded:
-        while len(self._buffer) < size:
-            try:
-                chunk = self.sock.recv(READ_BYTES)
-            except OSError as error:
-                return LinkEnded(reason=repr(error))
-            if not chunk:
-                missing = size - len(self._buffer)
-                return LinkEnded(reason=f"closed with {missing} bytes missing")
-            self._buffer += chunk
-        taken = bytes(self._buffer[:size])
-        del self._buffer[:size]
-        return taken
 
 
 @lru_cache(maxsize=256)
 def decode_short_message(body: bytes) -> SiblingMessage | MalformedMessage:
     """Decode a message whose like arrives often, such as a heartbeat."""
     return decode_message(body)
+
+
+def build_codec() -> LinkCodec:
+    """Return the encoding of the links between entry processes."""
+    return LinkCodec(
+        encode=encode_message,
+        decode=_decode_body,
+        find_claimed_sender=_find_claimed_sender,
+        refuse=_refuse_message,
+    )
+
+
+def _decode_body(body: bytes) -> SiblingMessage | MalformedMessage:
+    is_short = len(body) <= SHORT_BYTES
+    return (decode_short_message if is_short else decode_message)(body)
+
+
+def _find_claimed_sender(message) -> Incarnation | None:
+    """Return the sender that a slot message names; those go to the dispatcher."""
+    match message:
+        case (
+            ev.SlotDemand(borrower=claimed)
+            | ev.SlotReturn(borrower=claimed)
+            | ev.SlotsHeld(borrower=claimed)
+            | ev.SlotGrant(home=claimed)
+        ):
+            return claimed
+        case _:
+            return None
+
+
+def _refuse_message(message, own: Incarnation) -> ForwardReply | None:
+    """Refuse a message for an earlier incarnation, so that nothing is done twice."""
+    match message:
+        case ForwardRequest(number=number):
+            refusal = Refusal(
+                kind=RefusalKind.GONE,
+                step=Step.FORWARD_REQUEST,
+                peer=str(own),
+                reason="the request is for an earlier incarnation; it may have run",
+                run=RunState.UNKNOWN,
+            )
+            return ForwardReply(number=number, reply=refusal)
+        case _:
+            return None
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -13,6 +13,8 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 SOCKET_TIMEOUT_S = 30.0
+# Time for requests in flight when a server stops, s.
+STOP_TIMEOUT_S = 5.0
 CONNECTION_KEY = "gentianhub.connection"
 STATUS_TEXTS = {
     200: "200 OK",
@@ -183,9 +185,15 @@
 
 @contextmanager
 def open_server(
-    address: tuple[str, int], application, max_connections: int
+    address: tuple[str, int],
+    application,
+    max_connections: int,
+    stop_timeout_s: float = STOP_TIMEOUT_S,
 ) -> Iterator[WSGIServer]:
-    """Serve a WSGI application; requests in flight end before it closes."""
+    """Serve a WSGI application; requests in flight end before it closes.
+
+    Connections that are open but idle are closed after `stop_timeout_s` as well.
+    """
     server = _NoDelayServer(
         address,
         application,
@@ -198,4 +206,4 @@
     try:
         yield server
     finally:
-        server.stop(timeout=5)
+        server.stop(timeout=stop_timeout_s)
