Ignore what an earlier owner of a cell declines or gives up

Its home cell's owner was draining and handed the task back; the front host had just asked the new owner to run it, and gave it to a third owner on the old one's word. Ruled out: a lost link (none was replaced at that time). Change: reports carry the owner's term; those that say that a task will not run hold only under the term that the front host follows. Ends that are done or failed hold from any owner. Figures: the new test fails without the check (two orders for one task) and passes with it.

--- a/gentianhub/capacity/cell.py
+++ b/gentianhub/capacity/cell.py
@@ -652,6 +652,7 @@
         first = tasks[0]
         message = ev.TasksEnded(
             cell=self.cell,
+            term=self.term,
             job=first.key.job,
             step_number=first.key.step,
             indexes=tuple(task.key.index for task in tasks),
@@ -665,6 +666,7 @@
     ) -> fx.SendToFront:
         message = ev.TasksEnded(
             cell=self.cell,
+            term=self.term,
             job=name,
             step_number=0,
             indexes=(),
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -63,10 +63,12 @@
 class TasksEnded:
     """A cell's owner reports tasks of one step that have ended alike.
 
-    `has_started` tells whether any run of the job may have started in the cell.
+    `term` is that of the owner's claim. `has_started` tells whether any run of the job
+    may have started in the cell.
     """
 
     cell: Cell
+    term: int
     job: str
     step_number: int
     indexes: tuple[int, ...]
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -251,7 +251,7 @@
 
     def _take_end(self, event: ev.TasksEnded, now_s: float) -> Iterator:
         job = self.jobs.get(event.job)
-        if job is None:
+        if job is None or not self._is_valid(event):
             return
         job.has_started = job.has_started or event.has_started
         if event.end is ev.TaskEnd.CANCELLED:
@@ -282,6 +282,19 @@
             case ev.TaskEnd.EXPIRED:
                 yield from self._give_up(job, "no capacity before the deadline", now_s)
 
+    def _is_valid(self, event: ev.TasksEnded) -> bool:
+        """Whether a report still holds.
+
+        An earlier owner's word that it will not run a task does not, because the
+        present owner was asked to run it meanwhile.
+        """
+        match event.end:
+            case ev.TaskEnd.DONE | ev.TaskEnd.FAILED:
+                return True
+            case ev.TaskEnd.DECLINED | ev.TaskEnd.EXPIRED | ev.TaskEnd.CANCELLED:
+                known = self.owners.get(event.cell)
+                return known is not None and known.claim.term == event.term
+
     def _advance(self, job: FrontJob, now_s: float) -> Iterator:
         if all(self._is_done(job, number) for number in range(len(job.job.steps))):
             yield from self._close(job, fx.JobVerdict.COMPLETED, "every task is done")
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -59,7 +59,8 @@
         )
 
     def end(self, indexes=(0,), end=ev.TaskEnd.DONE, step=0, **options) -> list:
-        values = {"cell": HOME, "job": "a", "has_started": end is ev.TaskEnd.DONE}
+        is_done = end is ev.TaskEnd.DONE
+        values = {"cell": HOME, "term": 1, "job": "a", "has_started": is_done}
         return self.feed(
             ev.TasksEnded(
                 step_number=step, indexes=indexes, end=end, **values | options
@@ -157,6 +158,16 @@
         (order,) = find_orders(self.feed(changed))
         self.assertTrue(order.is_repeat)
 
+    def test_an_earlier_owner_cannot_hand_back_what_the_new_one_was_asked_to_run(self):
+        """The task was given to a third cell and ran twice (armor-abris, scale-2)."""
+        self.submit()
+        owners = {HOME: build_owner(HOME, 500, term=2), FAR: build_owner(FAR, 500)}
+        self.feed(OwnersChanged(owners=owners))
+        self.assertEqual([], self.end(end=ev.TaskEnd.DECLINED, term=1))
+        self.assertEqual([], self.end(end=ev.TaskEnd.EXPIRED, term=1))
+        verdicts = find_verdicts(self.end(term=1))
+        self.assertEqual([fx.JobVerdict.COMPLETED], verdicts)
+
     def test_tasks_whose_cell_has_lost_its_owner_are_given_up(self):
         self.submit()
         self.feed(OwnersChanged(owners={FAR: build_owner(FAR, 500)}))
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -140,6 +140,7 @@
         "indexes": list(ended.indexes),
         "end": ended.end.value,
         "hasStarted": ended.has_started,
+        "term": ended.term,
     }
 
 
@@ -218,6 +219,7 @@
         indexes=tuple(content.indexes),
         end=ev.TaskEnd(content.end),
         has_started=content.hasStarted,
+        term=content.term,
     )
 
 
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -56,6 +56,7 @@
   indexes @3 :List(UInt32);
   end @4 :Text;
   hasStarted @5 :Bool;
+  term @6 :UInt64;
 }
 
 struct CellClaim {
