Say "not run" only where one owner vouches for it; hold jobs while a host starts

Hosts that start while the store is away had no list of targets; rows of lost hosts stayed in the register; a job that came again after its answer ran again; a front host that had been frozen waited for tasks that were stopped. Ruled out: the cancellation's confirmation (it came, from the successor). Change: a job whose cell changed its owner counts as possibly started; a host keeps jobs for its first second; the list of targets is passed on to siblings without one; owners remove hosts that were silent for 20 s; answers are kept 10 s; a fenced owner that hears nobody gives in; log lines carry the inputs of starts and orders; metrics with response histograms on port 9464.

--- a/gentianhub/capacity/cell.py
+++ b/gentianhub/capacity/cell.py
@@ -162,6 +162,9 @@
         if known is None:
             known = CellJob(front=front, name=order.job, changed_s=now_s)
             self.jobs[(front, order.job)] = known
+        if known.is_cancelled:
+            yield self._refuse_cancelled(order, known)
+            return
         predicted_s = self.estimates.predict(order.route, order.step.estimate_s)
         keys = [
             TaskKey(job=order.job, step=order.step_number, index=index)
@@ -323,6 +326,7 @@
             state.orphans.clear()
             state.past_ends.clear()
             yield from self._lose_runs(state, now_s)
+        state.reported_s = now_s
         is_first = state.phase is TargetPhase.UNLISTED
         state.incarnation = report.incarnation
         state.phase = TargetPhase.READY
@@ -496,9 +500,18 @@
             sent_s=now_s,
             expected_s=task.expected_s * state.pace.value,
         )
+        inputs = {
+            "term": self.term,
+            "slack_s": round(task.latest_start_s - now_s, 4),
+            "expected_s": round(run.expected_s, 4),
+            "pace": round(state.pace.value, 2),
+            "room_millicores": state.room.cpu_millicores,
+            "report_age_s": round(now_s - state.reported_s, 4),
+        }
         state.add_run(run)
         state.lapse_s = max(state.lapse_s, bound_lapse(now_s))
         return fx.StartRun(
+            inputs=inputs,
             target=state.listed,
             key=task.key,
             run=run.number,
@@ -661,6 +674,19 @@
         )
         return fx.SendToFront(front=first.job.front, message=message)
 
+    def _refuse_cancelled(self, order: ev.RunTasks, job: CellJob) -> fx.SendToFront:
+        """Tell a front host that was taken as lost that its job is not run."""
+        message = ev.TasksEnded(
+            cell=self.cell,
+            term=self.term,
+            job=order.job,
+            step_number=order.step_number,
+            indexes=order.indexes,
+            end=ev.TaskEnd.EXPIRED,
+            has_started=job.has_started,
+        )
+        return fx.SendToFront(front=job.front, message=message)
+
     def _confirm_cancel(
         self, name: str, front: Incarnation, job: CellJob | None
     ) -> fx.SendToFront:
--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -12,7 +12,7 @@
 
 @frozen(kw_only=True)
 class StartRun:
-    """Send a start to a target."""
+    """Send a start to a target; `inputs` are what decided it, for the log."""
 
     target: ListedTarget
     key: TaskKey
@@ -20,6 +20,7 @@
     payload: str
     term: int
     lease_s: float
+    inputs: dict[str, Any]
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -95,13 +95,22 @@
 class HostBeat:
     """A host lives: its claims, its configuration's version and whether it drains.
 
-    `number` counts a process's heartbeats.
+    `number` counts a process's heartbeats. `lacks_targets` asks for the list of
+    targets, which the sender could not read.
     """
 
     number: int
     claims: tuple[CellClaim, ...]
     configuration_version: int
     is_draining: bool = False
+    lacks_targets: bool = False
+
+
+@frozen(kw_only=True)
+class TargetsOffer:
+    """The list of targets as the sender last read it, in the targets' own encoding."""
+
+    rows: tuple[tuple[str, bytes], ...]
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -22,10 +23,16 @@
 # Without a live owner for this long a job's tasks are given up, s. An owner that is
 # only replaced is known again after the silence of a host and one heartbeat.
 OWNERLESS_S = 1.0
+# A host that has just started takes jobs before it knows an owner, for this long, s:
+# after the loss of all hosts cells are claimed a few tenths of a second later.
+STARTING_S = 1.0
 # Cells have this long to confirm that they started nothing, s.
 CONFIRMATION_S = 0.3
 # A step that is wider than this share of all capacity is expected to run in waves.
 WAVE_SHARE = 0.25
+# A submission that comes again within this time of its answer gets the answer again, s.
+ANSWER_RETENTION_S = 10.0
+MAX_ANSWERS = 5000
 # Sent with a refusal; the spread keeps callers from returning together, s.
 RETRY_AFTER_S = 1.0
 
@@ -97,6 +104,14 @@
     ownerless_since_s: float | None = None
 
 
+@frozen(kw_only=True)
+class PastAnswer:
+    """The final result of a job; `at_s` is monotonic."""
+
+    verdict: fx.JobVerdict
+    at_s: float
+
+
 @define(kw_only=True, eq=False)
 class FrontBook:
     """Open jobs of one front host.
@@ -105,12 +120,16 @@
     ----------
     data_centre : str
         The host's own data centre, whose cells are preferred.
+    started_s : float
+        Monotonic time of the process's start.
     """
 
     data_centre: str
+    started_s: float = float("-inf")
     loads: LoadView = field(init=False)
     jobs: dict[str, FrontJob] = field(init=False, factory=dict)
     owners: dict[Cell, OwnerKnown] = field(init=False, factory=dict)
+    _answers: OrderedDict[str, PastAnswer] = field(init=False, factory=OrderedDict)
 
     def __attrs_post_init__(self):
         self.loads = LoadView(data_centre=self.data_centre)
@@ -146,7 +165,16 @@
         if known is not None:
             known.reply_to.append(event.reply_to)
             return
-        reason = self._find_obstacle(event.job)
+        past = self._answers.get(event.job_id)
+        if past is not None and now_s < past.at_s + ANSWER_RETENTION_S:
+            yield fx.AnswerCaller(
+                reply_to=event.reply_to,
+                job=event.job_id,
+                verdict=past.verdict,
+                reason="answered before",
+            )
+            return
+        reason = self._find_obstacle(event.job, now_s)
         if reason:
             yield fx.AnswerCaller(
                 reply_to=event.reply_to,
@@ -167,11 +195,11 @@
         self.jobs[event.job_id] = job
         yield from self._release_steps(job, now_s)
 
-    def _find_obstacle(self, job: CapacityJob) -> str:
+    def _find_obstacle(self, job: CapacityJob, now_s: float) -> str:
         """Return why a job cannot be served at all, or an empty text."""
         if job.unsupported:
             return f"not supported: {job.unsupported}"
-        if not self.owners:
+        if not self.owners and now_s > self.started_s + STARTING_S:
             return "no cell of targets has an owner"
         return ""
 
@@ -297,10 +325,16 @@
 
     def _advance(self, job: FrontJob, now_s: float) -> Iterator:
         if all(self._is_done(job, number) for number in range(len(job.job.steps))):
+            self._keep_answer(job.job_id, fx.JobVerdict.COMPLETED, now_s)
             yield from self._close(job, fx.JobVerdict.COMPLETED, "every task is done")
         else:
             yield from self._release_steps(job, now_s)
 
+    def _keep_answer(self, job_id: str, verdict: fx.JobVerdict, now_s: float) -> None:
+        self._answers[job_id] = PastAnswer(verdict=verdict, at_s=now_s)
+        while len(self._answers) > MAX_ANSWERS:
+            self._answers.popitem(last=False)
+
     def _give_up(self, job: FrontJob, reason: str, now_s: float) -> Iterator:
         """End a job that cannot be completed, once it is clear what has run."""
         if job.has_started or not job.asked:
@@ -370,8 +404,11 @@
         }
         self.owners = dict(owners)
         for job in list(self.jobs.values()) if changed else ():
-            for cell in changed:
+            for cell in changed & job.asked:
+                # What the earlier owner has started, the present one cannot say.
+                job.has_started = True
                 yield from self._repeat_orders(job, cell, now_s)
+            yield from self._place_tasks(job, now_s)
 
     def repeat_orders(self, cell: Cell, now_s: float) -> Iterator:
         """Send the open tasks of a cell again, after its owner's link was replaced."""
@@ -404,15 +441,20 @@
             else:
                 yield from self._check_owners(job, now_s)
 
-    def _check_owners(self, job: FrontJob, now_s: float) -> Iterator:
-        """Place tasks that wait for an owner; give up those that lost theirs."""
+    def _place_tasks(self, job: FrontJob, now_s: float) -> Iterator:
+        """Send the tasks that no owner was known for."""
+        if job.pending is not None or not self.loads.cells:
+            return
         unplaced: dict[int, list[TaskKey]] = {}
         for key, cell in job.cells.items():
             if cell is None:
                 unplaced.setdefault(key.step, []).append(key)
         for number, keys in unplaced.items():
-            if self.loads.cells:
-                yield from self._assign(job, number, keys, now_s)
+            yield from self._assign(job, number, keys, now_s)
+
+    def _check_owners(self, job: FrontJob, now_s: float) -> Iterator:
+        """Place tasks that wait for an owner; give up those that lost theirs."""
+        yield from self._place_tasks(job, now_s)
         is_ownerless = any(cell not in self.owners for cell in job.cells.values())
         if not is_ownerless:
             job.ownerless_since_s = None
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -29,6 +29,8 @@
 # A host whose claims targets refuse, and that hears of no other owner, is cut off from
 # that owner. It leaves the cell alone for this time, s.
 FENCED_PAUSE_S = 5.0
+# Hosts that fell silent are remembered for this time, s.
+MEMORY_S = 30.0
 # Raises of a term after refusals, within the pause, before the host gives in. A raise
 # skips some periods, in case the clock of the other owner is ahead.
 MAX_RAISES = 1
@@ -80,6 +82,8 @@
         The cells of the host's own data centre.
     started_s : float
         Monotonic time of the start.
+    has_targets : bool
+        Whether the list of targets is known; an owner without it could start nothing.
     expected_hosts, expected_near : int
         Registered other hosts, in all and in the own data centre; None if unknown.
     """
@@ -88,6 +92,7 @@
     cells: tuple[Cell, ...]
     started_s: float
     is_draining: bool = False
+    has_targets: bool = True
     expected_hosts: int = 0
     expected_near: int | None = None
     peers: dict[Incarnation, Peer] = field(init=False, factory=dict)
@@ -112,6 +117,12 @@
         """Drop a host that has said that it stops, or was replaced."""
         self.peers.pop(peer, None)
 
+    def prune(self, now_s: float) -> None:
+        """Drop hosts that fell silent long ago."""
+        for peer, known in list(self.peers.items()):
+            if known.is_lost and now_s > known.heard_s + MEMORY_S:
+                del self.peers[peer]
+
     def is_live(self, peer: Incarnation, now_s: float) -> bool:
         """Whether a host was heard lately."""
         known = self.peers.get(peer)
@@ -144,7 +155,9 @@
                 yield self._take_cell(cell)
 
     def _should_claim(self, cell: Cell, other: OwnerKnown | None, now_s: float) -> bool:
-        if self.is_draining or now_s < self._paused_until_s.get(cell, 0.0):
+        if self.is_draining or not self.has_targets:
+            return False
+        if now_s < self._paused_until_s.get(cell, 0.0):
             return False
         if other is not None and not self.peers[other.owner].beat.is_draining:
             return False
@@ -199,7 +212,8 @@
             at for at in self._raises.get(cell, []) if at > now_s - FENCED_PAUSE_S
         ]
         del self.terms[cell]
-        if len(recent) >= MAX_RAISES:
+        is_cut_off = self.expected_hosts > 0 and not self._count_live(now_s)
+        if is_cut_off or len(recent) >= MAX_RAISES:
             self._paused_until_s[cell] = now_s + FENCED_PAUSE_S
             yield CellLost(cell=cell, reason="targets follow a higher term")
             return
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -52,7 +52,8 @@
 class TargetState:
     """A target, its runs and the evidence about it.
 
-    `lapse_s` is when all its runs have surely ended if no lease is renewed any more.
+    `reported_s` is when it last answered, `lapse_s` when all its runs have surely ended
+    if no lease is renewed any more.
     `orphans` are runs of an earlier owner that no front host has claimed yet.
     """
 
@@ -62,6 +63,7 @@
     incarnation: int | None = None
     acknowledged: int = 0
     lapse_s: float = float("-inf")
+    reported_s: float = 0.0
     missing_since_s: float | None = None
     runs: dict[TaskKey, Run] = field(factory=dict)
     orphans: dict[TaskKey, int] = field(factory=dict)
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -134,6 +134,15 @@
         stops = find_stops(driver.feed(ev.FrontLost(front=FRONT), None))
         self.assertEqual([start.key], [stop.key for stop in stops])
 
+    def test_a_front_host_taken_as_lost_is_told_that_its_job_is_given_up(self):
+        """A host that was frozen waited for its tasks until its callers' deadline."""
+        driver = SchedulerDriver([build_target("t1")])
+        driver.feed(build_order("a"))
+        driver.feed(ev.FrontLost(front=FRONT), None)
+        (end,) = find_ends(driver.feed(build_order("a", is_repeat=True)))
+        self.assertIs(ev.TaskEnd.EXPIRED, end.end)
+        self.assertTrue(end.has_started)
+
     def test_a_restarted_target_has_lost_its_runs(self):
         driver = SchedulerDriver([build_target("t1")])
         (start,) = find_starts(driver.feed(build_order("a")))
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -7,6 +7,7 @@
 from gentianhub.capacity.front import (
     CONFIRMATION_S,
     OWNERLESS_S,
+    STARTING_S,
     CallerLeft,
     EndJobs,
     FrontBook,
@@ -94,6 +95,14 @@
         then = find_orders(self.end((0,)))
         self.assertEqual([1], [order.step_number for order in then])
 
+    def test_a_submission_that_comes_again_after_its_answer_is_not_run_again(self):
+        """Callers' intermediaries send a job again seconds after its answer."""
+        self.submit()
+        self.end()
+        effects = self.submit()
+        self.assertEqual([fx.JobVerdict.COMPLETED], find_verdicts(effects))
+        self.assertEqual([], find_orders(effects))
+
     def test_a_failed_task_ends_the_job_and_cancels_the_rest(self):
         self.submit(build_step(count=2))
         effects = self.end((0,), ev.TaskEnd.FAILED, has_started=True)
@@ -142,6 +151,29 @@
         self.assertEqual([fx.JobVerdict.INTERRUPTED], verdicts)
 
 
+class TestStart(unittest.TestCase):
+    def test_a_started_host_keeps_jobs_until_a_cell_has_an_owner(self):
+        """After the loss of all hosts, jobs were refused that could be run at once."""
+        book = FrontBook(data_centre="olten", started_s=10.0)
+        job = CapacityJob(payload="", steps=(build_step(),))
+        submit = SubmitCapacityJob(
+            job_id="a", job=job, route=ROUTE, wait_s=2.0, reply_to="a"
+        )
+        self.assertEqual([], list(book.handle(submit, 10.1)))
+        owners = {HOME: build_owner(HOME, 500)}
+        (order,) = find_orders(book.handle(OwnersChanged(owners=owners), 10.3))
+        self.assertEqual((0,), order.indexes)
+
+    def test_a_host_that_runs_refuses_at_once_without_an_owner(self):
+        book = FrontBook(data_centre="olten", started_s=10.0)
+        job = CapacityJob(payload="", steps=(build_step(),))
+        submit = SubmitCapacityJob(
+            job_id="a", job=job, route=ROUTE, wait_s=2.0, reply_to="a"
+        )
+        verdicts = find_verdicts(book.handle(submit, 10.0 + STARTING_S + 0.1))
+        self.assertEqual([fx.JobVerdict.NOT_RUN], verdicts)
+
+
 class TestPlaces(FrontTest):
     def test_declined_tasks_go_where_there_is_room(self):
         owners = {HOME: build_owner(HOME, 54), FAR: build_owner(FAR, 500)}
@@ -158,6 +190,14 @@
         (order,) = find_orders(self.feed(changed))
         self.assertTrue(order.is_repeat)
 
+    def test_not_run_is_not_said_of_a_job_that_an_earlier_owner_had(self):
+        """The owner died after it had started a task; its successor knew of none
+        (armor-abris, hunt-ebaa-19: REFUSED)."""
+        self.submit()
+        self.feed(OwnersChanged(owners={HOME: build_owner(HOME, 500, term=2)}))
+        effects = self.end(end=ev.TaskEnd.EXPIRED, term=2)
+        self.assertEqual([fx.JobVerdict.INTERRUPTED], find_verdicts(effects))
+
     def test_an_earlier_owner_cannot_hand_back_what_the_new_one_was_asked_to_run(self):
         """The task was given to a third cell and ran twice (armor-abris, scale-2)."""
         self.submit()
--- a/gentianhub/capacity/tests/test_ownership.py
+++ b/gentianhub/capacity/tests/test_ownership.py
@@ -89,6 +89,20 @@
         (lost,) = owner.decide(10.1)
         self.assertIsInstance(lost, ow.CellLost)
 
+    def test_a_fenced_owner_that_hears_nobody_gives_in_at_once(self):
+        """It is cut off from its siblings, which have another owner."""
+        ownership = build_ownership(FIRST, expected_hosts=2)
+        ownership.hear(SECOND, build_beat(), 10.0)
+        ownership.terms[CELL] = 5
+        (lost,) = ownership.take_fencing(CELL, 10.0 + HOST_SILENCE_S + 0.1)
+        self.assertIsInstance(lost, ow.CellLost)
+
+    def test_a_host_without_the_list_of_targets_claims_nothing(self):
+        """A host that starts while the store is away has no list; it could start
+        nothing."""
+        ownership = build_ownership(FIRST, has_targets=False)
+        self.assertEqual([], list(ownership.decide(10.0)))
+
     def test_a_fenced_owner_raises_its_term_once_and_then_pauses(self):
         """Without a pause two owners that cannot hear each other alternate for ever."""
         ownership = build_ownership(FIRST)
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -9,7 +9,8 @@
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
 from gentianhub.decisions import Dispatcher
-from gentianhub.observability import Metrics, RenderMetrics
+from gentianhub.observability import RenderMetrics
+from gentianhub.observability.metrics import Metrics
 from gentianhub.siblings import SendSlotMessage, TargetSeenLeaving
 from gentianhub.storage.journal import RecordAnswer
 from gentianhub.targets import ConnectionClosed, ConnectionEnded, TargetPool
--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -26,6 +26,8 @@
 # until the process is gone, which must be within the grace period.
 STOP_TIMEOUT_S = 0.1
 MAX_CONTROL_CONNECTIONS = 64
+# Named as the metrics address in deploy/system.toml.
+METRICS_PORT = 9464
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -1,11 +1,11 @@
 """The greenlet that owns a host's decisions: its jobs, its cells and its claims."""
 
 import logging
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -24,6 +24,7 @@
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
 from gentianhub.host import messages as ms
 from gentianhub.host.encoding import encode_message
+from gentianhub.host.followers import decode_targets
 from gentianhub.host.links import HostLinks
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.target_ports import TargetPorts
@@ -41,6 +42,8 @@
 # Heartbeats to hosts of the own data centre, and to others, every so many ticks.
 NEAR_BEAT_TICKS = 2
 FAR_BEAT_TICKS = 4
+# Lost hosts are looked for every so many ticks.
+HOUSEKEEPING_TICKS = 20
 # A sibling that has had this long to read a configuration itself gets ours, s.
 OFFER_AFTER_S = 0.3
 # The caller's wait if it names none, s.
@@ -53,6 +56,14 @@
 logger = logging.getLogger(__name__)
 
 
+@frozen(kw_only=True)
+class OpenCall:
+    """A submission that waits for its answer; `accepted_s` is monotonic."""
+
+    job_id: str
+    accepted_s: float
+
+
 @define(kw_only=True, eq=False)
 class Coordinator:
     """Owns the state of one host; other greenlets reach it by its mailbox.
@@ -87,18 +98,20 @@
     _owners: dict[Cell, ow.OwnerKnown] = field(init=False, factory=dict)
     _beats: int = field(init=False, default=0)
     _ticks: int = field(init=False, default=0)
+    _target_rows: tuple = field(init=False, default=())
+    _unheard_since_s: dict[str, float] = field(init=False, factory=dict)
     _row_versions: dict[str, int] = field(init=False, factory=dict)
-    _calls: Counter = field(init=False, factory=Counter)
-    _job_of_call: dict[Any, str] = field(init=False, factory=dict)
+    _calls: dict[Any, OpenCall] = field(init=False, factory=dict)
 
     def __attrs_post_init__(self):
         data_centre = self.own.name.data_centre
-        self.front = FrontBook(data_centre=data_centre)
+        self.front = FrontBook(data_centre=data_centre, started_s=self.started_s)
         self.ports = TargetPorts(answers=self.mailbox)
         self.ownership = ow.Ownership(
             own=self.own,
             cells=(Cell(data_centre=data_centre),),
             started_s=self.started_s,
+            has_targets=False,
         )
 
     @property
@@ -123,9 +136,10 @@
             case ms.FrontRequest():
                 self._take_request(message, now_s)
             case ms.CallerGone(reply_to=reply_to):
-                job = self._job_of_call.get(reply_to)
-                if job is not None:
-                    left = CallerLeft(job_id=job, reply_to=reply_to)
+                call = self._calls.get(reply_to)
+                if call is not None:
+                    self._log("caller left", call.job_id)
+                    left = CallerLeft(job_id=call.job_id, reply_to=reply_to)
                     self._run_front(left, now_s)
             case ev.TargetReported() | ev.TargetSilent() | ev.StartAnswered():
                 self._run_cell_of(message.target, message, now_s)
@@ -149,10 +163,8 @@
                 self._adopt_configuration(content, "store", now_s)
             case ms.HostsRead(hosts=hosts, versions=versions):
                 self._take_hosts(hosts, versions)
-            case ms.TargetsRead(targets=targets):
-                self.targets = targets
-                for scheduler in list(self.cells.values()):
-                    self._list_targets(scheduler, now_s)
+            case ms.TargetsRead(targets=targets, rows=rows):
+                self._take_targets(targets, rows, now_s)
             case ms.StoreLost(table=table, reason=reason):
                 self._log("store lost", table, reason=reason)
             case ms.StoreRegained(table=table):
@@ -229,7 +241,7 @@
             estimates_s=[step.estimate_s for step in job.steps],
             wait_s=request.wait_s,
         )
-        self._job_of_call[request.reply_to] = job_id
+        self._calls[request.reply_to] = OpenCall(job_id=job_id, accepted_s=now_s)
         self.metrics.count_submission(route.name)
         self._refresh_owners(now_s)
         submit = SubmitCapacityJob(
@@ -242,7 +254,7 @@
         self._run_front(submit, now_s)
 
     def _reply(self, reply_to: Mailbox, response: Response) -> None:
-        self._job_of_call.pop(reply_to, None)
+        self._calls.pop(reply_to, None)
         reply_to.offer(response)
 
     def _run_front(self, event, now_s: float) -> None:
@@ -253,6 +265,7 @@
         match effect:
             case fx.SendToOwner(cell=cell, message=message):
                 known = self._owners.get(cell)
+                self._log_order(message, known)
                 if known is None:
                     return
                 if known.owner == self.own:
@@ -260,22 +273,53 @@
                 elif not self.links.send(known.owner, message):
                     self._log("order not sent", message.job, owner=str(known.owner))
             case fx.AnswerCaller():
-                self._answer_caller(effect)
+                self._answer_caller(effect, now_s)
             case fx.Note():
                 self._log(effect.decision, effect.subject, **effect.inputs)
 
-    def _answer_caller(self, answer: fx.AnswerCaller) -> None:
-        self.metrics.count_answer(answer.verdict)
+    def _log_order(self, message, known: ow.OwnerKnown | None) -> None:
+        """Log where tasks are sent, and the load that speaks for it."""
+        owner = str(known.owner) if known else "none"
+        match message:
+            case ev.RunTasks(cell=cell):
+                self._log(
+                    "tasks sent",
+                    message.job,
+                    step=message.step_number,
+                    tasks=list(message.indexes),
+                    cell=cell.data_centre,
+                    owner=owner,
+                    term=known.claim.term if known else 0,
+                    free_millicores=known.claim.free_millicores if known else 0,
+                    may_decline=message.may_decline,
+                    repeat=message.is_repeat,
+                )
+            case ev.CancelTasks(cell=cell):
+                self._log(
+                    "tasks cancelled", message.job, cell=cell.data_centre, owner=owner
+                )
+
+    def _answer_caller(self, answer: fx.AnswerCaller, now_s: float) -> None:
+        call = self._calls.get(answer.reply_to)
+        response_s = now_s - call.accepted_s if call else 0.0
+        self.metrics.count_answer(answer.verdict, response_s)
         self._log(
             "job answered",
             answer.job,
             verdict=answer.verdict.value,
             reason=answer.reason,
+            response_s=round(response_s, 4),
         )
         self._reply(answer.reply_to, callers.encode_answer(answer))
 
     # Cells
 
+    def _take_targets(self, targets, rows, now_s: float) -> None:
+        self.targets, self._target_rows = targets, rows
+        self.ownership.has_targets = True
+        for scheduler in list(self.cells.values()):
+            self._list_targets(scheduler, now_s)
+
     def _find_scheduler(self, target: str) -> CellScheduler | None:
         return next((s for s in self.cells.values() if target in s.targets), None)
 
@@ -300,7 +344,13 @@
                 self.ports.find_port(target).renew(effect)
             case fx.StartRun(target=target, key=key, run=run):
                 self.metrics.starts += 1
-                self._log("start", name_task(key), run=run, target=target.name)
+                self._log(
+                    "start",
+                    name_task(key),
+                    run=run,
+                    target=target.name,
+                    **effect.inputs,
+                )
                 if not self.ports.find_port(target).order(effect):
                     self._refuse_start(effect, now_s)
             case fx.StopRun(target=target, key=key, run=run):
@@ -407,6 +457,11 @@
                 self._run_front(message, now_s)
             case ev.ConfigurationOffer(content=content):
                 self._adopt_configuration(content, str(sender), now_s)
+            case ev.TargetsOffer(rows=rows):
+                # The store's own list, once read, is newer.
+                if not self.ownership.has_targets:
+                    self._log("targets offered", str(sender), count=len(rows))
+                    self._take_targets(tuple(decode_targets(rows)), rows, now_s)
             case _:
                 self._log("message not used", str(sender), kind=type(message).__name__)
 
@@ -417,6 +472,8 @@
             self._log("host live", str(sender))
         if beat.claims or self._owners_include(sender):
             self._change_claims(self.ownership.decide(now_s), now_s)
+        if beat.lacks_targets and self._target_rows:
+            self.links.send(sender, ev.TargetsOffer(rows=self._target_rows))
         own = self.configuration.version if self.configuration else 0
         is_due = now_s > self._configuration_at_s + OFFER_AFTER_S
         if beat.configuration_version < own and is_due:
@@ -456,6 +513,7 @@
                 self.configuration.version if self.configuration else 0
             ),
             is_draining=self.is_draining,
+            lacks_targets=not self.ownership.has_targets,
         )
         body = encode_message(beat)
         for peer in peers:
@@ -502,6 +560,9 @@
         self._change_claims(self.ownership.decide(now_s), now_s)
         self._run_front(ev.Tick(), now_s)
         self._beat_by_distance(now_s)
+        if self._ticks % HOUSEKEEPING_TICKS == 0:
+            self.ownership.prune(now_s)
+            self._remove_lost_hosts(now_s)
         self._check_drained(now_s)
 
     def _beat_by_distance(self, now_s: float) -> None:
@@ -525,6 +586,26 @@
             self._log("host silent", str(peer))
             self._lose_front(peer, now_s)
 
+    def _remove_lost_hosts(self, now_s: float) -> None:
+        """Take hosts that stay away out of the register; one owner does it for all."""
+        live = {
+            peer.name.process
+            for peer in self.ownership.peers
+            if self.ownership.is_live(peer, now_s)
+        }
+        absent = {name.process for name in self.links.hosts} - live
+        self._unheard_since_s = {
+            name: self._unheard_since_s.get(name, now_s) for name in absent
+        }
+        if not self.cells or not live:
+            return
+        for name, since_s in self._unheard_since_s.items():
+            version = self._row_versions.get(name)
+            if now_s > since_s + LOST_HOST_S and version is not None:
+                self._unheard_since_s[name] = now_s
+                self._log("host removed", name, silent_s=round(now_s - since_s, 1))
+                self.register.offer(ms.RemoveHost(name=name, version=version))
+
     def _begin_drain(self, reply_to: Any, now_s: float) -> None:
         self._log("draining", str(self.own), open_jobs=len(self.front.jobs))
         self.is_draining = True
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -65,6 +65,9 @@
             return {"tasksEnded": _build_end(message)}
         case ev.ConfigurationOffer(version=version, content=content):
             return {"configurationOffer": {"version": version, "content": content}}
+        case ev.TargetsOffer(rows=rows):
+            listed = [{"key": key, "value": value} for key, value in rows]
+            return {"targetsOffer": {"rows": listed}}
 
 
 def _clamp(number: int, largest: int = MAX_UINT32, smallest: int = 0) -> int:
@@ -82,6 +85,7 @@
         "claims": [_build_claim(claim) for claim in beat.claims],
         "configurationVersion": beat.configuration_version,
         "isDraining": beat.is_draining,
+        "lacksTargets": beat.lacks_targets,
     }
 
 
@@ -156,6 +160,7 @@
         claims=tuple(map(_read_claim, content.claims)),
         configuration_version=content.configurationVersion,
         is_draining=content.isDraining,
+        lacks_targets=content.lacksTargets,
     )
 
 
@@ -229,7 +234,14 @@
     )
 
 
+def _read_targets(content) -> ev.TargetsOffer:
+    return ev.TargetsOffer(
+        rows=tuple((row.key, bytes(row.value)) for row in content.rows)
+    )
+
+
 READERS = {
+    "targetsOffer": _read_targets,
     "hello": read_hello,
     "hostBeat": _read_beat,
     "runTasks": _read_order,
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -2,12 +2,13 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 
 import gevent
 from attrs import define, field
 
+from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Mailbox, PlatformError
 from gentianhub.host import messages as ms
 from gentianhub.host.registry import (
@@ -135,7 +136,7 @@
     """Report the register of hosts whenever it changes."""
 
     def report(rows: dict[str, StoredRow]) -> None:
-        hosts = tuple(_decode_rows(rows, lambda key, value: decode_host(value)))
+        hosts = tuple(_decode_hosts(rows))
         versions = {row.key: row.version for row in rows.values()}
         coordinator.put(ms.HostsRead(hosts=hosts, versions=versions))
 
@@ -156,10 +157,11 @@
             del known[key]
         for row in rows.values():
             if (row.key, row.version) not in known:
-                decoded = list(_decode_rows({row.key: row}, decode_target))
+                decoded = list(decode_targets([(row.key, row.value)]))
                 known[(row.key, row.version)] = decoded
         targets = tuple(target for decoded in known.values() for target in decoded)
-        coordinator.put(ms.TargetsRead(targets=targets))
+        raw = tuple((row.key, row.value) for row in rows.values())
+        coordinator.put(ms.TargetsRead(targets=targets, rows=raw))
 
     TableFollower(
         table=TARGETS_TABLE,
@@ -171,13 +173,22 @@
     ).run()
 
 
-def _decode_rows(rows: dict[str, StoredRow], decode):
+def decode_targets(rows: Iterable[tuple[str, bytes]]) -> Iterator[ListedTarget]:
+    """Yield the targets that rows describe; log the rows that describe none."""
+    for key, value in rows:
+        try:
+            yield decode_target(key, value)
+        except FieldError as error:
+            logger.warning("row not usable", extra={"id": key, "reason": str(error)})
+
+
+def _decode_hosts(rows: dict[str, StoredRow]) -> Iterator[HostEntry]:
     for row in rows.values():
         try:
-            yield decode(row.key, row.value)
+            yield decode_host(row.value)
         except FieldError as error:
             logger.warning(
-                "row not usable", extra={"key": row.key, "reason": str(error)}
+                "row not usable", extra={"id": row.key, "reason": str(error)}
             )
 
 
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -72,6 +72,16 @@
   claims @1 :List(CellClaim);
   configurationVersion @2 :UInt64;
   isDraining @3 :Bool;
+  lacksTargets @4 :Bool;
+}
+
+struct StoredRow {
+  key @0 :Text;
+  value @1 :Data;
+}
+
+struct TargetsOffer {
+  rows @0 :List(StoredRow);
 }
 
 struct ConfigurationOffer {
@@ -87,5 +97,6 @@
     cancelTasks @3 :CancelTasks;
     tasksEnded @4 :TasksEnded;
     configurationOffer @5 :ConfigurationOffer;
+    targetsOffer @6 :TargetsOffer;
   }
 }
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -25,9 +25,10 @@
 
 @frozen(kw_only=True)
 class TargetsRead:
-    """The whole list of targets of all data centres."""
+    """The whole list of targets of all data centres, decoded and as it was read."""
 
     targets: tuple[ListedTarget, ...]
+    rows: tuple[tuple[str, bytes], ...]
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -1,13 +1,15 @@
 """Counters of one host, served on its metrics address."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from attrs import define, field
+from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from gentianhub.capacity.effects import JobVerdict
 from gentianhub.capacity.events import TaskEnd
+from gentianhub.observability.histograms import QUANTILES, build_histogram
 
 
 @define(kw_only=True, eq=False)
@@ -19,14 +21,18 @@
     submissions: Counter = field(factory=Counter)
     answers: Counter = field(factory=Counter)
     ends: Counter = field(factory=Counter)
+    response_ms: dict[str, HdrHistogram] = field(
+        factory=lambda: defaultdict(build_histogram)
+    )
 
     def count_submission(self, route: str) -> None:
         """Count a job that a caller has submitted."""
         self.submissions[route] += 1
 
-    def count_answer(self, verdict: JobVerdict) -> None:
-        """Count a caller's final answer."""
+    def count_answer(self, verdict: JobVerdict, response_s: float) -> None:
+        """Count a caller's final answer and the time it took, s."""
         self.answers[verdict.value] += 1
+        self.response_ms[verdict.value].record_value(round(response_s * 1000))
 
     def count_end(self, end: TaskEnd) -> None:
         """Count a report of ended tasks."""
@@ -39,6 +45,19 @@
         yield _build_family("jobs", "Jobs submitted", "route", self.submissions)
         yield _build_family("answers", "Answers to callers", "verdict", self.answers)
         yield _build_family("task_reports", "Reports of tasks", "end", self.ends)
+        yield self._collect_responses()
+
+    def _collect_responses(self) -> GaugeMetricFamily:
+        family = GaugeMetricFamily(
+            "gentianhub_host_response_ms",
+            "Response time by verdict and quantile",
+            labels=["verdict", "quantile"],
+        )
+        for verdict, histogram in self.response_ms.items():
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile)
+                family.add_metric([verdict, str(quantile / 100)], value)
+        return family
 
     def render_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import define, field
+from attrs import define, evolve, field
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -20,7 +20,12 @@
 )
 from gentianhub.host import followers
 from gentianhub.host import messages as ms
-from gentianhub.host.callers import CallerPort, serve_callers, serve_control
+from gentianhub.host.callers import (
+    METRICS_PORT,
+    CallerPort,
+    serve_callers,
+    serve_control,
+)
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
@@ -152,6 +157,11 @@
                     self.mailbox,
                     lambda: self.coordinator.is_ready,
                 ),
+                serve_control(
+                    evolve(self.settings.readiness, port=METRICS_PORT),
+                    self.mailbox,
+                    lambda: self.coordinator.is_ready,
+                ),
                 serve_callers(self.settings.callers, port),
             ):
                 yield
--- a/gentianhub/observability/__init__.py
+++ b/gentianhub/observability/__init__.py
@@ -2,7 +2,6 @@
 
 from gentianhub.observability.logs import configure_logging
 from gentianhub.observability.messages import RenderMetrics
-from gentianhub.observability.metrics import Metrics
 from gentianhub.observability.stream import (
     LineWriter,
     QueueingHandler,
@@ -11,7 +10,6 @@
 
 __all__ = [
     "LineWriter",
-    "Metrics",
     "QueueingHandler",
     "RenderMetrics",
     "configure_logging",
--- a/gentianhub/observability/metrics.py
+++ b/gentianhub/observability/metrics.py
@@ -9,15 +9,7 @@
 
 from gentianhub.core import Complete, Failed, JobComplete, NotRun, TaskOutcome, Unknown
 from gentianhub.core.effects import JobEnded
-
-LOWEST_MS = 1
-HIGHEST_MS = 3_600_000
-SIGNIFICANT_FIGURES = 2
-QUANTILES = (50.0, 99.0, 99.9)
-
-
-def _build_histogram() -> HdrHistogram:
-    return HdrHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_FIGURES)
+from gentianhub.observability.histograms import QUANTILES, build_histogram
 
 
 @define(kw_only=True, eq=False)
@@ -28,7 +20,7 @@
     outcomes: Counter = field(factory=Counter)
     jobs: Counter = field(factory=Counter)
     response_ms: dict[str, HdrHistogram] = field(
-        factory=lambda: defaultdict(_build_histogram)
+        factory=lambda: defaultdict(build_histogram)
     )
 
     def count_outcome(self, outcome: TaskOutcome) -> None:
