Split a large data centre into cells of sixteen targets

Ruled out: cells worked out from each host's own view of targets or hosts (two views would be two owners of one target); ownership rows in the store (an outage would stop work). Change: the number of cells of a data centre is a row in the store, written by the first host that knows the targets, or learned from a sibling's claim; a target's name decides its cell; cells without an owner are dealt to the hosts with the fewest cells for their size, which is in the register.

--- a/gentianhub/capacity/cell.py
+++ b/gentianhub/capacity/cell.py
@@ -705,7 +705,7 @@
         return fx.Note(
             decision=decision,
             subject=subject,
-            inputs={"cell": str(self.cell.data_centre), "term": self.term, **inputs},
+            inputs={"cell": str(self.cell), "term": self.term, **inputs},
         )
 
     def can_ever_run(self, step: JobStep, service: str) -> bool:
--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -1,9 +1,16 @@
 """Jobs made of steps whose tasks request capacity."""
 
+import hashlib
+import math
+
 from attrs import frozen
 
 from gentianhub.capacity.resources import Resources
 
+# An owner starts some 8 tasks a second on each target; at this number a core of the
+# users' hosts is used by less than a half at the crest.
+TARGETS_PER_CELL = 16
+
 
 @frozen(kw_only=True)
 class JobStep:
@@ -118,3 +125,26 @@
     data_centre: str
     index: int = 0
     count: int = 1
+
+    def __str__(self) -> str:
+        return f"{self.data_centre}/{self.index}of{self.count}"
+
+    def holds(self, target: "ListedTarget") -> bool:
+        """Whether a target belongs to the cell."""
+        if target.data_centre != self.data_centre:
+            return False
+        digest = hashlib.blake2b(target.name.encode(), digest_size=8).digest()
+        return int.from_bytes(digest) % self.count == self.index
+
+
+def divide_data_centre(data_centre: str, count: int) -> tuple[Cell, ...]:
+    """Return the cells of a data centre that is split among `count` owners."""
+    return tuple(
+        Cell(data_centre=data_centre, index=index, count=count)
+        for index in range(count)
+    )
+
+
+def count_cells(targets: int) -> int:
+    """Return the number of cells for a data centre's number of targets."""
+    return max(1, math.ceil(targets / TARGETS_PER_CELL))
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -15,7 +15,7 @@
 from gentianhub.capacity.events import CellClaim, HostBeat
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.leases import HOST_SILENCE_S
-from gentianhub.core import Incarnation
+from gentianhub.core import Incarnation, ProcessName
 
 # A host that has just started and knows no register waits this long for claims of
 # others, s; longer while registered hosts of its data centre have not been heard.
@@ -31,6 +31,8 @@
 FENCED_PAUSE_S = 5.0
 # Hosts that fell silent are remembered for this time, s.
 MEMORY_S = 30.0
+# Smallest size that a host counts for, cores.
+MIN_CORES = 0.1
 # Raises of a term after refusals, within the pause, before the host gives in. A raise
 # skips some periods, in case the clock of the other owner is ahead.
 MAX_RAISES = 1
@@ -79,11 +81,13 @@
     own : Incarnation
         This host.
     cells : tuple of Cell
-        The cells of the host's own data centre.
+        The cells of the host's own data centre; empty until their number is known.
     started_s : float
         Monotonic time of the start.
     has_targets : bool
         Whether the list of targets is known; an owner without it could start nothing.
+    cores : dict
+        Processor time of each registered host, in cores.
     expected_hosts, expected_near : int
         Registered other hosts, in all and in the own data centre; None if unknown.
     """
@@ -93,6 +97,7 @@
     started_s: float
     is_draining: bool = False
     has_targets: bool = True
+    cores: dict[ProcessName, float] = field(factory=dict)
     expected_hosts: int = 0
     expected_near: int | None = None
     peers: dict[Incarnation, Peer] = field(init=False, factory=dict)
@@ -192,7 +197,41 @@
             and self.is_live(peer, now_s)
             and not known.beat.is_draining
         ]
-        return max(candidates, key=lambda host: rank_host(cell, host)) == self.own
+        return self._choose_owner(cell, candidates, now_s) == self.own
+
+    def _choose_owner(
+        self, cell: Cell, candidates: list[Incarnation], now_s: float
+    ) -> Incarnation:
+        """Return the host that should own a cell without a live owner.
+
+        The cells that have none are dealt out in order, each to the host with the
+        fewest cells for its size; hosts that see the same siblings agree.
+        """
+        owners = self.find_owners(now_s)
+        owned = dict.fromkeys(candidates, 0)
+        for known in owners.values():
+            if known.owner in owned:
+                owned[known.owner] += 1
+        owned[self.own] += len(self.terms)
+        for free in self.cells:
+            if free in self.terms or (
+                free in owners and not self.peers[owners[free].owner].beat.is_draining
+            ):
+                continue
+            chosen = min(
+                candidates,
+                key=lambda host: (
+                    (owned[host] + 1) / self._find_cores(host),
+                    rank_host(free, host),
+                ),
+            )
+            if free == cell:
+                return chosen
+            owned[chosen] += 1
+        return self.own
+
+    def _find_cores(self, host: Incarnation) -> float:
+        return max(MIN_CORES, self.cores.get(host.name, 1.0))
 
     def _take_cell(self, cell: Cell) -> CellTaken:
         # Terms follow the time of day, so that they rise when all hosts have lost
@@ -223,6 +262,6 @@
 
 
 def rank_host(cell: Cell, host: Incarnation) -> bytes:
-    """Return the rendezvous weight of a host for a cell."""
+    """Return the rendezvous rank of a host for a cell; the smallest is first."""
     text = f"{cell.data_centre}/{cell.index}|{host.name}"
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/gentianhub/capacity/tests/test_ownership.py
+++ b/gentianhub/capacity/tests/test_ownership.py
@@ -4,8 +4,13 @@
 
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.events import CellClaim, HostBeat
-from gentianhub.capacity.jobs import Cell
+from gentianhub.capacity.jobs import (
+    TARGETS_PER_CELL,
+    Cell,
+    divide_data_centre,
+)
 from gentianhub.capacity.leases import HOST_SILENCE_S
+from gentianhub.capacity.tests.builders import build_target
 from gentianhub.core import Incarnation, ProcessName
 
 CELL = Cell(data_centre="olten")
@@ -49,6 +54,34 @@
         self.assertGreater(change.term, heard)
 
 
+class TestSeveralCells(unittest.TestCase):
+    def test_cells_go_to_large_hosts_and_each_to_one(self):
+        """One owner of a large data centre needs more than a small host has."""
+        cells = divide_data_centre("olten", 3)
+        hosts = [build_host(f"e{number}", "abcdef"[number]) for number in range(6)]
+        cores = {host.name: 2.0 if host in hosts[:3] else 0.4 for host in hosts}
+        taken = []
+        for own in hosts:
+            ownership = ow.Ownership(
+                own=own, cells=cells, started_s=0.0, cores=cores, expected_near=5
+            )
+            for peer in hosts:
+                if peer != own:
+                    ownership.hear(peer, build_beat(), 10.0)
+            taken += [(change.cell, own) for change in ownership.decide(10.0)]
+        self.assertEqual(set(cells), {cell for cell, _ in taken})
+        self.assertEqual(set(hosts[:3]), {host for _, host in taken})
+        self.assertEqual(3, len(taken))
+
+    def test_every_target_belongs_to_one_cell(self):
+        cells = divide_data_centre("olten", 3)
+        targets = [build_target(f"i-{number}") for number in range(44)]
+        counts = [sum(cell.holds(t) for t in targets) for cell in cells]
+        self.assertEqual(44, sum(counts))
+        # An owner has room for half more than the usual number of targets.
+        self.assertLessEqual(max(counts), 1.5 * TARGETS_PER_CELL)
+
+
 class TestClaims(unittest.TestCase):
     def test_a_started_host_waits_for_the_registered_hosts_of_its_data_centre(self):
         """A restarted host claimed a cell whose owner it had not yet heard."""
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -20,8 +20,14 @@
     OwnersChanged,
     SubmitCapacityJob,
 )
-from gentianhub.capacity.jobs import Cell, Configuration, ListedTarget
-from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
+from gentianhub.capacity.jobs import (
+    Cell,
+    Configuration,
+    ListedTarget,
+    count_cells,
+    divide_data_centre,
+)
+from gentianhub.core import Incarnation, Mailbox, ProcessName, read_monotonic_s
 from gentianhub.host import messages as ms
 from gentianhub.host.encoding import encode_message
 from gentianhub.host.followers import decode_targets
@@ -109,7 +115,7 @@
         self.ports = TargetPorts(answers=self.mailbox)
         self.ownership = ow.Ownership(
             own=self.own,
-            cells=(Cell(data_centre=data_centre),),
+            cells=(),
             started_s=self.started_s,
             has_targets=False,
         )
@@ -165,6 +171,8 @@
                 self._take_hosts(hosts, versions)
             case ms.TargetsRead(targets=targets, rows=rows):
                 self._take_targets(targets, rows, now_s)
+            case ms.LayoutRead(cells=cells):
+                self._adopt_layout(cells, "store")
             case ms.StoreLost(table=table, reason=reason):
                 self._log("store lost", table, reason=reason)
             case ms.StoreRegained(table=table):
@@ -287,7 +295,7 @@
                     message.job,
                     step=message.step_number,
                     tasks=list(message.indexes),
-                    cell=cell.data_centre,
+                    cell=str(cell),
                     owner=owner,
                     term=known.claim.term if known else 0,
                     free_millicores=known.claim.free_millicores if known else 0,
@@ -295,9 +303,7 @@
                     repeat=message.is_repeat,
                 )
             case ev.CancelTasks(cell=cell):
-                self._log(
-                    "tasks cancelled", message.job, cell=cell.data_centre, owner=owner
-                )
+                self._log("tasks cancelled", message.job, cell=str(cell), owner=owner)
 
     def _answer_caller(self, answer: fx.AnswerCaller, now_s: float) -> None:
         call = self._calls.get(answer.reply_to)
@@ -317,9 +323,27 @@
     def _take_targets(self, targets, rows, now_s: float) -> None:
         self.targets, self._target_rows = targets, rows
         self.ownership.has_targets = True
+        self._settle_layout()
         for scheduler in list(self.cells.values()):
             self._list_targets(scheduler, now_s)
 
+    def _settle_layout(self) -> None:
+        """Ask for the number of cells while it is not known."""
+        if self.ownership.cells or not self.ownership.has_targets:
+            return
+        data_centre = self.own.name.data_centre
+        targets = sum(t.data_centre == data_centre for t in self.targets)
+        if targets:
+            cells = count_cells(targets)
+            self.register.offer(ms.SettleLayout(data_centre=data_centre, cells=cells))
+
+    def _adopt_layout(self, cells: int, source: str) -> None:
+        if self.ownership.cells:
+            return
+        data_centre = self.own.name.data_centre
+        self.ownership.cells = divide_data_centre(data_centre, cells)
+        self._log("layout adopted", data_centre, cells=cells, source=source)
+
     def _find_scheduler(self, target: str) -> CellScheduler | None:
         return next((s for s in self.cells.values() if target in s.targets), None)
 
@@ -393,7 +417,7 @@
 
     def _list_targets(self, scheduler: CellScheduler, now_s: float) -> None:
         cell = scheduler.cell
-        own = tuple(t for t in self.targets if t.data_centre == cell.data_centre)
+        own = tuple(target for target in self.targets if cell.holds(target))
         self._run_cell(scheduler, ev.TargetsListed(targets=own), now_s)
 
     def _take_fencing(self, target: str, term: int, now_s: float) -> None:
@@ -408,7 +432,7 @@
             match change:
                 case ow.CellTaken(cell=cell, term=term):
                     self._drop_cell(cell)
-                    self._log("cell taken", cell.data_centre, term=term)
+                    self._log("cell taken", str(cell), term=term)
                     self.cells[cell] = CellScheduler(
                         cell=cell,
                         term=term,
@@ -422,7 +446,7 @@
                     )
                     self._list_targets(self.cells[cell], now_s)
                 case ow.CellLost(cell=cell, reason=reason):
-                    self._log("cell lost", cell.data_centre, reason=reason)
+                    self._log("cell lost", str(cell), reason=reason)
                     self._drop_cell(cell)
             self._send_beats(self.links.find_linked(), now_s)
         self._refresh_owners(now_s)
@@ -466,6 +490,9 @@
                 self._log("message not used", str(sender), kind=type(message).__name__)
 
     def _take_beat(self, sender: Incarnation, beat: ev.HostBeat, now_s: float) -> None:
+        for claim in beat.claims:
+            if claim.cell.data_centre == self.own.name.data_centre:
+                self._adopt_layout(claim.cell.count, str(sender))
         was_live = self.ownership.is_live(sender, now_s)
         self.ownership.hear(sender, beat, now_s)
         if not was_live:
@@ -521,6 +548,9 @@
 
     def _take_hosts(self, hosts, versions: dict[str, int]) -> None:
         self.links.set_hosts(hosts)
+        for host in hosts:
+            name = ProcessName(data_centre=host.data_centre, process=host.name)
+            self.ownership.cores[name] = host.cores
         self._row_versions = versions
         self.ownership.expected_hosts = len(self.links.hosts)
         self.ownership.expected_near = sum(
@@ -561,6 +591,7 @@
         self._run_front(ev.Tick(), now_s)
         self._beat_by_distance(now_s)
         if self._ticks % HOUSEKEEPING_TICKS == 0:
+            self._settle_layout()
             self.ownership.prune(now_s)
             self._remove_lost_hosts(now_s)
         self._check_drained(now_s)
@@ -640,7 +671,7 @@
             "open_jobs": len(self.front.jobs),
             "links": [str(peer) for peer in self.links.find_linked()],
             "owners": {
-                cell.data_centre: [str(known.owner), known.claim.term]
+                str(cell): [str(known.owner), known.claim.term]
                 for cell, known in self._owners.items()
             },
             "targets": {
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -13,9 +13,12 @@
 from gentianhub.host import messages as ms
 from gentianhub.host.registry import (
     HOSTS_TABLE,
+    LAYOUT_TABLE,
     HostEntry,
     decode_host,
+    decode_layout,
     encode_host,
+    encode_layout,
 )
 from gentianhub.platform.content import decode_target
 from gentianhub.platform.fields import FieldError
@@ -192,8 +195,10 @@
             )
 
 
-def keep_register(own: HostEntry, address: Address, orders: Mailbox) -> None:
-    """Write this host's row, and remove rows of lost hosts when told to."""
+def keep_register(
+    own: HostEntry, address: Address, orders: Mailbox, coordinator: Mailbox
+) -> None:
+    """Write this host's row, and carry out other writes when told to."""
     with open_store(*address.as_pair()) as store:
         _write_own(store, own)
         while True:
@@ -202,6 +207,8 @@
                     _remove_row(store, name, version)
                 case ms.RegisterAgain():
                     _write_own(store, own)
+                case ms.SettleLayout() as layout:
+                    _settle_layout(store, layout, coordinator)
 
 
 def _write_own(store: StoreClient, own: HostEntry) -> None:
@@ -218,6 +225,23 @@
             return
 
 
+def _settle_layout(
+    store: StoreClient, layout: ms.SettleLayout, coordinator: Mailbox
+) -> None:
+    """Agree on the number of cells; the first host to write it decides."""
+    try:
+        content = store.create_row(
+            LAYOUT_TABLE, layout.data_centre, encode_layout(layout.cells)
+        )
+        coordinator.put(ms.LayoutRead(cells=decode_layout(content)))
+    except (PlatformError, FieldError) as error:
+        # The coordinator asks again while it does not know the layout.
+        logger.warning(
+            "layout not settled",
+            extra={"id": layout.data_centre, "reason": str(error)},
+        )
+
+
 def _remove_row(store: StoreClient, name: str, version: int) -> None:
     try:
         removed = store.remove_row(HOSTS_TABLE, name, version)
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -96,6 +96,21 @@
     reply_to: Any
 
 
+@frozen(kw_only=True)
+class SettleLayout:
+    """Write a data centre's number of cells, unless one is written already."""
+
+    data_centre: str
+    cells: int
+
+
+@frozen(kw_only=True)
+class LayoutRead:
+    """The number of cells of the own data centre."""
+
+    cells: int
+
+
 @frozen(kw_only=True)
 class RemoveHost:
     """Remove a lost host's row from the register, if it is unchanged."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -116,7 +116,9 @@
             address=self.settings.siblings.host,
             port=self.settings.siblings.port,
             started_ms=followers.read_unix_ms(),
+            cores=self.settings.cores,
         )
+        self.coordinator.ownership.cores[self.own.name] = self.settings.cores
         tasks = [
             spawn_task(self.coordinator.run),
             spawn_task(run_timer, self.mailbox),
@@ -128,7 +130,9 @@
                 self.mailbox,
                 lambda: bool(self.coordinator.cells),
             ),
-            spawn_task(followers.keep_register, entry, store, self.register),
+            spawn_task(
+                followers.keep_register, entry, store, self.register, self.mailbox
+            ),
         ]
         for task in tasks:
             task.link_exception(self._report_crash)
--- a/gentianhub/platform/store.py
+++ b/gentianhub/platform/store.py
@@ -85,17 +85,37 @@
         encoded = base64.b64encode(value).decode()
         self._transact({"set_keys": [row | {"value": encoded}]})
 
+    def create_row(self, table: str, key: str, value: bytes) -> bytes:
+        """Write a row unless it exists; return what it holds now."""
+        row = {"table": table, "part": "", "key": key}
+        encoded = base64.b64encode(value).decode()
+        changes = {
+            "if_rev": [row | {"ver": 0}],
+            "set_keys": [row | {"value": encoded}],
+        }
+        status, content = self._send_changes(changes)
+        if status == 200:
+            return value
+        rows, _ = self._decode_rows({"ver": 0} | content)
+        if not rows or rows[0].is_removed:
+            raise self._fail(Step.WRITE_PLATFORM, f"row {key!r} neither new nor known")
+        return rows[0].value
+
     def remove_row(self, table: str, key: str, version: int) -> bool:
         """Remove a row that still has this version; return whether it had."""
         row = {"table": table, "part": "", "key": key}
         return self._transact({"if_rev": [row | {"ver": version}], "remove": [row]})
 
     def _transact(self, changes: dict) -> bool:
+        return self._send_changes(changes)[0] == 200
+
+    def _send_changes(self, changes: dict) -> tuple[int, dict]:
         body = {"if_rev": [], "set_keys": [], "remove": []} | changes
-        status, _ = self._exchange(
+        status, content = self._exchange(
             Step.WRITE_PLATFORM, "POST", "/api/rows-tx", json.dumps(body).encode(), 0.0
         )
-        return self._check_status(Step.WRITE_PLATFORM, status, (200, 412)) == 200
+        self._check_status(Step.WRITE_PLATFORM, status, (200, 412))
+        return status, content
 
     def _get(self, path: str, query: dict, wait_s: float) -> tuple[int, dict]:
         target = f"{path}?{urlencode(query)}"
