Write the layout of cells only once all targets have registered

Ruled out: a number by hosts (hosts register in the same seconds). Change: a host first reads the row; it writes a new one 3 s after its start at the earliest, when every target has had two heartbeats.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -52,6 +52,8 @@
 HOUSEKEEPING_TICKS = 20
 # A sibling that has had this long to read a configuration itself gets ours, s.
 OFFER_AFTER_S = 0.3
+# Targets write their entries every 1.5 s; two heartbeats let all of them register, s.
+REGISTRATION_S = 3.0
 # The caller's wait if it names none, s.
 DEFAULT_WAIT_S = 30.0
 # A registered host that nobody has heard for this long is removed, s.
@@ -323,18 +325,22 @@
     def _take_targets(self, targets, rows, now_s: float) -> None:
         self.targets, self._target_rows = targets, rows
         self.ownership.has_targets = True
-        self._settle_layout()
+        self._settle_layout(now_s)
         for scheduler in list(self.cells.values()):
             self._list_targets(scheduler, now_s)
 
-    def _settle_layout(self) -> None:
-        """Ask for the number of cells while it is not known."""
+    def _settle_layout(self, now_s: float) -> None:
+        """Ask for the number of cells while it is not known.
+
+        A new number is written only once every target has had time to register.
+        """
         if self.ownership.cells or not self.ownership.has_targets:
             return
         data_centre = self.own.name.data_centre
         targets = sum(t.data_centre == data_centre for t in self.targets)
         if targets:
-            cells = count_cells(targets)
+            is_due = now_s > self.started_s + REGISTRATION_S
+            cells = count_cells(targets) if is_due else None
             self.register.offer(ms.SettleLayout(data_centre=data_centre, cells=cells))
 
     def _adopt_layout(self, cells: int, source: str) -> None:
@@ -591,7 +597,7 @@
         self._run_front(ev.Tick(), now_s)
         self._beat_by_distance(now_s)
         if self._ticks % HOUSEKEEPING_TICKS == 0:
-            self._settle_layout()
+            self._settle_layout(now_s)
             self.ownership.prune(now_s)
             self._remove_lost_hosts(now_s)
         self._check_drained(now_s)
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -230,10 +230,14 @@
 ) -> None:
     """Agree on the number of cells; the first host to write it decides."""
     try:
-        content = store.create_row(
-            LAYOUT_TABLE, layout.data_centre, encode_layout(layout.cells)
-        )
-        coordinator.put(ms.LayoutRead(cells=decode_layout(content)))
+        if layout.cells is None:
+            content = store.read_row(LAYOUT_TABLE, layout.data_centre)
+        else:
+            content = store.create_row(
+                LAYOUT_TABLE, layout.data_centre, encode_layout(layout.cells)
+            )
+        if content is not None:
+            coordinator.put(ms.LayoutRead(cells=decode_layout(content)))
     except (PlatformError, FieldError) as error:
         # The coordinator asks again while it does not know the layout.
         logger.warning(
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -98,10 +98,13 @@
 
 @frozen(kw_only=True)
 class SettleLayout:
-    """Write a data centre's number of cells, unless one is written already."""
+    """Read a data centre's number of cells.
+
+    If there is none yet, write `cells`; with None there only read.
+    """
 
     data_centre: str
-    cells: int
+    cells: int | None
 
 
 @frozen(kw_only=True)
--- a/gentianhub/platform/store.py
+++ b/gentianhub/platform/store.py
@@ -101,6 +101,13 @@
             raise self._fail(Step.WRITE_PLATFORM, f"row {key!r} neither new nor known")
         return rows[0].value
 
+    def read_row(self, table: str, key: str) -> bytes | None:
+        """Return what one row holds, or None if there is no such row."""
+        query = {"table": table, "part": "", "from": key, "to": key + "\0"}
+        _, content = self._get("/api/rows-get", query, 0.0)
+        rows, _ = self._decode_rows(content)
+        return next((row.value for row in rows if row.key == key), None)
+
     def remove_row(self, table: str, key: str, version: int) -> bool:
         """Remove a row that still has this version; return whether it had."""
         row = {"table": table, "part": "", "key": key}
