Keep predictions and paces apart; refuse text that is no Unicode

Cause: each run taught both the route's offset and the target's pace, so that they drifted: paces rose to 4.4 while predictions fell to a quarter of the run times, and slack and the end of a job's use were worked out from these. An escaped half of a surrogate pair in a submission raised outside the refusal and would end the process. Ruled out: a slower gain (the drift has no force against it). Change: predictions are relative to the mean pace of the cell's targets; texts are checked when fields are read. Tests of the adapter and of the hosts' messages are added.

--- a/gentianhub/capacity/cell.py
+++ b/gentianhub/capacity/cell.py
@@ -368,12 +368,18 @@
                 run_s = max(0.001, now_s - min(run.confirmed_s, now_s))
                 route, declared_s = task.order.route, task.step.estimate_s
                 expected_s = self.estimates.predict(route, declared_s)
-                self.estimates.observe(route, declared_s, run_s, state.pace.value)
+                pace = state.pace.value / self._find_mean_pace()
+                self.estimates.observe(route, declared_s, run_s, pace)
                 state.pace.observe(run_s, expected_s)
                 state.health.note_success()
             case ev.RunEnd.FAILED:
                 state.health.note_failure(task.key.job, now_s)
 
+    def _find_mean_pace(self) -> float:
+        """Return the mean of all paces, which predictions are relative to."""
+        paces = [state.pace.value for state in self.targets.values()]
+        return sum(paces) / len(paces)
+
     def _end_run(
         self,
         task: CellTask,
@@ -498,7 +504,7 @@
             number=task.last_run,
             demand=task.step.demand,
             sent_s=now_s,
-            expected_s=task.expected_s * state.pace.value,
+            expected_s=task.expected_s * state.pace.value / self._find_mean_pace(),
         )
         inputs = {
             "term": self.term,
--- a/gentianhub/capacity/tests/test_estimates.py
+++ b/gentianhub/capacity/tests/test_estimates.py
@@ -8,6 +8,12 @@
 from gentianhub.capacity.events import CellClaim
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.routing import LoadView
+from gentianhub.capacity.tests.builders import (
+    SchedulerDriver,
+    build_order,
+    build_target,
+    find_starts,
+)
 
 
 class TestEstimates(unittest.TestCase):
@@ -31,6 +37,30 @@
         self.assertLess(estimates.predict("check", 0.05), 0.06)
 
 
+class TestPaces(unittest.TestCase):
+    def test_predictions_stay_at_the_mean_run_time_of_uneven_targets(self):
+        """Paces and predictions drifted apart: paces rose to 4, and slack and the end
+        of a job's use were worked out from a fourth of its run time."""
+        driver = SchedulerDriver([build_target("t1", 32), build_target("t2", 32)])
+        slowness = {"t1": 0.8, "t2": 1.6}
+        ends = dict.fromkeys(slowness, 0)
+        rng = random.Random(2)
+        for number in range(600):
+            order = build_order(f"j{number}", deadline_in_s=60.0, objective_s=30.0)
+            (start,) = find_starts(driver.feed(order))
+            driver.answer(start)
+            name = start.target.name
+            driver.now_s += 0.1 * slowness[name] * rng.uniform(0.6, 1.4)
+            ends[name] += 1
+            driver.end(start, ends[name])
+            # The other target is busy now and then, so that both are used.
+            driver.scheduler.targets["t1"].listed = build_target(
+                "t1", 32, is_leaving=number % 2 == 0
+            )
+        predicted_s = driver.scheduler.estimates.predict("swap", 0.1)
+        self.assertTrue(0.08 < predicted_s < 0.16, predicted_s)
+
+
 class TestSpread(unittest.TestCase):
     def test_waiting_tasks_of_a_wide_job_are_spread_over_equal_queues(self):
         """At the crest one cell's queue would make the whole job late."""
--- /dev/null
+++ b/gentianhub/host/tests/test_encoding.py
@@ -0,0 +1,57 @@
+"""Messages between hosts survive the wire; damaged ones are refused."""
+
+import unittest
+
+from gentianhub.capacity import events as ev
+from gentianhub.capacity.jobs import Cell
+from gentianhub.capacity.tests.builders import build_host, build_order, build_step
+from gentianhub.host.encoding import decode_message, encode_message
+from gentianhub.linking.frames import MalformedMessage
+from gentianhub.linking.greeting import Hello
+
+CELL = Cell(data_centre="olten", index=2, count=3)
+CLAIM = ev.CellClaim(cell=CELL, term=2**52, free_millicores=5, queued_millicore_s=7)
+MESSAGES = [
+    Hello(sender=build_host("e1"), started_ms=1, host="10.0.0.1", port=80),
+    ev.HostBeat(number=4, claims=(CLAIM,), configuration_version=9, is_draining=True),
+    ev.HostBeat(number=5, claims=(), configuration_version=0, lacks_targets=True),
+    build_order("a", build_step(count=3, after=(0,), data_rack="r1"), is_repeat=True),
+    ev.CancelTasks(cell=CELL, job="a"),
+    ev.TasksEnded(
+        cell=CELL,
+        term=3,
+        job="a",
+        step_number=1,
+        indexes=(0, 5),
+        end=ev.TaskEnd.DECLINED,
+        has_started=True,
+    ),
+    ev.ConfigurationOffer(version=3, content=b"{}"),
+    ev.TargetsOffer(rows=(("i-1", b"\x00\xff"), ("i-2", b""))),
+]
+
+
+class TestEncoding(unittest.TestCase):
+    def test_every_message_survives(self):
+        for message in MESSAGES:
+            with self.subTest(type(message).__name__):
+                self.assertEqual(message, decode_message(encode_message(message)))
+
+    def test_loads_beyond_a_fields_range_do_not_raise(self):
+        """An exception of Cap'n Proto in a greenlet ends the process."""
+        claim = ev.CellClaim(cell=CELL, term=1, queued_millicore_s=2**40)
+        beat = ev.HostBeat(number=1, claims=(claim,), configuration_version=1)
+        decoded = decode_message(encode_message(beat))
+        self.assertEqual(2**32 - 1, decoded.claims[0].queued_millicore_s)
+
+    def test_damaged_bodies_are_refused(self):
+        for body in (b"", b"\x00" * 8, encode_message(MESSAGES[3])[:40]):
+            with self.subTest(len(body)):
+                decoded = decode_message(body)
+                self.assertNotIsInstance(decoded, ev.RunTasks)
+                if not body:
+                    self.assertIsInstance(decoded, MalformedMessage)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/gentianhub/platform/fields.py
+++ b/gentianhub/platform/fields.py
@@ -26,12 +26,24 @@
         return float(value)
     if type(value) is not kind:
         raise FieldError(f"{name}: expected {kind.__name__}, got {value!r:.60}")
+    if kind is str:
+        _check_text(name, value)
     return value
 
 
+def _check_text(name: str, value: str) -> None:
+    """Refuse halves of surrogate pairs, which JSON can escape and UTF-8 cannot hold."""
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise FieldError(f"{name}: expected Unicode text: {error}") from error
+
+
 def read_texts(content: Any, name: str) -> tuple[str, ...]:
     """Return a list of texts; an absent field is an empty list."""
     values = read_field(content, name, list, [])
     if not all(isinstance(value, str) for value in values):
         raise FieldError(f"{name}: expected texts, got {values!r:.60}")
+    for value in values:
+        _check_text(name, value)
     return tuple(values)
