Give up early what waits too long, and keep a part of the slack

Cause: with right predictions, tasks waited until they would end after three times their objective. On the crest 252 and 302 short jobs more or less ended late, and the jobs behind them became late as well. Ruled out: predictions that are too small (their effect was the same, by accident). Change: a task that has not run is given up when it would end after 1.5 times its objective; it counts as late from 0.6 of its slack on. A task that lost its run is started again up to three times the objective.

--- a/gentianhub/capacity/cell.py
+++ b/gentianhub/capacity/cell.py
@@ -31,6 +31,13 @@
 MAX_PASSED_OVER = 12
 # An answer later than this multiple of its objective is of no use to the caller.
 LATE_FACTOR = 3.0
+# A task that has not run yet is given up when it would end after this multiple of its
+# objective: while it waits there is more work than capacity, and running it would make
+# further jobs late.
+GIVE_UP_FACTOR = 1.5
+# Share of its slack that a task may wait; the rest is for the spread of run times and
+# for the way to the caller.
+SLACK_SHARE = 0.6
 # A stop without a confirmation is sent again after this time, s.
 STOP_RETRY_S = 0.15
 # A target that answers is used for so long after it vanished from the list, s. Entries
@@ -58,9 +65,9 @@
 class CellTask:
     """A task; `target` is where it runs, `end` its outcome.
 
-    A start after `latest_start_s` is likely to miss the objective, one after
-    `last_start_s` to be of no use any more. `order_s` is the time by which the task
-    should have its turn. All are monotonic.
+    A start after `latest_start_s` is likely to miss the objective. After
+    `last_start_s` a task is not started for the first time, after `last_repeat_s` not
+    again. `order_s` is the time by which it should have its turn. All are monotonic.
     """
 
     key: TaskKey
@@ -68,6 +75,7 @@
     order: ev.RunTasks
     latest_start_s: float
     last_start_s: float
+    last_repeat_s: float
     order_s: float
     expected_s: float
     target: str | None = None
@@ -174,17 +182,22 @@
         yield from self._repeat_ends(known, [k for k in keys if k in known.tasks])
         accepted_s = now_s - order.age_s
         objective_s = order.objective_s + order.stretch * predicted_s
-        useful_s = min(order.deadline_in_s + order.age_s, LATE_FACTOR * objective_s)
+        deadline_s = order.deadline_in_s + order.age_s
+        slack_s = SLACK_SHARE * (objective_s - predicted_s)
         for key in fresh:
             task = CellTask(
                 key=key,
                 job=known,
                 order=order,
-                latest_start_s=accepted_s + objective_s - predicted_s,
-                last_start_s=accepted_s + useful_s - predicted_s,
+                latest_start_s=accepted_s + slack_s,
+                last_start_s=accepted_s
+                + min(deadline_s, GIVE_UP_FACTOR * objective_s)
+                - predicted_s,
+                last_repeat_s=accepted_s
+                + min(deadline_s, LATE_FACTOR * objective_s)
+                - predicted_s,
                 order_s=accepted_s
-                + objective_s
-                - predicted_s
+                + slack_s
                 - self.turnover.estimate_wait_s(len(fresh)),
                 expected_s=predicted_s,
             )
@@ -472,7 +485,7 @@
     def _start_tasks(self, now_s: float) -> Iterator:
         passed_over = []
         for task in self.waiting.take(now_s):
-            if now_s > task.last_start_s:
+            if now_s > (task.last_repeat_s if task.last_run else task.last_start_s):
                 yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
                 yield from self._cancel_job(task.job, now_s)
                 continue
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -78,7 +78,7 @@
         self.assertEqual([], find_starts(driver.feed(ev.Tick())))
         driver.now_s = bound_lapse(sent_s) + 0.01
         job = driver.scheduler.jobs[(FRONT, "a")]
-        job.tasks[name_key("a")].last_start_s = driver.now_s + 1
+        job.tasks[name_key("a")].last_repeat_s = driver.now_s + 1
         (again,) = find_starts(driver.feed(ev.Tick()))
         self.assertNotEqual(start.target.name, again.target.name)
 
@@ -210,7 +210,7 @@
         driver.answer(start)
         driver.now_s += STALL_S + 0.1
         job = driver.scheduler.jobs[(FRONT, "a")]
-        job.tasks[start.key].last_start_s = driver.now_s + 1
+        job.tasks[start.key].last_repeat_s = driver.now_s + 1
         (stop,) = find_stops(driver.feed(ev.Tick()))
         self.assertEqual(start.key, stop.key)
         (again,) = find_starts(driver.end(start, 1, ev.RunEnd.STOPPED))
@@ -225,14 +225,23 @@
         (first,) = find_starts(driver.feed(build_order("a")))
         driver.answer(first)
         driver.feed(build_order("b"))
-        # The objective of 0.06 s and 1.6 times the work is 0.22 s; three times that
-        # is the end of its use, and the work takes 0.1 s.
-        driver.now_s += 0.57
+        # The objective of 0.06 s and 1.6 times the work is 0.22 s; with 0.1 s of work
+        # a first start after 0.23 s would end after 1.5 times the objective.
+        driver.now_s += 0.24
         effects = driver.feed(ev.Tick())
         ends = find_ends(effects)
         self.assertEqual([("b", ev.TaskEnd.EXPIRED)], [(e.job, e.end) for e in ends])
         self.assertFalse(ends[0].has_started)
 
+    def test_a_task_that_lost_its_run_is_started_again_while_it_is_of_use(self):
+        """Late is better than never for work that a lost target has delayed."""
+        driver = SchedulerDriver([build_target("t1"), build_target("t2")])
+        (start,) = find_starts(driver.feed(build_order("a")))
+        driver.answer(start)
+        driver.now_s += 0.3
+        again = find_starts(driver.end(start, 1, ev.RunEnd.LAPSED))
+        self.assertEqual([start.key], [s.key for s in again])
+
     def test_a_job_that_may_be_declined_is_handed_back_at_once(self):
         driver = SchedulerDriver([build_target("t1")])
         step = build_step(count=3)
