Remove fields that nothing reads, and spread Retry-After

Cause: a read of the change as a newcomer found fields without a reader (guarded, memory_mb, drain_s), a function without a caller, and a comment that promised a spread of Retry-After which was not there: refused callers would have come back together. Change: they are gone; Retry-After is 1 to 3 s by job id.

--- a/gentianhub/capacity/cell.py
+++ b/gentianhub/capacity/cell.py
@@ -17,7 +17,7 @@
     RENEWAL_WAIT_S,
     bound_lapse,
 )
-from gentianhub.capacity.placement import choose_target, meets_constraints
+from gentianhub.capacity.placement import choose_target
 from gentianhub.capacity.targets import Run, RunPhase, TargetPhase, TargetState
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.capacity.waiting import WaitingTasks
@@ -112,7 +112,6 @@
     term: int
     owned_since_s: float
     estimates: RunEstimates = field(factory=lambda: RunEstimates())
-    guarded: frozenset[str] = frozenset()
     targets: dict[str, TargetState] = field(init=False, factory=dict)
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
     waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
@@ -303,8 +302,7 @@
             # The name has moved to another address: a new life of the target.
             yield fx.ForgetTarget(target=target.name)
         if state is None:
-            guarded = target.service in self.guarded
-            state = TargetState(listed=target, is_guarded=guarded)
+            state = TargetState(listed=target)
             self.targets[target.name] = state
             yield self._note("target listed", target.name, leaving=target.is_leaving)
             yield self._renew(state, now_s)
@@ -727,15 +725,6 @@
             inputs={"cell": str(self.cell), "term": self.term, **inputs},
         )
 
-    def can_ever_run(self, step: JobStep, service: str) -> bool:
-        """Whether a target of the cell could run a task of the step if it were idle."""
-        return any(
-            state.listed.service == service
-            and step.demand.fits_in(state.listed.capacity)
-            and meets_constraints(state, step)
-            for state in self.targets.values()
-        )
-
 
 def name_task(key: TaskKey) -> str:
     """Return a task's name for logs."""
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import zlib
 from collections import OrderedDict
 from collections.abc import Iterator, Mapping
 from typing import Any
@@ -33,8 +34,9 @@
 # A submission that comes again within this time of its answer gets the answer again, s.
 ANSWER_RETENTION_S = 10.0
 MAX_ANSWERS = 5000
-# Sent with a refusal; the spread keeps callers from returning together, s.
+# Sent with a refusal, s. The spread, by job id, keeps callers from returning together.
 RETRY_AFTER_S = 1.0
+RETRY_SPREAD_S = 3
 
 
 @frozen(kw_only=True)
@@ -181,7 +183,7 @@
                 job=event.job_id,
                 verdict=fx.JobVerdict.NOT_RUN,
                 reason=reason,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=choose_retry_after_s(event.job_id),
             )
             return
         job = FrontJob(
@@ -375,7 +377,7 @@
                 job=job.job_id,
                 verdict=verdict,
                 reason=reason,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=choose_retry_after_s(job.job_id),
             )
 
     def _leave(self, job_id: str, reply_to: Any, now_s: float) -> Iterator:
@@ -462,3 +464,8 @@
             job.ownerless_since_s = now_s
         elif now_s > job.ownerless_since_s + OWNERLESS_S:
             yield from self._give_up(job, "no owner of the tasks' cell", now_s)
+
+
+def choose_retry_after_s(job_id: str) -> float:
+    """Return when the caller of a refused job should come again, s."""
+    return RETRY_AFTER_S + zlib.crc32(job_id.encode()) % RETRY_SPREAD_S
--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -77,12 +77,12 @@
 class Configuration:
     """One version of the operator's configuration.
 
-    `guarded` names the services whose targets refuse a task that does not fit.
+    Whether targets refuse tasks that do not fit is not kept: no start ever exceeds
+    a target's room.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
-    guarded: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -58,7 +58,6 @@
     """
 
     listed: ListedTarget
-    is_guarded: bool
     phase: TargetPhase = TargetPhase.UNLISTED
     incarnation: int | None = None
     acknowledged: int = 0
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -444,11 +444,6 @@
                         term=term,
                         owned_since_s=now_s,
                         estimates=self.estimates,
-                        guarded=(
-                            self.configuration.guarded
-                            if self.configuration
-                            else frozenset()
-                        ),
                     )
                     self._list_targets(self.cells[cell], now_s)
                 case ow.CellLost(cell=cell, reason=reason):
@@ -576,8 +571,6 @@
         self.configuration = read
         self._configuration_content = content
         self._configuration_at_s = now_s
-        for scheduler in self.cells.values():
-            scheduler.guarded = read.guarded
         self._log(
             "configuration adopted",
             source,
@@ -655,11 +648,11 @@
         """Reply to the drain once callers were told and jobs have ended."""
         if self._drain_watcher is None or now_s < self._drain_began_s + NOTICE_S:
             return
-        if not self.front.jobs and not self.cells_in_use():
+        if not self.front.jobs and not self._has_cell_work():
             self._drain_watcher.offer(ms.Drained())
             self._drain_watcher = None
 
-    def cells_in_use(self) -> bool:
+    def _has_cell_work(self) -> bool:
         """Whether a task waits or runs in a cell of this host."""
         return any(
             any(task.end is None for task in job.tasks.values())
--- a/gentianhub/platform/content.py
+++ b/gentianhub/platform/content.py
@@ -37,16 +37,10 @@
         If a field is missing or has the wrong type.
     """
     decoded = decode_json(content)
-    services = read_field(decoded, "services", list, [])
     limits = read_field(decoded, "limits", dict, {})
     return Configuration(
         version=read_field(decoded, "version", int),
         routes=tuple(map(_decode_route, read_field(decoded, "routes", list, []))),
-        guarded=frozenset(
-            read_field(service, "name", str)
-            for service in services
-            if read_field(service, "admission_check", bool, False)
-        ),
         max_body_bytes=read_field(limits, "max_body_bytes", int, 262_144),
     )
 
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -44,10 +44,8 @@
     siblings: Address
     store: Address
     seeds: tuple[Address, ...]
-    memory_mb: int
     cores: float
     grace_s: float
-    drain_s: float
 
 
 def load_host_settings() -> HostSettings:
@@ -84,12 +82,10 @@
             read_field(read_field(content, "platform", dict), "address", str)
         ),
         seeds=tuple(map(parse_address, read_texts(content, "seeds"))),
-        memory_mb=read_field(limits, "memory_mb", int, 300),
         # A share of one core that is `cores` times as fast as a common one.
         cores=read_field(limits, "cpu_share", float, 1.0)
         * read_field(limits, "cores", float, 1.0),
         grace_s=read_field(bounds, "grace_s", float, 6.0),
-        drain_s=read_field(bounds, "drain_ms", float, 2000.0) / 1000,
     )
 
 
