Test hosts as processes between stand-ins of the users' platform

Change: a store and targets that speak the platform's protocol and enforce fences, leases, room and run numbers; tests of jobs done once, of a killed host while the store is away, and of a drained host that ends by itself.

--- /dev/null
+++ b/gentianhub/host/tests/test_hosts.py
@@ -0,0 +1,169 @@
+"""Hosts as real processes between stand-ins of the users' platform."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from contextlib import ExitStack
+from pathlib import Path
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from gentianhub.stand_ins.fleet import (
+    FleetStore,
+    FleetTarget,
+    serve_stand_in,
+    serve_targets,
+)
+from gentianhub.stand_ins.processes import reserve_ports
+
+ROOT = Path(__file__).resolve().parents[3]
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "desk.example",
+            "prefix": "/jobs/",
+            "slo_ms": 60,
+            "service": "desk",
+            "max_attempts": 2,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "desk", "admission_check": True}],
+}
+# Each host has an address of its own, since its metrics port is fixed.
+HOST_ADDRESSES = ("127.0.3.1", "127.0.3.2")
+START_TIMEOUT_S = 20.0
+
+
+class HostsTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = ExitStack()
+        self.addCleanup(self.stack.close)
+        self.store = FleetStore()
+        self.store.put("op", "config", json.dumps(CONFIGURATION).encode())
+        store_port, first, second, self.callers, self.ready, self.links = reserve_ports(
+            6
+        )
+        self.store_address = ("127.0.0.1", store_port)
+        self.stack.enter_context(serve_stand_in(self.store_address, self.store))
+        self.targets = [FleetTarget(name="i-1"), FleetTarget(name="i-2")]
+        served = {
+            ("127.0.0.1", port): target
+            for port, target in zip((first, second), self.targets, strict=True)
+        }
+        self.stack.enter_context(serve_targets(self.store, served, "olten"))
+        self.processes = [self.start_host(address) for address in HOST_ADDRESSES]
+        for address in HOST_ADDRESSES:
+            self.wait_until_ready(address)
+
+    def start_host(self, address: str) -> subprocess.Popen:
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        store = f"{self.store_address[0]}:{self.store_address[1]}"
+        settings = Path(folder) / "local.toml"
+        settings.write_text(
+            f"""
+            node = "host-{address.rpartition(".")[2]}"
+            zone = "olten"
+            [bind_addrs]
+            front = "{address}:{self.callers}"
+            ready = "{address}:{self.ready}"
+            control = "{address}:{self.links}"
+            [platform]
+            address = "{store}"
+            """
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "gentianhub.host"],
+            cwd=ROOT,
+            env={**os.environ, "GENTIANHUB_BOOT": str(settings)},
+            stdout=subprocess.DEVNULL,
+        )
+        self.stack.callback(process.wait)
+        self.stack.callback(process.kill)
+        return process
+
+    def wait_until_ready(self, address: str) -> None:
+        until_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until_s:
+            try:
+                if self.call(address, self.ready, "GET", "/") == 200:
+                    return
+            except OSError:
+                pass
+            gevent.sleep(0.1)
+        self.fail(f"{address} is not ready after {START_TIMEOUT_S} s")
+
+    def call(self, address, port, method, path, body=b"", **headers) -> int:
+        client = HTTPClient(address, port, network_timeout=10.0)
+        try:
+            response = client.request(method, path, body=body, headers=headers)
+            response.read()
+            return response.status_code
+        finally:
+            client.close()
+
+    def submit(self, number: int, address: str = HOST_ADDRESSES[0]) -> int:
+        phases = [{"count": 2, "cpu": 3000, "mem_mb": 16, "estimate_ms": 50}]
+        job = {"spec": "text", "best_effort": True, "phases": phases}
+        return self.call(
+            address,
+            self.callers,
+            "POST",
+            f"/jobs/{number:016x}",
+            json.dumps(job).encode(),
+            **{"Host": "desk.example", "Deadline-Ms": "3000"},
+        )
+
+    def count_starts(self) -> dict[str, int]:
+        starts: dict[str, int] = {}
+        for target in self.targets:
+            for task, count in target.starts.items():
+                starts[task] = starts.get(task, 0) + count
+        return starts
+
+    def test_jobs_are_done_once_and_foreign_queues_are_refused(self):
+        statuses = [
+            self.submit(number, HOST_ADDRESSES[number % 2]) for number in range(8)
+        ]
+        self.assertEqual([200] * 8, statuses)
+        starts = self.count_starts()
+        self.assertEqual(16, len(starts))
+        self.assertEqual({1}, set(starts.values()))
+        unknown = self.call(
+            HOST_ADDRESSES[0], self.callers, "POST", "/other/1", b"{}", Host="x.example"
+        )
+        self.assertEqual(404, unknown)
+
+    def test_service_goes_on_when_a_host_is_killed_and_the_store_is_away(self):
+        """The other host takes the cell over without the store."""
+        self.assertEqual(200, self.submit(1))
+        self.store.is_down = True
+        os.kill(self.processes[1].pid, signal.SIGKILL)
+        statuses = []
+        for number in range(2, 42):
+            statuses.append(self.submit(number))
+            if statuses[-3:] == [200] * 3 and len(statuses) > 10:
+                break
+            gevent.sleep(0.1)
+        self.assertEqual([200] * 3, statuses[-3:])
+
+    def test_a_drained_host_ends_by_itself(self):
+        self.assertEqual(200, self.submit(1))
+        os.kill(self.processes[0].pid, signal.SIGTERM)
+        with gevent.Timeout(10.0):
+            while self.processes[0].poll() is None:
+                gevent.sleep(0.1)
+        self.assertEqual(0, self.processes[0].returncode)
+        self.assertEqual(200, self.submit(2, HOST_ADDRESSES[1]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/gentianhub/stand_ins/fleet.py
@@ -0,0 +1,240 @@
+"""Stand-ins of the users' platform: its store and its targets, by their protocol.
+
+The target enforces what the protocol promises: fencing tokens, leases on its own clock,
+room, and that no run follows one that was stopped or has ended.
+"""
+
+import base64
+import json
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+
+from gentianhub.web import (
+    BodyError,
+    Request,
+    Response,
+    build_application,
+    open_server,
+)
+
+MAX_BODY_BYTES = 1_048_576
+MAX_CONNECTIONS = 256
+# Longest lease that a target grants, s.
+MAX_LEASE_S = 1.0
+
+
+def _build_response(status: int, content: dict) -> Response:
+    return Response(status=status, body=json.dumps(content).encode())
+
+
+def _refuse_body(error: BodyError) -> Response:
+    return _build_response(error.status, {"error": error.reason})
+
+
+@define(kw_only=True, eq=False)
+class FleetStore:
+    """Rows of tables without parts; `is_down` refuses every call."""
+
+    rows: dict[tuple[str, str], tuple[int, bytes]] = field(factory=dict)
+    version: int = 0
+    is_down: bool = False
+    _changed: Event = field(init=False, factory=Event)
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write one row."""
+        self.version += 1
+        self.rows[(table, key)] = (self.version, value)
+        self._changed.set()
+        self._changed.clear()
+
+    def handle(self, request: Request) -> Response:
+        """Answer one call."""
+        if self.is_down:
+            return _build_response(503, {})
+        match request.segments:
+            case ("api", "rows-get"):
+                rows = self._encode_rows(request.query["table"], after=0)
+                return self._answer_rows(rows)
+            case ("api", "rows-feed"):
+                return self._follow(request.query)
+            case ("api", "rows-tx"):
+                return self._transact(json.loads(request.body))
+            case _:
+                return _build_response(404, {})
+
+    def _answer_rows(self, rows: list[dict]) -> Response:
+        return _build_response(200, {"rows": rows, "ver": self.version})
+
+    def _encode_rows(self, table: str, after: int) -> list[dict]:
+        return [
+            {
+                "table": table,
+                "part": "",
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "ver": version,
+            }
+            for (at, key), (version, value) in sorted(self.rows.items())
+            if at == table and version > after
+        ]
+
+    def _follow(self, query) -> Response:
+        table, after = query["table"], int(query["after"])
+        until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        while not self._encode_rows(table, after) and time.monotonic() < until_s:
+            self._changed.wait(timeout=until_s - time.monotonic())
+        return self._answer_rows(self._encode_rows(table, after))
+
+    def _transact(self, changes: dict) -> Response:
+        for row in changes["if_rev"]:
+            known = self.rows.get((row["table"], row["key"]), (0, b""))
+            if known[0] != row["ver"]:
+                rows = self._encode_rows(row["table"], after=0)
+                found = [other for other in rows if other["key"] == row["key"]]
+                return _build_response(412, {"rows": found})
+        for row in changes["set_keys"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in changes["remove"]:
+            self.rows.pop((row["table"], row["key"]), None)
+        return _build_response(200, {"ver": self.version})
+
+
+@define(kw_only=True, eq=False)
+class FleetTarget:
+    """One target; `starts` counts the starts of each task that it began.
+
+    Parameters
+    ----------
+    run_s : float
+        Time that each task takes.
+    """
+
+    name: str
+    run_s: float = 0.05
+    room: int = 3
+    starts: dict[str, int] = field(init=False, factory=dict)
+    overlaps: int = field(init=False, default=0)
+    _fence: int = field(init=False, default=0)
+    _until_ms: int = field(init=False, default=0)
+    _running: dict[str, tuple[int, gevent.Greenlet]] = field(init=False, factory=dict)
+    _last_runs: dict[str, int] = field(init=False, factory=dict)
+    _ended: list[list] = field(init=False, factory=list)
+    _count: int = field(init=False, default=0)
+    _changed: Event = field(init=False, factory=Event)
+
+    def read_clock_ms(self) -> int:
+        """Return the target's own clock."""
+        return round(time.monotonic() * 1000)
+
+    def handle(self, request: Request) -> Response:
+        """Answer one call."""
+        order = json.loads(request.body)
+        if order.get("fence", 0) < self._fence:
+            return self._refuse("fence")
+        self._fence = order.get("fence", 0)
+        match request.segments:
+            case ("api", "run-start"):
+                return self._start(order)
+            case ("api", "run-stop"):
+                self._last_runs[order["task"]] = order["run"]
+                self._end(order["task"], "stopped")
+                return self._answer({})
+            case ("api", "hold"):
+                return self._hold(order)
+            case _:
+                return _build_response(404, {})
+
+    def _answer(self, content: dict) -> Response:
+        return _build_response(200, {"clock_ms": self.read_clock_ms()} | content)
+
+    def _refuse(self, reason: str) -> Response:
+        content = {"clock_ms": self.read_clock_ms(), "reason": reason}
+        return _build_response(409, content)
+
+    def _extend(self, until_ms: int) -> None:
+        latest_ms = self.read_clock_ms() + round(MAX_LEASE_S * 1000)
+        self._until_ms = max(self._until_ms, min(until_ms, latest_ms))
+
+    def _start(self, order: dict) -> Response:
+        task, run = order["task"], order["run"]
+        if order["until_ms"] < self.read_clock_ms():
+            return self._refuse("late")
+        self._extend(order["until_ms"])
+        if run <= self._last_runs.get(task, 0):
+            return self._refuse("old")
+        if len(self._running) >= self.room:
+            return self._refuse("room")
+        self.starts[task] = self.starts.get(task, 0) + 1
+        self._running[task] = (run, gevent.spawn(self._run, task))
+        return self._answer({})
+
+    def _run(self, task: str) -> None:
+        gevent.sleep(self.run_s)
+        self._end(task, "done")
+
+    def _end(self, task: str, how: str) -> None:
+        if task not in self._running:
+            return
+        run, greenlet = self._running.pop(task)
+        self._last_runs[task] = run
+        self._count += 1
+        self._ended.append([self._count, task, run, how, ""])
+        self._changed.set()
+        self._changed.clear()
+        if how != "done":
+            greenlet.kill(block=False)
+
+    def lapse(self) -> None:
+        """Kill what runs on once the lease has passed, for ever."""
+        while True:
+            gevent.sleep(0.02)
+            if self.read_clock_ms() > self._until_ms:
+                for task in list(self._running):
+                    self._end(task, "lapsed")
+
+    def _hold(self, order: dict) -> Response:
+        acknowledged = order["acked_upto"]
+        self._ended = [end for end in self._ended if end[0] > acknowledged]
+        if "until_ms" in order:
+            self._extend(order["until_ms"])
+        if not self._ended and order.get("wait_ms"):
+            self._changed.wait(timeout=order["wait_ms"] / 1000)
+        running = [[task, run, "", 50] for task, (run, _) in self._running.items()]
+        return self._answer({"born": 1, "running": running, "ended": self._ended})
+
+
+@contextmanager
+def serve_stand_in(address: tuple[str, int], stand_in) -> Iterator[None]:
+    """Serve a store or a target on an address."""
+    application = build_application(stand_in.handle, _refuse_body, MAX_BODY_BYTES)
+    with open_server(address, application, MAX_CONNECTIONS, 0.1):
+        yield
+
+
+@contextmanager
+def serve_targets(
+    store: FleetStore,
+    targets: dict[tuple[str, int], FleetTarget],
+    data_centre: str,
+) -> Iterator[None]:
+    """Serve targets and register them in the store."""
+    with ExitStack() as stack:
+        for (host, port), target in targets.items():
+            stack.enter_context(serve_stand_in((host, port), target))
+            lapsing = gevent.spawn(target.lapse)
+            stack.callback(lapsing.kill)
+            entry = {
+                "service": "desk",
+                "address": f"{host}:{port}",
+                "zone": data_centre,
+                "state": "ready",
+                "capacity": {"cpu": 3000 * target.room, "mem_mb": 4096},
+                "labels": ["a"],
+            }
+            store.put("servers", target.name, json.dumps(entry).encode())
+        yield
