--- a/gentianhub/host/tests/test_hosts.py
+++ b/gentianhub/host/tests/test_hosts.py
@@ -47,6 +47,7 @@
     def setUp(self):
         self.stack = ExitStack()
         self.addCleanup(self.stack.close)
+        self.logs: dict[str, Path] = {}
         self.store = FleetStore()
         self.store.put("op", "config", json.dumps(CONFIGURATION).encode())
         store_port, first, second, self.callers, self.ready, self.links = reserve_ports(
@@ -84,12 +85,18 @@
             [sys.executable, "-m", "gentianhub.host"],
             cwd=ROOT,
             env={**os.environ, "GENTIANHUB_BOOT": str(settings)},
-            stdout=subprocess.DEVNULL,
+            stdout=self.open_log(address),
+            stderr=subprocess.STDOUT,
         )
         self.stack.callback(process.wait)
         self.stack.callback(process.kill)
         return process
 
+    def open_log(self, address: str):
+        log = self.stack.enter_context(tempfile.NamedTemporaryFile())
+        self.logs[address] = Path(log.name)
+        return log
+
     def wait_until_ready(self, address: str) -> None:
         until_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < until_s:
@@ -99,7 +106,8 @@
             except OSError:
                 pass
             gevent.sleep(0.1)
-        self.fail(f"{address} is not ready after {START_TIMEOUT_S} s")
+        log = self.logs[address].read_text()[:4000]
+        self.fail(f"{address} is not ready after {START_TIMEOUT_S} s:\n{log}")
 
     def call(self, address, port, method, path, body=b"", **headers) -> int:
         client = HTTPClient(address, port, network_timeout=10.0)
