--- a/gentianhub/stand_ins/fleet.py
+++ b/gentianhub/stand_ins/fleet.py
@@ -26,6 +26,8 @@
 MAX_CONNECTIONS = 256
 # Longest lease that a target grants, s.
 MAX_LEASE_S = 1.0
+# Shortest time between two looks at the lease, s.
+MIN_LEASE_CHECK_S = 0.05
 
 
 def _build_response(status: int, content: dict) -> Response:
@@ -192,10 +194,12 @@
     def lapse(self) -> None:
         """Kill what runs on once the lease has passed, for ever."""
         while True:
-            gevent.sleep(0.02)
-            if self.read_clock_ms() > self._until_ms:
+            left_ms = self._until_ms - self.read_clock_ms()
+            if left_ms < 0:
                 for task in list(self._running):
                     self._end(task, "lapsed")
+            # A lease is never shortened; one that is granted anew is looked at again.
+            gevent.sleep(max(left_ms / 1000, MIN_LEASE_CHECK_S))
 
     def _hold(self, order: dict) -> Response:
         acknowledged = order["acked_upto"]
