Tell a front host that is taken as lost that its tasks are given up

A host that was only slow and whose link stayed open does not repeat its requests, so its callers waited until their deadline. Ruled out: telling it on the next request only, which the owner did already (test_a_front_host_taken_as_lost_is_told_that_its_job_is_given_up).

Change: the owner reports the open tasks as expired when it cancels them. A front host that is really gone has no link, so the report goes nowhere.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -85,8 +85,7 @@
                 yield from self._cancel_job(job, now_s)
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
             case ev.FrontLost(front_host=lost):
-                for job in [j for j in self.jobs.values() if j.front_host == lost]:
-                    yield from self._cancel_job(job, now_s)
+                yield from self._give_up_front_host(lost, now_s)
             case ev.Tick():
                 yield from self._apply_tracker_events(
                     self.tracker.handle(event, now_s), now_s
@@ -226,6 +225,22 @@
             if run is not None and run.phase is not RunPhase.STOPPING:
                 yield self.tracker.stop_run(target, run, now_s)
 
+    def _give_up_front_host(self, lost: Incarnation, now_s: float) -> Iterator:
+        """Cancel the jobs of a front host that is considered lost, and report this.
+
+        A host that is only slow would wait for its tasks until its callers' deadline.
+        """
+        for job in [job for job in self.jobs.values() if job.front_host == lost]:
+            open_tasks = [task for task in job.tasks.values() if task.end is None]
+            if job.is_cancelled or not open_tasks:
+                continue
+            yield from self._cancel_job(job, now_s)
+            steps: dict[int, list[CellTask]] = {}
+            for task in open_tasks:
+                steps.setdefault(task.key.step, []).append(task)
+            for tasks in steps.values():
+                yield self.reporter.build_end_report(tasks, ev.TaskEnd.EXPIRED)
+
     # Runs
 
     def _apply_tracker_events(self, items: Iterable, now_s: float) -> Iterator:
