Hand the targets of a cell over to its next owner

Cause: a new owner took the lists of runs of all targets in its own list for all earlier runs. After an outage of the store that list lacks targets whose entries have expired, some with runs; the owner started tasks again that went on there. Both known cases (a restarted host that succeeds a draining owner; a fenced owner that claims its cell again) have this cause.

Ways weighed: a digest of the targets in each claim (tells that something is missing, but not where the runs are); the front host naming the target of each task (one more message a task); always waiting for the leases (0.85 s more for each repeated task at every takeover). Chosen: owners announce their targets, and each change, to the hosts that may succeed them, before the first start on an added target. A successor asks these as well as its own list. Repeated tasks start once all have answered, if the predecessor drained (it adds no targets then) or the list was read again after the claim; otherwise they wait until the leases have expired. A fenced owner keeps the targets that it had.

The list is read at once after a claim in place of up to 2 s later.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -5,7 +5,12 @@
 
 from attrs import frozen
 
-from gentianhub.capacity.events import CancelTasks, RunTasks, TasksEnded
+from gentianhub.capacity.events import (
+    CancelTasks,
+    CellTargets,
+    RunTasks,
+    TasksEnded,
+)
 from gentianhub.capacity.jobs import Cell, ListedTarget, TaskKey
 from gentianhub.core import Incarnation
 
@@ -65,6 +70,16 @@
     target: str
 
 
+@frozen(kw_only=True)
+class AnnounceTargets:
+    """Announce a change of the cell's targets to the hosts that may succeed the owner.
+
+    It precedes all starts on the added targets.
+    """
+
+    message: CellTargets
+
+
 @frozen(kw_only=True)
 class SendToFront:
     """Send a report about tasks to a front host."""
@@ -116,6 +131,13 @@
 
 
 CellEffect = (
-    StartRun | StopRun | RenewLease | ListRuns | CloseTarget | SendToFront | LogDecision
+    StartRun
+    | StopRun
+    | RenewLease
+    | ListRuns
+    | CloseTarget
+    | AnnounceTargets
+    | SendToFront
+    | LogDecision
 )
 FrontEffect = SendToOwner | AnswerCaller | LogDecision
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -116,6 +116,21 @@
     rows: tuple[tuple[str, bytes], ...]
 
 
+@frozen(kw_only=True)
+class CellTargets:
+    """An owner announces the targets of its cell to the hosts that may succeed it.
+
+    `targets` are added or replaced and `removed` are names of targets that are no
+    longer used. If `is_complete` is set, `targets` are all targets of the cell.
+    """
+
+    cell: Cell
+    term: int
+    targets: tuple[ListedTarget, ...]
+    removed: tuple[str, ...] = ()
+    is_complete: bool = False
+
+
 @frozen(kw_only=True)
 class ConfigurationOffer:
     """The operator's configuration, forwarded in its original encoding."""
@@ -133,9 +148,14 @@
 
 @frozen(kw_only=True)
 class TargetsListed:
-    """The complete list of a cell's targets has been read."""
+    """The complete list of a cell's targets.
+
+    `read_s` is the monotonic time at which the list was requested from the store; None
+    for a list of unknown age.
+    """
 
     targets: tuple[ListedTarget, ...]
+    read_s: float | None = None
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -42,10 +42,16 @@
 
 @frozen(kw_only=True)
 class CellClaimed:
-    """The local host owns the cell from now on."""
+    """The local host owns the cell from now on.
+
+    `predecessor_term` is the highest term that was received before; the owner that had
+    it is either silent or draining.
+    """
 
     cell: Cell
     term: int
+    predecessor_term: int = 0
+    is_predecessor_draining: bool = False
 
 
 @frozen(kw_only=True)
@@ -203,7 +209,7 @@
                     del self.terms[cell]
                     yield CellLost(cell=cell, reason=f"{other.owner} has claimed it")
             elif term is None and self._should_claim(cell, other, now_s):
-                yield self._claim_cell(cell)
+                yield self._claim_cell(cell, is_predecessor_draining=other is not None)
 
     def _should_claim(self, cell: Cell, other: CellOwner | None, now_s: float) -> bool:
         if self.is_draining or not self.has_targets:
@@ -293,17 +299,23 @@
     def _find_cores(self, host: Incarnation) -> float:
         return max(MIN_CORES, self.cores.get(host.name, 1.0))
 
-    def _claim_cell(self, cell: Cell) -> CellClaimed:
+    def _claim_cell(
+        self, cell: Cell, is_predecessor_draining: bool = False
+    ) -> CellClaimed:
         # Terms are derived from the wall clock, so that they still increase after all
         # hosts have lost their state. Targets compare terms only, never times.
-        period = max(
-            int(time.time()), (self._highest_terms.get(cell, 0) >> TOKEN_BITS) + 1
-        )
+        predecessor_term = self._highest_terms.get(cell, 0)
+        period = max(int(time.time()), (predecessor_term >> TOKEN_BITS) + 1)
         token = int(self.local_host.token, 16) % 2**TOKEN_BITS
         term = period << TOKEN_BITS | token
         self._highest_terms[cell] = term
         self.terms[cell] = term
-        return CellClaimed(cell=cell, term=term)
+        return CellClaimed(
+            cell=cell,
+            term=term,
+            predecessor_term=predecessor_term,
+            is_predecessor_draining=is_predecessor_draining,
+        )
 
     def handle_fencing(
         self, cell: Cell, now_s: float
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -17,6 +17,7 @@
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.placement import choose_target
 from gentianhub.capacity.reports import Reporter
+from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
 from gentianhub.capacity.tasks import CellJob, CellTask
 from gentianhub.capacity.turnover import SlotTurnover
@@ -46,11 +47,14 @@
         The fencing token of this owner, sent with each call to a target.
     owner_since_s : float
         Monotonic time at which this host became the owner, in seconds.
+    handover : Handover
+        What is known about the targets of earlier owners.
     """
 
     cell: Cell
     term: int
     owner_since_s: float
+    handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
     estimates: RunEstimates = field(factory=lambda: RunEstimates())
     tracker: tt.TargetTracker = field(init=False)
     reporter: Reporter = field(init=False)
@@ -65,7 +69,10 @@
         self.reporter = Reporter(cell=self.cell, term=self.term)
         self.load = CellLoad(cell=self.cell, term=self.term)
         self.tracker = tt.TargetTracker(
-            cell=self.cell, term=self.term, owner_since_s=self.owner_since_s
+            cell=self.cell,
+            term=self.term,
+            owner_since_s=self.owner_since_s,
+            handover=self.handover,
         )
 
     @property
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -11,7 +11,13 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import Cell, ListedTarget, TaskKey, format_task_key
-from gentianhub.capacity.leases import LEASE_S, RENEWAL_WAIT_S, bound_lease_expiry
+from gentianhub.capacity.leases import (
+    HANDOVER_NOTICE_S,
+    LEASE_S,
+    RENEWAL_WAIT_S,
+    bound_lease_expiry,
+)
+from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.targets import Run, RunPhase, TargetPhase, TargetState
 
 # A new owner keeps runs of an earlier one that no front host has claimed for this long.
@@ -89,17 +95,24 @@
         The fencing token of this owner, sent with each call to a target.
     owner_since_s : float
         Monotonic time at which this host became the owner, in seconds.
+    handover : Handover
+        What is known about the targets of earlier owners.
     """
 
     cell: Cell
     term: int
     owner_since_s: float
+    handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
+    has_current_list: bool = field(init=False, default=False)
+    _has_announced: bool = field(init=False, default=False)
     targets: dict[str, TargetState] = field(init=False, factory=dict)
 
     def handle(self, event, now_s: float) -> Iterator[fx.CellEffect | TrackerEvent]:
         """Yield the effects of one event and the tracker events that result from it."""
         match event:
-            case ev.TargetsListed(targets=targets):
+            case ev.TargetsListed(targets=targets, read_s=read_s):
+                if read_s is not None and read_s >= self.owner_since_s:
+                    self.has_current_list = True
                 yield from self._update_targets(targets, now_s)
             case ev.RunsReported():
                 yield from self._handle_report(event, now_s)
@@ -117,15 +130,30 @@
     def has_discovered_runs(self, now_s: float) -> bool:
         """Whether every run of an earlier owner that may still exist is known.
 
-        That is so once all targets have listed their runs, or once the leases that an
-        earlier owner may have granted have expired.
+        That is so once the leases that an earlier owner may have granted have expired,
+        or once all targets have listed their runs, provided that these include all
+        targets of the earlier owner.
         """
-        if now_s > bound_lease_expiry(self.owner_since_s):
+        if now_s > bound_lease_expiry(self.owner_since_s) + HANDOVER_NOTICE_S:
             return True
+        match self.handover.kind:
+            case HandoverKind.UNKNOWN:
+                return False
+            case HandoverKind.SILENT if not self.has_current_list:
+                return False
         return bool(self.targets) and all(
             target.phase is TargetPhase.READY for target in self.targets.values()
         )
 
+    def build_announcement(self) -> ev.CellTargets:
+        """Return the announcement of all targets of the cell."""
+        return ev.CellTargets(
+            cell=self.cell,
+            term=self.term,
+            targets=tuple(state.entry for state in self.targets.values()),
+            is_complete=True,
+        )
+
     def compute_mean_pace(self) -> float:
         """Return the mean pace of all targets, to which estimates refer."""
         paces = [state.pace.value for state in self.targets.values()]
@@ -153,9 +181,19 @@
                 yield self._log_decision(
                     "target not listed", state.name, runs=len(state.runs)
                 )
+        known = {name: state.entry.address for name, state in self.targets.items()}
+        added = tuple(t for t in listed if known.get(t.name) != t.address)
+        if added:
+            yield self._announce(targets=added, is_complete=not self._has_announced)
+            self._has_announced = True
         for target in listed:
             yield from self._update_target(target, now_s)
 
+    def _announce(self, **changes) -> fx.AnnounceTargets:
+        values = {"targets": (), **changes}
+        message = ev.CellTargets(cell=self.cell, term=self.term, **values)
+        return fx.AnnounceTargets(message=message)
+
     def _update_target(self, target: ListedTarget, now_s: float) -> Iterator:
         state = self.targets.get(target.name)
         if state is not None and state.entry.address != target.address:
@@ -187,6 +225,7 @@
         if is_expired or (state.entry.is_leaving and not state.runs):
             del self.targets[state.name]
             yield fx.CloseTarget(target=state.name)
+            yield self._announce(removed=(state.name,))
             yield self._log_decision("target gone", state.name, phase=state.phase.value)
 
     # Reports
--- a/gentianhub/capacity/tests/builders.py
+++ b/gentianhub/capacity/tests/builders.py
@@ -61,9 +61,9 @@
 class SchedulerDriver:
     """Feeds events to a cell's scheduler and records the effects."""
 
-    def __init__(self, targets=(), owner_since_s: float = 0.0):
+    def __init__(self, targets=(), owner_since_s: float = 0.0, **options):
         self.scheduler = CellScheduler(
-            cell=CELL, term=TERM, owner_since_s=owner_since_s
+            cell=CELL, term=TERM, owner_since_s=owner_since_s, **options
         )
         self.now_s = owner_since_s
         self.effects: list = []
@@ -77,8 +77,8 @@
         self.effects += effects
         return effects
 
-    def list_targets(self, *targets) -> list:
-        return self.feed(ev.TargetsListed(targets=targets))
+    def list_targets(self, *targets, read_s: float | None = None) -> list:
+        return self.feed(ev.TargetsListed(targets=targets, read_s=read_s))
 
     def report(self, target: str, running=(), ended=(), **options) -> list:
         values = {"incarnation": 1, "sent_s": self.now_s}
@@ -123,6 +123,10 @@
     return [effect for effect in effects if isinstance(effect, fx.RenewLease)]
 
 
+def find_announcements(effects) -> list[ev.CellTargets]:
+    return [e.message for e in effects if isinstance(e, fx.AnnounceTargets)]
+
+
 def find_ends(effects) -> list[ev.TasksEnded]:
     return [e.message for e in effects if isinstance(e, fx.SendToFront)]
 
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -1,6 +1,6 @@
 """The cells that a host owns: their schedulers and the connections to targets."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, field
 
@@ -9,6 +9,7 @@
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, ListedTarget, format_task_key
 from gentianhub.capacity.scheduler import CellScheduler
+from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.core import Incarnation, Mailbox
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.metrics import HostMetrics
@@ -24,11 +25,14 @@
     ----------
     answers : Mailbox
         Receives the targets' answers; this is the coordinator's mailbox.
+    find_successors : callable
+        Returns the linked hosts that may succeed this one as owner.
     """
 
     answers: Mailbox
     outbox: Outbox
     metrics: HostMetrics
+    find_successors: Callable[[], tuple[Incarnation, ...]]
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -40,13 +44,24 @@
     def __bool__(self) -> bool:
         return bool(self._schedulers)
 
-    def acquire(self, cell: Cell, term: int, now_s: float) -> None:
+    def acquire(self, cell: Cell, term: int, now_s: float, handover: Handover) -> None:
         """Start to schedule a cell, or restart it under another term."""
+        earlier = self._schedulers.get(cell)
+        if earlier is not None:
+            # This host was fenced: another owner, unknown to it, may have used others.
+            own_targets = tuple(state.entry for state in earlier.targets.values())
+            handover = Handover(kind=HandoverKind.UNKNOWN, targets=own_targets)
         self.release(cell)
-        self._schedulers[cell] = CellScheduler(
-            cell=cell, term=term, owner_since_s=now_s, estimates=self._estimates
+        scheduler = CellScheduler(
+            cell=cell,
+            term=term,
+            owner_since_s=now_s,
+            handover=handover,
+            estimates=self._estimates,
         )
-        self._update_scheduler_targets(self._schedulers[cell], now_s)
+        self._schedulers[cell] = scheduler
+        known = handover.merge_targets(self._find_cell_targets(cell))
+        self._dispatch_event(scheduler, ev.TargetsListed(targets=known), now_s)
 
     def release(self, cell: Cell) -> None:
         """Stop to schedule a cell and close the connections to its targets."""
@@ -55,17 +70,35 @@
             for name in scheduler.targets:
                 self.connections.close_target(name)
 
-    def update_targets(self, targets: tuple[ListedTarget, ...], now_s: float) -> None:
-        """Update the list of all targets."""
+    def update_targets(
+        self,
+        targets: tuple[ListedTarget, ...],
+        now_s: float,
+        read_s: float | None = None,
+        may_add: bool = True,
+    ) -> None:
+        """Update the list of all targets, requested from the store at `read_s`.
+
+        If `may_add` is false, the owned cells get no new targets.
+        """
         self.targets = targets
-        for scheduler in list(self._schedulers.values()):
-            self._update_scheduler_targets(scheduler, now_s)
+        for cell, scheduler in list(self._schedulers.items()):
+            listed = tuple(
+                target
+                for target in self._find_cell_targets(cell)
+                if may_add or target.name in scheduler.targets
+            )
+            event = ev.TargetsListed(targets=listed, read_s=read_s)
+            self._dispatch_event(scheduler, event, now_s)
 
-    def _update_scheduler_targets(self, scheduler: CellScheduler, now_s: float) -> None:
-        cell_targets = tuple(
-            target for target in self.targets if scheduler.cell.contains(target)
-        )
-        self._dispatch_event(scheduler, ev.TargetsListed(targets=cell_targets), now_s)
+    def _find_cell_targets(self, cell: Cell) -> Iterator[ListedTarget]:
+        return (target for target in self.targets if cell.contains(target))
+
+    def announce_targets(self, peer: Incarnation) -> None:
+        """Announce the targets of the owned cells to a newly linked host."""
+        if peer in self.find_successors():
+            for scheduler in self._schedulers.values():
+                self.outbox.send(peer, scheduler.tracker.build_announcement())
 
     def handle_task_request(
         self, request: ev.RunTasks | ev.CancelTasks, sender: Incarnation, now_s: float
@@ -159,6 +192,9 @@
                 self.connections.get_connections(target).enqueue(effect)
             case fx.CloseTarget(target=name):
                 self.connections.close_target(name)
+            case fx.AnnounceTargets(message=message):
+                for successor in self.find_successors():
+                    self.outbox.send(successor, message)
             case fx.SendToFront(front_host=front_host, message=message):
                 self._record_end(message)
                 self.outbox.send(front_host, message)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -9,6 +9,7 @@
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.front import FrontJobRegistry
 from gentianhub.capacity.submissions import InterruptJobs, LoadsReported, OwnersChanged
+from gentianhub.capacity.succession import TargetAnnouncements
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
 from gentianhub.host import messages as ms
 from gentianhub.host.cells import OwnedCells
@@ -44,11 +45,14 @@
         This run of the host's process.
     registry_commands : Mailbox
         Receives commands for the registry of hosts.
+    target_polls : Mailbox
+        Receives requests to read the list of targets from the store now.
     """
 
     local_host: Incarnation
     mailbox: Mailbox
     registry_commands: Mailbox
+    target_polls: Mailbox
     links: HostLinks
     started_s: float = field(factory=read_monotonic_s)
     metrics: HostMetrics = field(init=False, factory=lambda: HostMetrics())
@@ -59,6 +63,9 @@
     requests: RequestHandler = field(init=False)
     cells: OwnedCells = field(init=False)
     membership: Membership = field(init=False)
+    announcements: TargetAnnouncements = field(
+        init=False, factory=lambda: TargetAnnouncements()
+    )
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
@@ -77,7 +84,10 @@
             metrics=self.metrics,
         )
         self.cells = OwnedCells(
-            answers=self.mailbox, outbox=self.outbox, metrics=self.metrics
+            answers=self.mailbox,
+            outbox=self.outbox,
+            metrics=self.metrics,
+            find_successors=lambda: self.membership.find_successors(),
         )
         self.membership = Membership(
             local_host=self.local_host,
@@ -132,8 +142,8 @@
                 self.configuration.adopt(content, "store", now_s)
             case ms.HostsRead(hosts=hosts, versions=versions):
                 self.membership.update_hosts(hosts, versions)
-            case ms.TargetsRead(targets=targets, rows=rows):
-                self._update_targets(targets, rows, now_s)
+            case ms.TargetsRead(targets=targets, rows=rows, sent_s=sent_s):
+                self._update_targets(targets, rows, now_s, sent_s)
             case ms.LayoutRead(cells=cells):
                 self.membership.adopt_layout(cells, "store")
             case ms.StoreLost(table=table, reason=reason):
@@ -151,11 +161,14 @@
             case ms.RenderHostMetrics(reply_to=reply_to):
                 reply_to.try_put(self.metrics.render_text())
 
-    def _update_targets(self, targets, rows, now_s: float) -> None:
+    def _update_targets(
+        self, targets, rows, now_s: float, read_s: float | None = None
+    ) -> None:
         self._target_rows = rows
         self.membership.ownership.has_targets = True
         self.membership.request_layout(targets, now_s)
-        self.cells.update_targets(targets, now_s)
+        # A successor would not know targets that a draining owner adds.
+        self.cells.update_targets(targets, now_s, read_s, may_add=not self.is_draining)
 
     def _handle_fencing(self, target: str, term: int, now_s: float) -> None:
         scheduler = self.cells.find_scheduler(target)
@@ -172,9 +185,8 @@
     def _apply_ownership_changes(self, changes: Iterator, now_s: float) -> None:
         for change in changes:
             match change:
-                case ow.CellClaimed(cell=cell, term=term):
-                    log_decision("cell taken", str(cell), term=term)
-                    self.cells.acquire(cell, term, now_s)
+                case ow.CellClaimed():
+                    self._acquire_cell(change, now_s)
                 case ow.CellLost(cell=cell, reason=reason):
                     log_decision("cell lost", str(cell), reason=reason)
                     self.cells.release(cell)
@@ -183,6 +195,21 @@
         owners = self.membership.find_owners(own_claims, now_s)
         self.requests.handle_event(OwnersChanged(owners=owners), now_s)
 
+    def _acquire_cell(self, claimed: ow.CellClaimed, now_s: float) -> None:
+        handover = self.announcements.build_handover(
+            claimed.cell, claimed.predecessor_term, claimed.is_predecessor_draining
+        )
+        log_decision(
+            "cell taken",
+            str(claimed.cell),
+            term=claimed.term,
+            predecessor_term=claimed.predecessor_term,
+            handover=handover.kind.value,
+            announced=len(handover.targets),
+        )
+        self.target_polls.try_put(ms.PollTargets())
+        self.cells.acquire(claimed.cell, claimed.term, now_s, handover)
+
     def _report_own_loads(self, now_s: float) -> None:
         if self.cells:
             claims = tuple(self.cells.build_claims(now_s))
@@ -208,6 +235,8 @@
                 self.requests.handle_event(message, now_s)
             case ev.ConfigurationOffer(content=content):
                 self.configuration.adopt(content, str(sender), now_s)
+            case ev.CellTargets():
+                self.announcements.record(message)
             case ev.TargetsOffer(rows=rows):
                 # A list read from the store is newer than an offered one.
                 if not self.membership.ownership.has_targets:
@@ -242,6 +271,8 @@
         log_decision("link opened", str(peer), replaced=len(replaced))
         for other in self.membership.remove_replaced(peer):
             self.cells.remove_front_host(other, now_s)
+        # A draining heartbeat tells that the announcement before it is complete.
+        self.cells.announce_targets(peer)
         self._send_heartbeats((peer,), now_s)
         job_registry = self.requests.job_registry
         for cell, cell_owner in list(job_registry.owners.items()):
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -9,7 +9,7 @@
 import capnp
 
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.jobs import Cell, JobStep
+from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget
 from gentianhub.capacity.resources import Resources
 from gentianhub.linking.frames import MalformedMessage
 from gentianhub.linking.handshake import Hello, build_hello, fill_struct, read_hello
@@ -22,6 +22,8 @@
 TRAVERSAL_LIMIT_WORDS = 2**22
 MAX_UINT32 = 2**32 - 1
 MAX_INT32 = 2**31 - 1
+MAX_UINT16 = 2**16 - 1
+MAX_INT64 = 2**63 - 1
 
 
 def encode_message(message) -> bytes:
@@ -65,6 +67,8 @@
             return {"tasksEnded": _build_tasks_ended(message)}
         case ev.ConfigurationOffer(version=version, content=content):
             return {"configurationOffer": {"version": version, "content": content}}
+        case ev.CellTargets():
+            return {"cellTargets": _build_cell_targets(message)}
         case ev.TargetsOffer(rows=rows):
             listed = [{"key": key, "value": value} for key, value in rows]
             return {"targetsOffer": {"rows": listed}}
@@ -124,11 +128,7 @@
 def _build_step(step: JobStep) -> dict:
     return {
         "count": step.count,
-        "demand": {
-            "cpuMillicores": _clamp(step.demand.cpu_millicores),
-            "memoryMb": _clamp(step.demand.memory_mb),
-            "accelerators": _clamp(step.demand.accelerators),
-        },
+        "demand": _build_resources(step.demand),
         "estimateS": step.estimate_s,
         "after": list(step.after),
         "requiredLabel": step.required_label,
@@ -137,6 +137,38 @@
     }
 
 
+def _build_resources(resources: Resources) -> dict:
+    return {
+        "cpuMillicores": _clamp(resources.cpu_millicores),
+        "memoryMb": _clamp(resources.memory_mb),
+        "accelerators": _clamp(resources.accelerators),
+    }
+
+
+def _build_cell_targets(message: ev.CellTargets) -> dict:
+    return {
+        "cell": _build_cell(message.cell),
+        "term": message.term,
+        "targets": list(map(_build_target, message.targets)),
+        "removed": list(message.removed),
+        "isComplete": message.is_complete,
+    }
+
+
+def _build_target(target: ListedTarget) -> dict:
+    return {
+        "name": target.name,
+        "incarnation": _clamp(target.incarnation, MAX_INT64, -MAX_INT64),
+        "host": target.host,
+        "port": _clamp(target.port, MAX_UINT16),
+        "dataCentre": target.data_centre,
+        "service": target.service,
+        "capacity": _build_resources(target.capacity),
+        "labels": list(target.labels),
+        "isLeaving": target.is_leaving,
+    }
+
+
 def _build_tasks_ended(ended: ev.TasksEnded) -> dict:
     return {
         "cell": _build_cell(ended.cell),
@@ -198,14 +230,9 @@
 
 
 def _read_step(content) -> JobStep:
-    demand = content.demand
     return JobStep(
         count=content.count,
-        demand=Resources(
-            cpu_millicores=demand.cpuMillicores,
-            memory_mb=demand.memoryMb,
-            accelerators=demand.accelerators,
-        ),
+        demand=_read_resources(content.demand),
         estimate_s=content.estimateS,
         after=tuple(content.after),
         required_label=content.requiredLabel,
@@ -214,6 +241,38 @@
     )
 
 
+def _read_resources(content) -> Resources:
+    return Resources(
+        cpu_millicores=content.cpuMillicores,
+        memory_mb=content.memoryMb,
+        accelerators=content.accelerators,
+    )
+
+
+def _read_cell_targets(content) -> ev.CellTargets:
+    return ev.CellTargets(
+        cell=_read_cell(content.cell),
+        term=content.term,
+        targets=tuple(map(_read_target, content.targets)),
+        removed=tuple(content.removed),
+        is_complete=content.isComplete,
+    )
+
+
+def _read_target(content) -> ListedTarget:
+    return ListedTarget(
+        name=content.name,
+        incarnation=content.incarnation,
+        host=content.host,
+        port=content.port,
+        data_centre=content.dataCentre,
+        service=content.service,
+        capacity=_read_resources(content.capacity),
+        labels=tuple(content.labels),
+        is_leaving=content.isLeaving,
+    )
+
+
 def _read_cancel_tasks(content) -> ev.CancelTasks:
     return ev.CancelTasks(cell=_read_cell(content.cell), job=content.job)
 
@@ -244,6 +303,7 @@
 
 READERS = {
     "targetsOffer": _read_targets_offer,
+    "cellTargets": _read_cell_targets,
     "hello": read_hello,
     "hostBeat": _read_heartbeat,
     "runTasks": _read_task_request,
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from gentianhub.capacity.jobs import ListedTarget
-from gentianhub.core import Mailbox, PlatformError
+from gentianhub.core import Mailbox, PlatformError, read_monotonic_s
 from gentianhub.host import messages as ms
 from gentianhub.host.registry import (
     HOSTS_TABLE,
@@ -56,8 +56,10 @@
     ----------
     report : callable
         Called with the rows, by key, after each change.
-    find_period_s : callable
+    get_poll_interval_s : callable
         Returns the delay between two requests, s; 0 means no delay.
+    polls : Mailbox
+        A message to it ends the delay.
     """
 
     table: str
@@ -66,7 +68,9 @@
     report: Callable[[dict[str, StoredRow]], None]
     wait_s: float = FEED_WAIT_S
     get_poll_interval_s: Callable[[], float] = lambda: 0.0
+    polls: Mailbox = field(factory=lambda: Mailbox(limit=1))
     random: Random = field(factory=Random)
+    sent_s: float = field(init=False, default=0.0)
     _rows: dict[str, StoredRow] = field(init=False, factory=dict)
     _version: int | None = field(init=False, default=None)
     _failures: int = field(init=False, default=0)
@@ -76,7 +80,7 @@
         with open_store(*self.address.as_host_and_port()) as store:
             while True:
                 self._poll(store)
-                gevent.sleep(self._compute_delay_s())
+                self.polls.get(timeout_s=self._compute_delay_s())
 
     def _compute_delay_s(self) -> float:
         if not self._failures:
@@ -100,6 +104,7 @@
             self.coordinator.put(ms.StoreRegained(table=self.table))
 
     def _read(self, store: StoreClient) -> None:
+        self.sent_s = read_monotonic_s()
         if self._version is None:
             read = store.read_rows(self.table)
             self._rows = {row.key: row for row in read.rows}
@@ -157,7 +162,10 @@
 
 
 def follow_targets(
-    address: Address, coordinator: Mailbox, is_owner: Callable[[], bool]
+    address: Address,
+    coordinator: Mailbox,
+    is_owner: Callable[[], bool],
+    polls: Mailbox,
 ) -> None:
     """Report the list of targets whenever it changes."""
     decoded_targets: dict[tuple[str, int], object] = {}
@@ -174,9 +182,10 @@
             target for decoded in decoded_targets.values() for target in decoded
         )
         raw = tuple((row.key, row.value) for row in rows.values())
-        coordinator.put(ms.TargetsRead(targets=targets, rows=raw))
+        read = ms.TargetsRead(targets=targets, rows=raw, sent_s=follower.sent_s)
+        coordinator.put(read)
 
-    TableFollower(
+    follower = TableFollower(
         table=TARGETS_TABLE,
         address=address,
         coordinator=coordinator,
@@ -185,7 +194,9 @@
         get_poll_interval_s=lambda: (
             OWNER_POLL_INTERVAL_S if is_owner() else NON_OWNER_POLL_INTERVAL_S
         ),
-    ).run()
+        polls=polls,
+    )
+    follower.run()
 
 
 def decode_targets(rows: Iterable[tuple[str, bytes]]) -> Iterator[ListedTarget]:
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -85,6 +85,26 @@
   rows @0 :List(StoredRow);
 }
 
+struct ListedTarget {
+  name @0 :Text;
+  incarnation @1 :Int64;
+  host @2 :Text;
+  port @3 :UInt16;
+  dataCentre @4 :Text;
+  service @5 :Text;
+  capacity @6 :Resources;
+  labels @7 :List(Text);
+  isLeaving @8 :Bool;
+}
+
+struct CellTargets {
+  cell @0 :Cell;
+  term @1 :UInt64;
+  targets @2 :List(ListedTarget);
+  removed @3 :List(Text);
+  isComplete @4 :Bool;
+}
+
 struct ConfigurationOffer {
   version @0 :UInt64;
   content @1 :Data;
@@ -99,5 +119,6 @@
     tasksEnded @4 :TasksEnded;
     configurationOffer @5 :ConfigurationOffer;
     targetsOffer @6 :TargetsOffer;
+    cellTargets @7 :CellTargets;
   }
 }
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -135,6 +135,16 @@
             and (is_due or peer.name.data_centre == self.data_centre)
         )
 
+    def find_successors(self) -> tuple[Incarnation, ...]:
+        """Return the linked hosts that may succeed this one as owner of a cell."""
+        candidates = self.ownership.candidates
+        return tuple(
+            peer
+            for peer in self.links.find_linked()
+            if peer.name.data_centre == self.data_centre
+            and (candidates is None or peer.name in candidates)
+        )
+
     def maintain_links(
         self, owners: Iterable[ow.CellOwner], is_owner: bool, now_s: float
     ) -> None:
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -25,10 +25,19 @@
 
 @frozen(kw_only=True)
 class TargetsRead:
-    """All targets of all data centres, as decoded `targets` and as stored `rows`."""
+    """All targets of all data centres, as decoded `targets` and as stored `rows`.
+
+    `sent_s` is the monotonic time at which the request for them was sent.
+    """
 
     targets: tuple[ListedTarget, ...]
     rows: tuple[tuple[str, bytes], ...]
+    sent_s: float
+
+
+@frozen(kw_only=True)
+class PollTargets:
+    """Read the list of targets now, because a cell has been taken over."""
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -64,6 +64,7 @@
             local_host=self.local_host,
             mailbox=self.mailbox,
             registry_commands=self.registry_commands,
+            target_polls=Mailbox(limit=1),
             links=self._build_links(),
         )
 
@@ -132,6 +133,7 @@
                 store,
                 self.mailbox,
                 lambda: bool(self.coordinator.cells),
+                self.coordinator.target_polls,
             ),
             spawn_greenlet(
                 followers.keep_register,
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -4,7 +4,12 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import Cell
-from gentianhub.capacity.tests.builders import build_host, build_request, build_step
+from gentianhub.capacity.tests.builders import (
+    build_host,
+    build_request,
+    build_step,
+    build_target,
+)
 from gentianhub.host.encoding import decode_message, encode_message
 from gentianhub.linking.frames import MalformedMessage
 from gentianhub.linking.handshake import Hello
@@ -29,6 +34,13 @@
         has_started=True,
     ),
     ev.ConfigurationOffer(version=3, content=b"{}"),
+    ev.CellTargets(
+        cell=CELL,
+        term=2**52,
+        targets=(build_target("t1", labels=("r1", "b"), is_leaving=True),),
+        removed=("t2",),
+        is_complete=True,
+    ),
     ev.TargetsOffer(rows=(("i-1", b"\x00\xff"), ("i-2", b""))),
 ]
 
