Send rare heartbeats between hosts without common tasks

Cause: each host exchanged five to ten heartbeats a second with all owners and candidates it knows, whether it had tasks there or not. With 97 hosts an owner received 480 and sent 563 messages a second without any work. Ruled out: fewer peers (a takeover needs every host of a data centre to hear the claim), longer intervals for all (a loss must be known in 0.6 s where leases depend on it), loads in task reports only (idle hosts get none).

Change: a heartbeat says whether the next one follows in 0.2 s or in 1 s. Hosts with tasks of each other, and hosts of which one may succeed the other as owner, keep the short interval and the silence time-out of 0.6 s; the others count as lost after 2.6 s. The first task makes a pair active at once on both sides, and an owner that is sent tasks has to be heard within 0.6 s.

test_membership.py: recipients are now found at both intervals; checks of who gets heartbeats stay, and new ones cover the interval.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -98,7 +98,8 @@
 
     `number` counts the heartbeats of a process. `lacks_targets` requests the list of
     targets, which the sender could not read. `can_own` is set if the sender has the
-    data that it needs to claim a cell.
+    data that it needs to claim a cell. `is_idle` announces that the next heartbeat to
+    the receiver follows after a longer interval.
     """
 
     number: int
@@ -107,6 +108,7 @@
     is_draining: bool = False
     lacks_targets: bool = False
     can_own: bool = True
+    is_idle: bool = False
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -92,6 +92,13 @@
             case ev.Tick():
                 yield from self._handle_tick(now_s)
 
+    def find_working_owners(self) -> frozenset[Incarnation]:
+        """Return the owners that may run tasks of the open jobs."""
+        cells = {cell for job in self.jobs.values() for cell in job.requested_cells}
+        return frozenset(
+            self.owners[cell].owner for cell in cells if cell in self.owners
+        )
+
     def count_unstarted_jobs(self, route: str) -> int:
         """Return the number of open jobs of a route of which no task has started."""
         return sum(
--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -17,6 +17,9 @@
 RENEWAL_WAIT_S = 0.25
 # A host that has sent no message for this long is considered lost.
 HOST_SILENCE_TIMEOUT_S = 0.6
+# The same for a host that has announced rare heartbeats, one a second, because neither
+# host has tasks of the other. Two of them may be lost.
+IDLE_HOST_SILENCE_TIMEOUT_S = 2.6
 # Time after a claim until the previous owner, if it lives, has received the claim and
 # has sent its last renewal.
 HANDOVER_NOTICE_S = 0.1
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -14,7 +14,10 @@
 
 from gentianhub.capacity.events import CellClaim, HostHeartbeat
 from gentianhub.capacity.jobs import Cell
-from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
+from gentianhub.capacity.leases import (
+    HOST_SILENCE_TIMEOUT_S,
+    IDLE_HOST_SILENCE_TIMEOUT_S,
+)
 from gentianhub.core import Incarnation, ProcessName
 
 # A host that starts without the host register waits this long for claims of others. One
@@ -75,12 +78,19 @@
     """Another host.
 
     `last_received_s` is the monotonic time of its last message. `is_reported_silent` is
-    set once the silence of the host has been reported.
+    set once the silence of the host has been reported. `is_idle` is set if its next
+    heartbeat is due only after the longer interval.
     """
 
     last_received_s: float
     heartbeat: HostHeartbeat
     is_reported_silent: bool = False
+    is_idle: bool = False
+
+    @property
+    def silence_timeout_s(self) -> float:
+        """Time without a message after which the host counts as lost, s."""
+        return IDLE_HOST_SILENCE_TIMEOUT_S if self.is_idle else HOST_SILENCE_TIMEOUT_S
 
 
 @define(kw_only=True, eq=False)
@@ -142,7 +152,9 @@
             or known.heartbeat.can_own != heartbeat.can_own
             or _list_terms(known.heartbeat) != _list_terms(heartbeat)
         )
-        self.peers[peer] = Peer(last_received_s=now_s, heartbeat=heartbeat)
+        self.peers[peer] = Peer(
+            last_received_s=now_s, heartbeat=heartbeat, is_idle=heartbeat.is_idle
+        )
         self._last_received_s = now_s
         for claim in heartbeat.claims:
             highest = max(self._highest_terms.get(claim.cell, 0), claim.term)
@@ -163,6 +175,19 @@
             heartbeat = HostHeartbeat(number=0, claims=(), configuration_version=0)
             known = self.peers[peer] = Peer(last_received_s=now_s, heartbeat=heartbeat)
         known.last_received_s, known.is_reported_silent = now_s, False
+        known.is_idle = False
+
+    def expect_message(self, peer: Incarnation, now_s: float) -> None:
+        """Expect frequent heartbeats of an owner from now on, as it is sent tasks."""
+        known = self.peers.get(peer)
+        if known is not None and known.is_idle:
+            known.is_idle = False
+            known.last_received_s = now_s
+
+    def find_silence_timeout_s(self, peer: Incarnation) -> float:
+        """Return the time without a message after which a host counts as lost, s."""
+        known = self.peers.get(peer)
+        return known.silence_timeout_s if known else HOST_SILENCE_TIMEOUT_S
 
     def remove_peer(self, peer: Incarnation) -> None:
         """Remove a host that has announced its stop or has been replaced."""
@@ -182,7 +207,7 @@
         known = self.peers.get(peer)
         return (
             known is not None
-            and now_s - known.last_received_s <= HOST_SILENCE_TIMEOUT_S
+            and now_s - known.last_received_s <= known.silence_timeout_s
         )
 
     def find_owners(self, now_s: float) -> dict[Cell, CellOwner]:
--- a/gentianhub/capacity/tests/test_ownership.py
+++ b/gentianhub/capacity/tests/test_ownership.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from attrs import evolve
+
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.events import CellClaim, HostHeartbeat
 from gentianhub.capacity.jobs import (
@@ -9,7 +11,10 @@
     Cell,
     list_cells,
 )
-from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
+from gentianhub.capacity.leases import (
+    HOST_SILENCE_TIMEOUT_S,
+    IDLE_HOST_SILENCE_TIMEOUT_S,
+)
 from gentianhub.capacity.tests.builders import build_target
 from gentianhub.core import Incarnation, ProcessName
 
@@ -127,6 +132,31 @@
         self.assertTrue(ownership.is_live(SECOND, 1.0 + HOST_SILENCE_TIMEOUT_S / 2))
         self.assertFalse(ownership.peers[SECOND].is_reported_silent)
 
+    def test_a_host_that_announced_rare_heartbeats_is_given_more_time(self):
+        ownership = build_ownership(FIRST)
+        heartbeat = evolve(build_heartbeat(), is_idle=True)
+        ownership.handle_heartbeat(SECOND, heartbeat, 1.0)
+        self.assertTrue(ownership.is_live(SECOND, 1.0 + IDLE_HOST_SILENCE_TIMEOUT_S))
+        late_s = 1.1 + IDLE_HOST_SILENCE_TIMEOUT_S
+        self.assertFalse(ownership.is_live(SECOND, late_s))
+
+    def test_a_host_that_sends_tasks_is_lost_after_the_shorter_time(self):
+        """Its tasks would go on after its caller has submitted the job elsewhere."""
+        ownership = build_ownership(FIRST)
+        heartbeat = evolve(build_heartbeat(), is_idle=True)
+        ownership.handle_heartbeat(SECOND, heartbeat, 1.0)
+        ownership.record_message(SECOND, 2.0)
+        self.assertFalse(ownership.is_live(SECOND, 2.1 + HOST_SILENCE_TIMEOUT_S))
+
+    def test_an_idle_owner_that_gets_tasks_has_to_answer_within_the_shorter_time(self):
+        ownership = build_ownership(FIRST)
+        heartbeat = evolve(build_heartbeat(5), is_idle=True)
+        ownership.handle_heartbeat(SECOND, heartbeat, 1.0)
+        ownership.expect_message(SECOND, 2.0)
+        ownership.expect_message(SECOND, 2.4)
+        self.assertTrue(ownership.is_live(SECOND, 1.9 + HOST_SILENCE_TIMEOUT_S))
+        self.assertFalse(ownership.is_live(SECOND, 2.1 + HOST_SILENCE_TIMEOUT_S))
+
     def test_the_local_host_is_never_considered_silent(self):
         """Its tasks were stopped 0.6 s after its last request to itself."""
         ownership = build_ownership(FIRST)
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -135,6 +135,14 @@
         for scheduler in self._schedulers.values():
             yield scheduler.build_claim(now_s)
 
+    def find_front_hosts(self) -> frozenset[Incarnation]:
+        """Return the front hosts that have or recently had tasks in the cells."""
+        return frozenset(
+            front_host
+            for scheduler in self._schedulers.values()
+            for front_host, _ in scheduler.jobs
+        )
+
     def has_work(self) -> bool:
         """Whether a task waits or runs."""
         return any(scheduler.has_work() for scheduler in self._schedulers.values())
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -217,10 +217,26 @@
                 LoadsReported(owner=self.local_host, claims=claims), now_s
             )
 
-    def _send_heartbeats(self, peers: tuple[Incarnation, ...], now_s: float) -> None:
+    def _send_heartbeats(
+        self, peers: tuple[Incarnation, ...], now_s: float, is_idle: bool = False
+    ) -> None:
         if peers:
             claims = self.cells.build_claims(now_s)
-            self.membership.send_heartbeats(peers, claims, self.configuration.version)
+            self.membership.send_heartbeats(
+                peers, claims, self.configuration.version, is_idle
+            )
+
+    def _send_due_heartbeats(self, now_s: float) -> None:
+        owners = self.requests.job_registry.find_working_owners()
+        for owner in owners:
+            self.membership.ownership.expect_message(owner, now_s)
+        recipients = self.membership.find_heartbeat_recipients(
+            self._tick_count,
+            bool(self.cells),
+            owners | self.cells.find_front_hosts(),
+        )
+        self._send_heartbeats(recipients.active, now_s)
+        self._send_heartbeats(recipients.idle, now_s, is_idle=True)
 
     # Messages from other hosts
 
@@ -295,10 +311,7 @@
             self.membership.ownership.update_claims(now_s), now_s
         )
         self.requests.handle_event(ev.Tick(), now_s)
-        recipients = self.membership.find_heartbeat_recipients(
-            self._tick_count, bool(self.cells)
-        )
-        self._send_heartbeats(recipients, now_s)
+        self._send_due_heartbeats(now_s)
         if self._tick_count % HOUSEKEEPING_TICKS == 0:
             self.membership.request_layout(self.cells.targets, now_s)
             self.membership.ownership.remove_expired_peers(now_s)
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -91,6 +91,7 @@
         "isDraining": heartbeat.is_draining,
         "lacksTargets": heartbeat.lacks_targets,
         "canOwn": heartbeat.can_own,
+        "isIdle": heartbeat.is_idle,
     }
 
 
@@ -195,6 +196,7 @@
         is_draining=content.isDraining,
         lacks_targets=content.lacksTargets,
         can_own=content.canOwn,
+        is_idle=content.isIdle,
     )
 
 
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -74,6 +74,7 @@
   isDraining @3 :Bool;
   lacksTargets @4 :Bool;
   canOwn @5 :Bool;
+  isIdle @6 :Bool;
 }
 
 struct StoredRow {
--- a/gentianhub/host/links.py
+++ b/gentianhub/host/links.py
@@ -1,6 +1,7 @@
 """Links to the other hosts, owned by the coordinator."""
 
 import logging
+from collections.abc import Callable
 
 from attrs import define, field
 from gevent.pool import Group
@@ -12,9 +13,9 @@
 from gentianhub.linking.link_events import DialAddress
 from gentianhub.linking.links import Link, LinkContext, dial_link
 
-# A link that has received nothing for this long is closed and dialled again, s. An open
-# connection can stop delivering data permanently while new ones work.
-LINK_SILENCE_TIMEOUT_S = 0.8
+# A link is closed and dialled again this long after its host counts as silent, s. An
+# open connection can stop delivering data permanently while new ones work.
+LINK_SILENCE_MARGIN_S = 0.2
 # A link that has received a message within this time is kept when the other host dials
 # as well, s.
 RECENT_TRAFFIC_S = 0.3
@@ -130,10 +131,20 @@
         """Return the hosts with a link."""
         return tuple(self.links)
 
-    def maintain(self, now_s: float, heartbeat_peers: frozenset[ProcessName]) -> None:
-        """Close silent links and dial the heartbeat peers without a link."""
-        for state in list(self.links.values()):
-            if now_s > state.last_received_s + LINK_SILENCE_TIMEOUT_S:
+    def maintain(
+        self,
+        now_s: float,
+        heartbeat_peers: frozenset[ProcessName],
+        find_silence_timeout_s: Callable[[Incarnation], float],
+    ) -> None:
+        """Close silent links and dial the heartbeat peers without a link.
+
+        `find_silence_timeout_s` returns the time without a message, in seconds, after
+        which a host counts as silent.
+        """
+        for peer, state in list(self.links.items()):
+            timeout_s = find_silence_timeout_s(peer) + LINK_SILENCE_MARGIN_S
+            if now_s > state.last_received_s + timeout_s:
                 state.link.close()
         linked = {peer.name for peer in self.links}
         addresses = [
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -27,6 +27,9 @@
 # centre, which follow its load. Two lost heartbeats do not make a host count as silent.
 OWNER_HEARTBEAT_TICKS = 2
 HEARTBEAT_TICKS = 4
+# The interval, in ticks, between hosts that have no tasks of each other. With 97 hosts,
+# frequent heartbeats to all of them were most of the messages of an idle deployment.
+IDLE_HEARTBEAT_TICKS = 20
 # Targets write their entries every 1.5 s. If no new target has appeared for two of
 # these intervals, all of them have registered. The second limit, counted from the
 # host's start, bounds the wait while targets keep appearing, s.
@@ -54,6 +57,18 @@
     candidates: frozenset[ProcessName] | None
 
 
+@frozen(kw_only=True)
+class HeartbeatRecipients:
+    """Hosts that are due for a heartbeat.
+
+    `active` hosts have tasks in common with the sender or may succeed it as owner; the
+    `idle` ones get the next heartbeat after a longer interval.
+    """
+
+    active: tuple[Incarnation, ...] = ()
+    idle: tuple[Incarnation, ...] = ()
+
+
 @define(kw_only=True, eq=False)
 class Membership:
     """Heartbeats, the registry of hosts and the layout of cells.
@@ -72,6 +87,7 @@
     heartbeat_peers: frozenset[ProcessName] = field(init=False, default=frozenset())
     _heartbeat_peer_inputs: HeartbeatPeerInputs | None = field(init=False, default=None)
     _heartbeat_count: int = field(init=False, default=0)
+    _working_peers: frozenset[Incarnation] = field(init=False, default=frozenset())
     _target_count: int = field(init=False, default=0)
     _last_target_added_s: float = field(init=False, default=float("-inf"))
     _absent_since_s: dict[str, float] = field(init=False, factory=dict)
@@ -106,6 +122,7 @@
         peers: Iterable[Incarnation],
         claims: Iterable[ev.CellClaim],
         version: int,
+        is_idle: bool = False,
     ) -> None:
         """Send a heartbeat with the claims and the configuration's version."""
         self._heartbeat_count += 1
@@ -116,24 +133,48 @@
             is_draining=self.ownership.is_draining,
             lacks_targets=not self.ownership.has_targets,
             can_own=self.ownership.can_own,
+            is_idle=is_idle,
         )
         body = encode_message(heartbeat)
         for peer in peers:
             self.links.send_encoded(peer, body)
 
     def find_heartbeat_recipients(
-        self, tick: int, is_owner: bool
-    ) -> tuple[Incarnation, ...]:
-        """Return the linked hosts that are due for a heartbeat."""
+        self, tick: int, is_owner: bool, working_peers: frozenset[Incarnation]
+    ) -> HeartbeatRecipients:
+        """Return the linked hosts that are due for a heartbeat.
+
+        `working_peers` have tasks of this host or sent tasks to it. A host that has
+        become one of them is due at once.
+        """
         is_due = tick % HEARTBEAT_TICKS == 0
-        if not is_due and not (is_owner and tick % OWNER_HEARTBEAT_TICKS == 0):
-            return ()
-        return tuple(
-            peer
-            for peer in self.links.find_linked()
-            if peer.name in self.heartbeat_peers
-            and (is_due or peer.name.data_centre == self.data_centre)
-        )
+        is_due_locally = is_due or (is_owner and tick % OWNER_HEARTBEAT_TICKS == 0)
+        is_due_when_idle = tick % IDLE_HEARTBEAT_TICKS == 0
+        added = working_peers - self._working_peers
+        self._working_peers = working_peers
+        if not is_due_locally and not added:
+            return HeartbeatRecipients()
+        active, idle = [], []
+        for peer in self.links.find_linked():
+            if peer.name not in self.heartbeat_peers:
+                continue
+            is_local = peer.name.data_centre == self.data_centre
+            if peer in working_peers or self._may_succeed(peer, is_owner):
+                if is_due or (is_local and is_due_locally) or peer in added:
+                    active.append(peer)
+            elif is_due_when_idle:
+                idle.append(peer)
+        return HeartbeatRecipients(active=tuple(active), idle=tuple(idle))
+
+    def _may_succeed(self, peer: Incarnation, is_owner: bool) -> bool:
+        """Whether a silence of one of the two hosts lets the other one claim a cell."""
+        candidates = self.ownership.candidates
+        if peer.name.data_centre != self.data_centre:
+            return False
+        if candidates is None:
+            return True
+        is_candidate = self.local_host.name in candidates
+        return peer.name in candidates and (is_owner or is_candidate)
 
     def find_successors(self) -> tuple[Incarnation, ...]:
         """Return the linked hosts that may succeed this one as owner of a cell."""
@@ -167,7 +208,9 @@
                 is_owner,
                 inputs.has_live_local_peer,
             )
-        self.links.maintain(now_s, self.heartbeat_peers)
+        self.links.maintain(
+            now_s, self.heartbeat_peers, self.ownership.find_silence_timeout_s
+        )
 
     def _has_live_local_peer(self, now_s: float) -> bool:
         if now_s < self.started_s + LOCAL_PEER_DISCOVERY_S:
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -22,6 +22,7 @@
         number=4, claims=(CLAIM,), configuration_version=9, is_draining=True
     ),
     ev.HostHeartbeat(number=5, claims=(), configuration_version=0, lacks_targets=True),
+    ev.HostHeartbeat(number=6, claims=(), configuration_version=0, is_idle=True),
     build_request("a", build_step(count=3, after=(0,), data_rack="r1"), is_repeat=True),
     ev.CancelTasks(cell=CELL, job="a"),
     ev.TasksEnded(
--- a/gentianhub/host/tests/test_membership.py
+++ b/gentianhub/host/tests/test_membership.py
@@ -7,6 +7,7 @@
 from gentianhub.capacity.tests.builders import build_host, build_target
 from gentianhub.core import Mailbox
 from gentianhub.host.membership import (
+    IDLE_HEARTBEAT_TICKS,
     MAX_REGISTRATION_WAIT_S,
     REGISTRATION_QUIET_S,
     Membership,
@@ -30,7 +31,7 @@
             build_host(h.name, data_centre=h.data_centre).name: h for h in hosts
         }
 
-    def maintain(self, now_s, heartbeat_peers):
+    def maintain(self, now_s, heartbeat_peers, find_silence_timeout_s):
         self.heartbeat_peers = heartbeat_peers
 
 
@@ -91,6 +92,13 @@
         self.membership.update_hosts(tuple(entries), versions)
         self.links.linked = (self.local, self.remote)
 
+    def find_recipients(self, tick: int, is_owner: bool, working=()) -> tuple:
+        """Return the hosts that are due for a heartbeat, at either interval."""
+        recipients = self.membership.find_heartbeat_recipients(
+            tick, is_owner, frozenset(working)
+        )
+        return recipients.active + recipients.idle
+
     def maintain_links(self, is_owner: bool, now_s: float = 10.0) -> None:
         heartbeat = HostHeartbeat(number=1, claims=(), configuration_version=1)
         self.membership.handle_heartbeat(self.local, heartbeat, now_s)
@@ -99,9 +107,8 @@
     def test_heartbeats_omit_remote_hosts_that_own_no_cell(self):
         """Heartbeats between all hosts would grow with the square of their number."""
         self.maintain_links(is_owner=False)
-        self.assertEqual(
-            (self.local,), self.membership.find_heartbeat_recipients(4, False)
-        )
+        for tick in (4, IDLE_HEARTBEAT_TICKS):
+            self.assertEqual((self.local,), self.find_recipients(tick, False))
 
     def test_host_without_the_registry_sends_heartbeats_to_hosts_that_dial_it(self):
         """A host without the store since its start received no configuration."""
@@ -109,20 +116,35 @@
         self.membership.ownership.candidates = None
         self.membership.maintain_links((), False, 10.0)
         both = self.local, self.remote
-        self.assertEqual(both, self.membership.find_heartbeat_recipients(4, False))
+        self.assertEqual(both, self.find_recipients(IDLE_HEARTBEAT_TICKS, False))
         self.maintain_links(is_owner=False)
-        self.assertEqual(
-            (self.local,), self.membership.find_heartbeat_recipients(4, False)
-        )
+        for tick in (4, IDLE_HEARTBEAT_TICKS):
+            self.assertEqual((self.local,), self.find_recipients(tick, False))
 
     def test_owner_sends_to_all_hosts_and_more_often_to_local_ones(self):
         """Local hosts follow the owner's load and need more frequent heartbeats."""
         self.maintain_links(is_owner=True)
-        self.assertEqual(
-            (self.local,), self.membership.find_heartbeat_recipients(2, True)
-        )
         both = self.local, self.remote
-        self.assertEqual(both, self.membership.find_heartbeat_recipients(4, True))
+        self.assertEqual(both, self.find_recipients(1, True, both))
+        self.assertEqual((self.local,), self.find_recipients(2, True, both))
+        self.assertEqual(both, self.find_recipients(4, True, both))
+
+    def test_hosts_without_common_tasks_get_rare_heartbeats_that_say_so(self):
+        """Frequent heartbeats to all hosts were most of the messages of 97 hosts."""
+        self.maintain_links(is_owner=True)
+        self.assertEqual((self.local,), self.find_recipients(4, True))
+        recipients = self.membership.find_heartbeat_recipients(
+            IDLE_HEARTBEAT_TICKS, True, frozenset()
+        )
+        self.assertEqual((self.local,), recipients.active)
+        self.assertEqual((self.remote,), recipients.idle)
+
+    def test_a_host_with_the_first_common_task_is_due_at_once(self):
+        """It would take a lost owner for live for the longer silence time-out."""
+        self.maintain_links(is_owner=True)
+        self.assertEqual((), self.find_recipients(1, True))
+        self.assertEqual((self.remote,), self.find_recipients(3, True, (self.remote,)))
+        self.assertEqual((), self.find_recipients(5, True, (self.remote,)))
 
     def test_owner_ignores_the_silence_of_hosts_before_it_became_owner(self):
         """A host that owns no cell gets no heartbeats from live remote hosts."""
