--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -30,6 +30,9 @@
 
 # Interval, in ticks, of layout requests and of the removal of silent and lost hosts.
 HOUSEKEEPING_TICKS = 20
+# Interval, in ticks, at which links are maintained and claims are reconsidered. Changes
+# of claims that heartbeats bring are handled at once.
+OWNERSHIP_TICKS = 2
 # Time after the start of a drain during which jobs on open connections are still
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
@@ -301,15 +304,16 @@
     def _handle_tick(self, now_s: float) -> None:
         self._tick_count += 1
         is_owner = bool(self.cells)
-        self.membership.maintain_links(
-            self.requests.job_registry.owners.values(), is_owner, now_s
-        )
         for peer in self.membership.find_silent(now_s):
             self.cells.remove_front_host(peer, now_s)
         self.cells.handle_tick(now_s)
-        self._apply_ownership_changes(
-            self.membership.ownership.update_claims(now_s), now_s
-        )
+        if self._tick_count % OWNERSHIP_TICKS == 0:
+            self.membership.maintain_links(
+                self.requests.job_registry.owners.values(), is_owner, now_s
+            )
+            self._apply_ownership_changes(
+                self.membership.ownership.update_claims(now_s), now_s
+            )
         self.requests.handle_event(ev.Tick(), now_s)
         self._send_due_heartbeats(now_s)
         if self._tick_count % HOUSEKEEPING_TICKS == 0:
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -37,11 +37,18 @@
 # The store holds a feed request for at most 30 s. The shorter wait bounds how long a
 # dead connection stays unnoticed, and so the delay of a new configuration.
 FEED_WAIT_S = 1.0
+# Hosts that are no candidates wait longer: if their connection is dead, a sibling that
+# has the new configuration sends it.
+FRONT_FEED_WAIT_S = 4.0
+# The registry changes rarely, and hosts that dial are known without it.
+HOSTS_FEED_WAIT_S = 5.0
 # Targets rewrite their rows every 1.5 s; reading at each change would cost many calls,
 # and 0.4 s is well within the 2 s that a leaving target allows. Hosts that own no cell
-# need the list only to take one over, so they poll less often.
+# need the list until the number of cells is known. From then on owners announce their
+# targets, and a new owner reads the list at once.
 OWNER_POLL_INTERVAL_S = 0.4
-NON_OWNER_POLL_INTERVAL_S = 2.0
+STARTING_POLL_INTERVAL_S = 2.0
+NON_OWNER_POLL_INTERVAL_S = 20.0
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 
@@ -56,6 +63,8 @@
     ----------
     report : callable
         Called with the rows, by key, after each change.
+    get_wait_s : callable
+        Returns how long the store may hold a request without a change, s.
     get_poll_interval_s : callable
         Returns the delay between two requests, s; 0 means no delay.
     polls : Mailbox
@@ -66,7 +75,7 @@
     address: Address
     coordinator: Mailbox
     report: Callable[[dict[str, StoredRow]], None]
-    wait_s: float = FEED_WAIT_S
+    get_wait_s: Callable[[], float]
     get_poll_interval_s: Callable[[], float] = lambda: 0.0
     polls: Mailbox = field(factory=lambda: Mailbox(limit=1))
     random: Random = field(factory=Random)
@@ -111,7 +120,7 @@
             self._version = read.version
             self.report(self._rows)
             return
-        match store.follow_rows(self.table, self._version, self.wait_s):
+        match store.follow_rows(self.table, self._version, self.get_wait_s()):
             case HistoryExpired():
                 logger.info("change history expired", extra={"table": self.table})
                 self._version = None
@@ -129,7 +138,9 @@
             self.report(self._rows)
 
 
-def follow_configuration(address: Address, coordinator: Mailbox) -> None:
+def follow_configuration(
+    address: Address, coordinator: Mailbox, is_candidate: Callable[[], bool]
+) -> None:
     """Report each new configuration of the operator."""
 
     def report(rows: dict[str, StoredRow]) -> None:
@@ -138,7 +149,11 @@
             coordinator.put(ms.ConfigurationRead(content=row.value))
 
     TableFollower(
-        table=OPERATOR_TABLE, address=address, coordinator=coordinator, report=report
+        table=OPERATOR_TABLE,
+        address=address,
+        coordinator=coordinator,
+        report=report,
+        get_wait_s=lambda: FEED_WAIT_S if is_candidate() else FRONT_FEED_WAIT_S,
     ).run()
 
 
@@ -157,14 +172,18 @@
         coordinator.put(ms.HostsRead(hosts=hosts, versions=versions))
 
     TableFollower(
-        table=HOSTS_TABLE, address=address, coordinator=coordinator, report=report
+        table=HOSTS_TABLE,
+        address=address,
+        coordinator=coordinator,
+        report=report,
+        get_wait_s=lambda: HOSTS_FEED_WAIT_S,
     ).run()
 
 
 def follow_targets(
     address: Address,
     coordinator: Mailbox,
-    is_owner: Callable[[], bool],
+    get_poll_interval_s: Callable[[], float],
     polls: Mailbox,
 ) -> None:
     """Report the list of targets whenever it changes."""
@@ -190,15 +209,20 @@
         address=address,
         coordinator=coordinator,
         report=report,
-        wait_s=0.0,
-        get_poll_interval_s=lambda: (
-            OWNER_POLL_INTERVAL_S if is_owner() else NON_OWNER_POLL_INTERVAL_S
-        ),
+        get_wait_s=lambda: 0.0,
+        get_poll_interval_s=get_poll_interval_s,
         polls=polls,
     )
     follower.run()
 
 
+def choose_poll_interval_s(is_owner: bool, has_layout: bool) -> float:
+    """Return the delay between two requests for the list of targets, s."""
+    if is_owner:
+        return OWNER_POLL_INTERVAL_S
+    return NON_OWNER_POLL_INTERVAL_S if has_layout else STARTING_POLL_INTERVAL_S
+
+
 def decode_targets(rows: Iterable[tuple[str, bytes]]) -> Iterator[ListedTarget]:
     """Yield the targets that rows describe; log and skip invalid rows."""
     for key, value in rows:
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -106,6 +106,12 @@
         """Data centre of this host."""
         return self.local_host.name.data_centre
 
+    @property
+    def is_candidate(self) -> bool:
+        """Whether this host is preferred as owner of a cell."""
+        candidates = self.ownership.candidates
+        return candidates is None or self.local_host.name in candidates
+
     def handle_heartbeat(
         self, sender: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
     ) -> bool:
@@ -173,8 +179,7 @@
             return False
         if candidates is None:
             return True
-        is_candidate = self.local_host.name in candidates
-        return peer.name in candidates and (is_owner or is_candidate)
+        return peer.name in candidates and (is_owner or self.is_candidate)
 
     def find_successors(self) -> tuple[Incarnation, ...]:
         """Return the linked hosts that may succeed this one as owner of a cell."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -126,13 +126,18 @@
         greenlets = [
             spawn_greenlet(self.coordinator.run),
             spawn_greenlet(run_timer, self.mailbox),
-            spawn_greenlet(followers.follow_configuration, store, self.mailbox),
+            spawn_greenlet(
+                followers.follow_configuration,
+                store,
+                self.mailbox,
+                lambda: self.coordinator.membership.is_candidate,
+            ),
             spawn_greenlet(followers.follow_hosts, store, self.mailbox),
             spawn_greenlet(
                 followers.follow_targets,
                 store,
                 self.mailbox,
-                lambda: bool(self.coordinator.cells),
+                self._choose_poll_interval_s,
                 self.coordinator.target_polls,
             ),
             spawn_greenlet(
@@ -152,6 +157,12 @@
             self.coordinator.cells.connections.close()
             self.coordinator.links.end()
 
+    def _choose_poll_interval_s(self) -> float:
+        return followers.choose_poll_interval_s(
+            is_owner=bool(self.coordinator.cells),
+            has_layout=bool(self.coordinator.membership.ownership.cells),
+        )
+
     @contextmanager
     def _serve_ports(self) -> Iterator[None]:
         context = self.coordinator.links.context
