Look up numeric addresses without a thread, and cut the cost of a host's routine

Change: gevent's blocking resolver; hosts' names keep their hash; routes are grouped by host; log records leave out threads, processes and source lines, which no line has.

--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -3,7 +3,7 @@
 import hashlib
 import math
 
-from attrs import frozen
+from attrs import field, frozen
 
 from gentianhub.capacity.resources import Resources
 
@@ -89,13 +89,21 @@
     version: int
     routes: tuple[Route, ...] = ()
     max_body_bytes: int = 262_144
+    _routes_by_host: dict[str, list[Route]] = field(init=False, eq=False, repr=False)
+
+    @_routes_by_host.default
+    def _group_routes(self) -> dict[str, list[Route]]:
+        routes_by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            routes_by_host.setdefault(route.host, []).append(route)
+        return routes_by_host
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path, or None."""
         matching = (
             route
-            for route in self.routes
-            if route.host == host and path.startswith(route.prefix)
+            for route in self._routes_by_host.get(host, ())
+            if path.startswith(route.prefix)
         )
         return max(matching, key=lambda route: len(route.prefix), default=None)
 
--- a/gentianhub/core/ids.py
+++ b/gentianhub/core/ids.py
@@ -25,7 +25,7 @@
 _valid_name = validators.matches_re(PROCESS_NAME_PATTERN, func=re.fullmatch)
 
 
-@frozen(kw_only=True, order=True)
+@frozen(kw_only=True, order=True, cache_hash=True)
 class ProcessName:
     """Name of an entry process, unique across all data centres."""
 
@@ -36,7 +36,7 @@
         return f"{self.data_centre}.{self.process}"
 
 
-@frozen(kw_only=True, order=True)
+@frozen(kw_only=True, order=True, cache_hash=True)
 class Incarnation:
     """One run of an entry process, with a fencing token against earlier runs."""
 
--- a/gentianhub/host/__main__.py
+++ b/gentianhub/host/__main__.py
@@ -2,6 +2,8 @@
 
 import sys
 
+import gevent
+
 from gentianhub.core import SettingsError
 from gentianhub.host import HostProcess
 from gentianhub.observability import (
@@ -22,6 +24,9 @@
     except SettingsError as error:
         print(f"{error.peer}:\n  {error.reason}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    # All addresses are numeric; the default resolver starts a thread for each lookup,
+    # which delays every new connection.
+    gevent.config.resolver = "block"
     writer = open_line_writer()
     configure_logging(
         process=str(settings.name), level="info", handler=QueueingHandler(writer=writer)
--- a/gentianhub/observability/logs.py
+++ b/gentianhub/observability/logs.py
@@ -14,6 +14,10 @@
     Each line has the time, level, logger, process and message, and the keys passed
     as `extra=`, such as step and peer. The default handler writes to standard error.
     """
+    # No line has these values, and finding them takes time for each record.
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
+    logging.logAsyncioTasks = False
+    logging._srcfile = None
     handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
