Do not count starts that a target has not executed as runs of a job

Cause: the owner of a cell marked a job as started with the first start that it sent. If the target refused it, or the start got no answer and a confirmed stop and a later list showed that it was never executed, the job stayed marked. When it was given up, its caller got 504, which it may not repeat, although nothing had run; a 503 with Retry-After is true there. Ruled out: treating every refusal so. A target that refuses a stale run has had an earlier run of the task, and an unknown refusal says nothing.

Change: the owner counts the runs that may have started, and takes back those that a target has provably not executed.

Tests: TestReportedStarts in test_cell.py. Before: 8 subtests and the test of the unanswered start failed. After: all pass.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -35,6 +35,18 @@
 # Fraction of its slack that a task may wait; the rest covers the variance of run times
 # and the delivery of the answer.
 SLACK_FRACTION = 0.6
+# Verdicts that rule out that the task has run. The target of a stale run has had an
+# earlier run of the task.
+NOT_EXECUTED = frozenset(
+    {
+        ev.StartVerdict.NO_CAPACITY,
+        ev.StartVerdict.FENCED,
+        ev.StartVerdict.TOO_LATE,
+        ev.StartVerdict.UNHEALTHY,
+        ev.StartVerdict.OTHER_INCARNATION,
+        ev.StartVerdict.NOT_SENT,
+    }
+)
 
 
 @define(kw_only=True, eq=False)
@@ -210,7 +222,7 @@
         )
         target.add_run(run)
         task.target, task.last_run = target.name, number
-        task.job.has_started = True
+        task.job.possible_runs += 1
         self._started_tasks[task.key] = task
 
     def _decline_waiting(self, job: CellJob, keys: list[TaskKey]) -> Iterator:
@@ -267,9 +279,11 @@
                     if end is ev.RunEnd.FAILED:
                         task.avoid(target.name)
                     yield from self._end_run(task, end, now_s)
-                case tt.RunLost(target=target, run=run):
+                case tt.RunLost(target=target, run=run, has_run=has_run):
                     self._may_start = True
                     task = self._detach_run(run)
+                    if not has_run:
+                        task.job.possible_runs -= 1
                     task.avoid(target.name)
                     yield from self._end_run(task, ev.RunEnd.LEASE_EXPIRED, now_s)
                 case tt.RunStalled(target=target, run=run):
@@ -334,6 +348,8 @@
     ) -> Iterator:
         task = self._detach_run(run)
         self._may_start = True
+        if verdict in NOT_EXECUTED:
+            task.job.possible_runs -= 1
         if verdict is not ev.StartVerdict.STALE_RUN:
             task.avoid(target.name)
         if verdict is ev.StartVerdict.UNHEALTHY:
@@ -401,7 +417,7 @@
     ) -> fx.StartRun:
         task.last_run += 1
         task.target = state.name
-        task.job.has_started = True
+        task.job.possible_runs += 1
         self._started_tasks[task.key] = task
         run = Run(
             key=task.key,
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -44,10 +44,14 @@
 
 @frozen(kw_only=True)
 class RunLost:
-    """A run does not exist, or cannot exist any more; its capacity is free."""
+    """A run does not exist, or cannot exist any more; its capacity is free.
+
+    `has_run` is false if the target has provably never started it.
+    """
 
     target: TargetState
     run: Run
+    has_run: bool = True
 
 
 @frozen(kw_only=True)
@@ -329,7 +333,8 @@
                 # taking effect.
                 yield self.stop_run(state, run, now_s)
             elif run.stopped_s < report.sent_s:
-                yield from self._mark_run_lost(state, run)
+                # A start that was executed would be listed as running or ended.
+                yield from self._mark_run_lost(state, run, has_run=False)
             elif run.confirmed_s < report.sent_s:
                 yield self._log_decision(
                     "run missing", format_task_key(run.key), target=state.name
@@ -413,9 +418,11 @@
         for run in list(state.runs.values()):
             yield from self._mark_run_lost(state, run)
 
-    def _mark_run_lost(self, state: TargetState, run: Run) -> Iterator:
+    def _mark_run_lost(
+        self, state: TargetState, run: Run, has_run: bool = True
+    ) -> Iterator:
         state.remove_run(run.key)
-        yield RunLost(target=state, run=run)
+        yield RunLost(target=state, run=run, has_run=has_run)
 
     # Time-outs
 
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -9,16 +9,25 @@
 
 @define(kw_only=True, eq=False)
 class CellJob:
-    """The tasks of one job that one front host has sent to a cell."""
+    """The tasks of one job that one front host has sent to a cell.
+
+    `possible_runs` counts the runs that have started or may have started; a start that
+    a target has provably not executed is none.
+    """
 
     front_host: Incarnation
     name: str
-    has_started: bool = False
+    possible_runs: int = 0
     is_late: bool = False
     is_cancelled: bool = False
     changed_s: float = 0.0
     tasks: dict[TaskKey, "CellTask"] = field(factory=dict)
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a task of the job may have run."""
+        return self.possible_runs > 0
+
     def is_finished(self) -> bool:
         """Whether no task of the job waits or runs any more."""
         tasks = self.tasks.values()
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -221,6 +221,66 @@
         self.assertEqual([start.key], [s.key for s in again])
 
 
+class TestReportedStarts(unittest.TestCase):
+    """Guards against the answer 504 to a caller whose job has provably not run.
+
+    Callers may repeat a job that has not run, but not one whose outcome is unknown.
+    """
+
+    def has_started(self, driver: SchedulerDriver) -> bool:
+        (end,) = find_ends(driver.feed(ev.CancelTasks(cell=get_cell(), job="a")))
+        return end.has_started
+
+    def test_a_refused_start_is_no_start(self):
+        """A stale run has an earlier one, and an unknown refusal says nothing."""
+        unclear = {
+            ev.StartVerdict.STARTED,
+            ev.StartVerdict.UNANSWERED,
+            ev.StartVerdict.STALE_RUN,
+            ev.StartVerdict.REJECTED,
+        }
+        for verdict in ev.StartVerdict:
+            with self.subTest(verdict=verdict):
+                driver = SchedulerDriver([build_target("t1")])
+                (start,) = find_starts(driver.feed(build_request("a")))
+                driver.list_targets(build_target("t1", is_leaving=True))
+                driver.answer(start, verdict)
+                self.assertEqual(verdict in unclear, self.has_started(driver))
+
+    def test_an_unanswered_start_counts_until_its_stop_is_confirmed(self):
+        driver = SchedulerDriver([build_target("t1")])
+        (start,) = find_starts(driver.feed(build_request("a")))
+        driver.list_targets(build_target("t1", is_leaving=True))
+        driver.now_s += 0.12
+        driver.answer(start, ev.StartVerdict.UNANSWERED)
+        driver.report("t1")
+        driver.feed(
+            ev.StopAnswered(
+                target="t1", key=start.key, run=start.run, is_confirmed=True
+            )
+        )
+        driver.now_s += 0.01
+        driver.report("t1")
+        self.assertFalse(self.has_started(driver))
+
+    def test_an_unanswered_start_whose_lease_expires_may_have_run(self):
+        driver = SchedulerDriver([build_target("t1")])
+        (start,) = find_starts(driver.feed(build_request("a")))
+        driver.answer(start, ev.StartVerdict.UNANSWERED)
+        driver.feed(ev.TargetSilent(target="t1", reason="timeout"))
+        driver.now_s = bound_lease_expiry(driver.now_s) + 0.01
+        driver.feed(ev.Tick())
+        self.assertTrue(self.has_started(driver))
+
+    def test_a_stopped_run_has_started(self):
+        driver = SchedulerDriver([build_target("t1")])
+        (start,) = find_starts(driver.feed(build_request("a")))
+        driver.answer(start)
+        driver.list_targets(build_target("t1", is_leaving=True))
+        driver.end(start, 1, ev.RunEnd.STOPPED)
+        self.assertTrue(self.has_started(driver))
+
+
 class TestTakeover(unittest.TestCase):
     def test_a_repeated_task_waits_until_every_target_has_listed_its_runs(self):
         """An earlier owner may have started it on a target without a report yet."""
