Look for a start without an answer as soon as the answer is overdue

Cause: an unanswered start was looked for after a fixed 0.12 s. A job of eight tasks of 50 ms has a slack of 91 ms, and with one command in twenty unanswered (targets that execute orders late) a third of these jobs are hit, although other targets are idle. A list of runs without an answer was not repeated and waited for the pending lease renewal, up to 0.25 s. Ruled out: starting the task elsewhere before the search (two runs at once), a shorter fixed time-out (an owner that falls behind would search for each start).

Change: the time-out follows the usual answer time of the target, as that of a TCP retransmission does, between 30 and 120 ms, and doubles with each time-out in a row. A list is requested twice.

--- a/gentianhub/host/target_ports.py
+++ b/gentianhub/host/target_ports.py
@@ -7,6 +7,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.answer_times import AnswerTimes
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Mailbox, spawn_greenlet
 from gentianhub.platform.targets import TargetClient, TargetClock
@@ -16,6 +17,8 @@
 # Most connections for starts, stops and listings. An unanswered request blocks its
 # connection until the request times out, so others must be available.
 MAX_COMMAND_CONNECTIONS = 3
+# A lost answer to a list would delay the next one until the pending lease renewal ends.
+LIST_ATTEMPTS = 2
 # Delay before the next lease renewal of a target that did not answer, s.
 UNRESPONSIVE_DELAY_S = 0.2
 
@@ -29,6 +32,7 @@
     target: ListedTarget
     answers: Mailbox
     clock: TargetClock = field(factory=lambda: TargetClock())
+    answer_times: AnswerTimes = field(factory=lambda: AnswerTimes())
     renewals: Mailbox = field(factory=lambda: Mailbox(limit=4))
     commands: Mailbox = field(factory=lambda: Mailbox(limit=COMMAND_QUEUE_LIMIT))
     _greenlets: list[gevent.Greenlet] = field(init=False, factory=list)
@@ -36,6 +40,12 @@
     def __attrs_post_init__(self):
         self._greenlets.append(spawn_greenlet(run_renewals, self))
 
+    def create_client(self) -> TargetClient:
+        """Return a client with a connection of its own."""
+        return TargetClient(
+            target=self.target, clock=self.clock, answer_times=self.answer_times
+        )
+
     def renew(self, renewal: fx.RenewLease) -> None:
         """Queue a lease renewal."""
         self.renewals.try_put(renewal)
@@ -54,7 +64,7 @@
 
 def run_renewals(connections: TargetConnections) -> None:
     """Send the queued lease renewals to the target, one at a time."""
-    client = TargetClient(target=connections.target, clock=connections.clock)
+    client = connections.create_client()
     try:
         for renewal in connections.renewals.iterate_messages():
             match client.renew(renewal):
@@ -75,7 +85,7 @@
 
 def run_orders(connections: TargetConnections) -> None:
     """Send the queued starts, stops and listings to the target, one at a time."""
-    client = TargetClient(target=connections.target, clock=connections.clock)
+    client = connections.create_client()
     try:
         for command in connections.commands.iterate_messages():
             match command:
@@ -84,19 +94,28 @@
                 case fx.StopRun():
                     connections.answers.put(client.stop(command))
                 case fx.ListRuns():
-                    match client.list_runs(command):
-                        case ev.RunsReported() as report:
-                            connections.answers.put(report)
-                        case failure:
-                            # The pending lease renewal will report the same failure.
-                            logger.info(
-                                "look failed",
-                                extra={"id": failure.target, "outcome": repr(failure)},
-                            )
+                    _list_runs(client, command, connections)
     finally:
         client.close()
 
 
+def _list_runs(
+    client: TargetClient, query: fx.ListRuns, connections: TargetConnections
+) -> None:
+    """Request a target's runs, once more if the first request is not answered."""
+    for _ in range(LIST_ATTEMPTS):
+        match client.list_runs(query):
+            case ev.RunsReported() as report:
+                connections.answers.put(report)
+                return
+            case failure:
+                # The pending lease renewal will report the same failure.
+                logger.info(
+                    "look failed",
+                    extra={"id": failure.target, "outcome": repr(failure)},
+                )
+
+
 @define(kw_only=True, eq=False)
 class TargetConnectionMap:
     """The connections to each target; used only by the coordinator's greenlet."""
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -8,6 +8,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.answer_times import AnswerTimes
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
 from gentianhub.core import read_monotonic_s
 from gentianhub.platform.content import decode_json
@@ -15,8 +16,6 @@
 from gentianhub.web import HTTP_ERRORS, HttpConnection
 
 CONNECT_TIMEOUT_S = 0.2
-# A healthy target answers a start or a stop in a few milliseconds.
-COMMAND_TIMEOUT_S = 0.12
 # Added to the time for which the target holds a renewal, s.
 RENEWAL_SLACK_S = 0.1
 INCARNATION_HEADER = "Target-Instance"
@@ -62,10 +61,14 @@
 
 @define(kw_only=True, eq=False)
 class TargetClient:
-    """One connection to one target, used by one greenlet."""
+    """One connection to one target, used by one greenlet.
+
+    The clock and the answer times are shared by the connections to the target.
+    """
 
     target: ListedTarget
     clock: TargetClock
+    answer_times: AnswerTimes
     _connection: HttpConnection = field(init=False)
 
     def __attrs_post_init__(self):
@@ -109,7 +112,7 @@
             self._connection.reset()
             return ev.StartVerdict.NOT_SENT
         try:
-            status, answer = self._call("/api/run-start", command, COMMAND_TIMEOUT_S)
+            status, answer = self._send_command("/api/run-start", command)
         except HTTP_ERRORS:
             return ev.StartVerdict.UNANSWERED
         match status:
@@ -129,7 +132,7 @@
         """Request that the target stops a run, or does not start it."""
         command = {"task": encode_key(stop.key), "run": stop.run, "fence": stop.term}
         try:
-            status, _ = self._call("/api/run-stop", command, COMMAND_TIMEOUT_S)
+            status, _ = self._send_command("/api/run-stop", command)
         except HTTP_ERRORS:
             status = 0
         return ev.StopAnswered(
@@ -170,10 +173,13 @@
         if renewal.wait_s:
             command["wait_ms"] = round(renewal.wait_s * 1000)
         sent_s = read_monotonic_s()
-        timeout_s = renewal.wait_s + RENEWAL_SLACK_S
         try:
             # `hold` is the platform's name for a lease renewal.
-            status, answer = self._call("/api/hold", command, timeout_s)
+            if renewal.wait_s or renewal.lease_s:
+                timeout_s = renewal.wait_s + RENEWAL_SLACK_S
+                status, answer = self._call("/api/hold", command, timeout_s)
+            else:
+                status, answer = self._send_command("/api/hold", command)
             if status == 409:
                 return ev.FencedByTarget(target=self.target.name, term=renewal.term)
             if status != 200:
@@ -196,6 +202,17 @@
             ended=tuple(map(_decode_ended, read_field(answer, "ended", list, []))),
         )
 
+    def _send_command(self, path: str, command: dict) -> tuple[int, dict]:
+        """Send a command that the target does not delay; record its answer time."""
+        sent_s = read_monotonic_s()
+        try:
+            answer = self._call(path, command, self.answer_times.timeout_s)
+        except TimeoutError:
+            self.answer_times.record_timeout()
+            raise
+        self.answer_times.record_answer(read_monotonic_s() - sent_s)
+        return answer
+
     def _call(self, path: str, command: dict, timeout_s: float) -> tuple[int, dict]:
         """Return status and body; reset the connection if the answer is incomplete."""
         try:
