Say in every heartbeat when the next one follows

Cause: the heartbeat on a new link, the one after a change of claims and the last one before a pair of hosts had no common task any more promised the next one within 0.2 s, while it followed up to 1 s later. The receiver took the live host as lost after 0.6 s, cancelled its tasks and closed the link. A host also expected frequent heartbeats of owners that had finished their tasks of an open job. Ruled out: pauses of the processes (0.2 of a core at most), lost messages.

Change: each heartbeat is sent with the interval that holds for its receiver. A host keeps the short interval for 2 s after the last common task, and is told when it ends. Only owners of open tasks, or of a cancellation that is not yet confirmed, are expected to send frequently.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -93,8 +93,12 @@
                 yield from self._handle_tick(now_s)
 
     def find_working_owners(self) -> frozenset[Incarnation]:
-        """Return the owners that may run tasks of the open jobs."""
-        cells = {cell for job in self.jobs.values() for cell in job.requested_cells}
+        """Return the owners that have open tasks, or a cancellation to confirm."""
+        cells = {
+            cell
+            for job in self.jobs.values()
+            for cell in (*job.assigned_cells.values(), *(job.unconfirmed_cells or ()))
+        }
         return frozenset(
             self.owners[cell].owner for cell in cells if cell in self.owners
         )
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -202,6 +202,36 @@
         self.assertEqual([fx.JobVerdict.NOT_RUN], verdicts)
 
 
+class TestWorkingOwners(FrontTest):
+    """Guards against frequent heartbeats that are expected but not due.
+
+    An owner sends rare heartbeats to a host whose tasks it has finished. The host took
+    it as lost while a longer task of the same job went on elsewhere.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.owners = {
+            cell: build_owner(cell, 30) for cell in (LOCAL_CELL, REMOTE_CELL)
+        }
+        self.feed(OwnersChanged(owners=self.owners))
+        self.submit(build_step(count=2))
+
+    def test_the_owners_of_open_tasks_are_working(self):
+        working = {known.owner for known in self.owners.values()}
+        self.assertEqual(working, self.job_registry.find_working_owners())
+
+    def test_an_owner_that_has_finished_its_tasks_is_not(self):
+        self.end((0,))
+        working = {self.owners[REMOTE_CELL].owner}
+        self.assertEqual(working, self.job_registry.find_working_owners())
+
+    def test_an_owner_that_has_to_confirm_a_cancellation_is(self):
+        self.end((0,), ev.TaskEnd.EXPIRED, has_started=False)
+        working = {known.owner for known in self.owners.values()}
+        self.assertEqual(working, self.job_registry.find_working_owners())
+
+
 class TestTaskAssignment(FrontTest):
     def test_declined_tasks_are_sent_to_a_cell_with_capacity(self):
         owners = {
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -17,7 +17,7 @@
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.followers import decode_targets
 from gentianhub.host.links import HostLinks
-from gentianhub.host.membership import Membership
+from gentianhub.host.membership import HeartbeatRecipients, Membership
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.request_handler import RequestHandler
@@ -193,7 +193,7 @@
                 case ow.CellLost(cell=cell, reason=reason):
                     log_decision("cell lost", str(cell), reason=reason)
                     self.cells.release(cell)
-            self._send_heartbeats(self.links.find_linked(), now_s)
+            self._send_heartbeats_now(self.links.find_linked(), now_s)
         own_claims = self.cells.build_claims(now_s)
         owners = self.membership.find_owners(own_claims, now_s)
         self.requests.handle_event(OwnersChanged(owners=owners), now_s)
@@ -220,14 +220,20 @@
                 LoadsReported(owner=self.local_host, claims=claims), now_s
             )
 
-    def _send_heartbeats(
-        self, peers: tuple[Incarnation, ...], now_s: float, is_idle: bool = False
+    def _send_heartbeats_now(
+        self, peers: tuple[Incarnation, ...], now_s: float
     ) -> None:
-        if peers:
-            claims = self.cells.build_claims(now_s)
-            self.membership.send_heartbeats(
-                peers, claims, self.configuration.version, is_idle
-            )
+        """Send heartbeats out of turn."""
+        recipients = self.membership.split_peers(peers, bool(self.cells))
+        self._send_heartbeats(recipients, now_s)
+
+    def _send_heartbeats(self, recipients: HeartbeatRecipients, now_s: float) -> None:
+        if not (recipients.active or recipients.idle):
+            return
+        claims = tuple(self.cells.build_claims(now_s))
+        version = self.configuration.version
+        self.membership.send_heartbeats(recipients.active, claims, version)
+        self.membership.send_heartbeats(recipients.idle, claims, version, is_idle=True)
 
     def _send_due_heartbeats(self, now_s: float) -> None:
         owners = self.requests.job_registry.find_working_owners()
@@ -238,8 +244,7 @@
             bool(self.cells),
             owners | self.cells.find_front_hosts(),
         )
-        self._send_heartbeats(recipients.active, now_s)
-        self._send_heartbeats(recipients.idle, now_s, is_idle=True)
+        self._send_heartbeats(recipients, now_s)
 
     # Messages from other hosts
 
@@ -300,7 +305,7 @@
             self.cells.remove_front_host(other, now_s)
         # A draining heartbeat tells that the announcement before it is complete.
         self.cells.announce_targets(peer)
-        self._send_heartbeats((peer,), now_s)
+        self._send_heartbeats_now((peer,), now_s)
         job_registry = self.requests.job_registry
         for cell, cell_owner in list(job_registry.owners.items()):
             if cell_owner.owner == peer:
@@ -337,7 +342,7 @@
         self.membership.ownership.is_draining = True
         self._drain_reply_to = reply_to
         self._drain_started_s = now_s
-        self._send_heartbeats(self.links.find_linked(), now_s)
+        self._send_heartbeats_now(self.links.find_linked(), now_s)
 
     def _check_drained(self, now_s: float) -> None:
         """Report the drain as done after the notice period, once no work is left."""
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -30,6 +30,9 @@
 # The interval, in ticks, between hosts that have no tasks of each other. With 97 hosts,
 # frequent heartbeats to all of them were most of the messages of an idle deployment.
 IDLE_HEARTBEAT_TICKS = 20
+# Hosts keep the short interval for this long after their last common task, in ticks, so
+# that it does not change with each job.
+WORKING_RETENTION_TICKS = 40
 # Targets write their entries every 1.5 s. If no new target has appeared for two of
 # these intervals, all of them have registered. The second limit, counted from the
 # host's start, bounds the wait while targets keep appearing, s.
@@ -87,7 +90,8 @@
     heartbeat_peers: frozenset[ProcessName] = field(init=False, default=frozenset())
     _heartbeat_peer_inputs: HeartbeatPeerInputs | None = field(init=False, default=None)
     _heartbeat_count: int = field(init=False, default=0)
-    _working_peers: frozenset[Incarnation] = field(init=False, default=frozenset())
+    _working_until: dict[Incarnation, int] = field(init=False, factory=dict)
+    _active_peers: set[Incarnation] = field(init=False, factory=set)
     _target_count: int = field(init=False, default=0)
     _last_target_added_s: float = field(init=False, default=float("-inf"))
     _absent_since_s: dict[str, float] = field(init=False, factory=dict)
@@ -125,16 +129,18 @@
 
     def send_heartbeats(
         self,
-        peers: Iterable[Incarnation],
-        claims: Iterable[ev.CellClaim],
+        peers: tuple[Incarnation, ...],
+        claims: tuple[ev.CellClaim, ...],
         version: int,
         is_idle: bool = False,
     ) -> None:
         """Send a heartbeat with the claims and the configuration's version."""
+        if not peers:
+            return
         self._heartbeat_count += 1
         heartbeat = ev.HostHeartbeat(
             number=self._heartbeat_count,
-            claims=tuple(claims),
+            claims=claims,
             configuration_version=version,
             is_draining=self.ownership.is_draining,
             lacks_targets=not self.ownership.has_targets,
@@ -144,32 +150,73 @@
         body = encode_message(heartbeat)
         for peer in peers:
             self.links.send_encoded(peer, body)
+        if is_idle:
+            self._active_peers.difference_update(peers)
+        else:
+            self._active_peers.update(peers)
 
     def find_heartbeat_recipients(
         self, tick: int, is_owner: bool, working_peers: frozenset[Incarnation]
     ) -> HeartbeatRecipients:
         """Return the linked hosts that are due for a heartbeat.
 
-        `working_peers` have tasks of this host or sent tasks to it. A host that has
-        become one of them is due at once.
+        `working_peers` have tasks of this host or sent tasks to it. A host whose
+        interval changes is due at once.
         """
         is_due = tick % HEARTBEAT_TICKS == 0
         is_due_locally = is_due or (is_owner and tick % OWNER_HEARTBEAT_TICKS == 0)
         is_due_when_idle = tick % IDLE_HEARTBEAT_TICKS == 0
-        added = working_peers - self._working_peers
-        self._working_peers = working_peers
-        if not is_due_locally and not added:
+        added = self._update_working_peers(tick, working_peers)
+        if not is_due_locally and added is None:
             return HeartbeatRecipients()
+        linked = self.links.find_linked()
+        current = self.split_peers(
+            (peer for peer in linked if peer.name in self.heartbeat_peers), is_owner
+        )
+        self._active_peers &= set(linked)
+        active = (
+            peer
+            for peer in current.active
+            if is_due
+            or peer in (added or ())
+            or (is_due_locally and peer.name.data_centre == self.data_centre)
+        )
+        idle = (
+            peer
+            for peer in current.idle
+            if is_due_when_idle or peer in self._active_peers
+        )
+        return HeartbeatRecipients(active=tuple(active), idle=tuple(idle))
+
+    def _update_working_peers(
+        self, tick: int, working_peers: frozenset[Incarnation]
+    ) -> frozenset[Incarnation] | None:
+        """Record the hosts with common tasks.
+
+        Returns the added ones, or None if none has been added or removed.
+        """
+        added = working_peers - self._working_until.keys()
+        until = tick + WORKING_RETENTION_TICKS
+        self._working_until.update(dict.fromkeys(working_peers, until))
+        expired = [p for p, last in self._working_until.items() if last <= tick]
+        for peer in expired:
+            del self._working_until[peer]
+        return added if added or expired else None
+
+    def split_peers(
+        self, peers: Iterable[Incarnation], is_owner: bool
+    ) -> HeartbeatRecipients:
+        """Split hosts by the interval at which they get heartbeats.
+
+        A heartbeat out of turn has to announce the interval as well: its receiver takes
+        this host as lost if the next one does not follow in time.
+        """
         active, idle = [], []
-        for peer in self.links.find_linked():
-            if peer.name not in self.heartbeat_peers:
-                continue
-            is_local = peer.name.data_centre == self.data_centre
-            if peer in working_peers or self._may_succeed(peer, is_owner):
-                if is_due or (is_local and is_due_locally) or peer in added:
-                    active.append(peer)
-            elif is_due_when_idle:
-                idle.append(peer)
+        for peer in peers:
+            is_active = peer.name in self.heartbeat_peers and (
+                peer in self._working_until or self._may_succeed(peer, is_owner)
+            )
+            (active if is_active else idle).append(peer)
         return HeartbeatRecipients(active=tuple(active), idle=tuple(idle))
 
     def _may_succeed(self, peer: Incarnation, is_owner: bool) -> bool:
--- a/gentianhub/host/tests/test_membership.py
+++ b/gentianhub/host/tests/test_membership.py
@@ -1,17 +1,21 @@
 """Time at which the number of cells is written, and recipients of heartbeats."""
 
+import random
 import unittest
 
 from gentianhub.capacity.events import HostHeartbeat
 from gentianhub.capacity.jobs import TARGETS_PER_CELL
 from gentianhub.capacity.tests.builders import build_host, build_target
 from gentianhub.core import Mailbox
+from gentianhub.host.encoding import decode_message
 from gentianhub.host.membership import (
     IDLE_HEARTBEAT_TICKS,
     MAX_REGISTRATION_WAIT_S,
     REGISTRATION_QUIET_S,
+    WORKING_RETENTION_TICKS,
     Membership,
 )
+from gentianhub.host.process import TICK_S
 from gentianhub.host.registry import HostEntry
 
 
@@ -26,6 +30,9 @@
     def find_linked(self):
         return self.linked
 
+    def send_encoded(self, to, body):
+        """Drop the message."""
+
     def set_hosts(self, hosts):
         self.hosts = {
             build_host(h.name, data_centre=h.data_centre).name: h for h in hosts
@@ -146,6 +153,26 @@
         self.assertEqual((self.remote,), self.find_recipients(3, True, (self.remote,)))
         self.assertEqual((), self.find_recipients(5, True, (self.remote,)))
 
+    def test_a_host_without_common_tasks_any_more_is_told_at_once(self):
+        """It would take this host as lost before the next rare heartbeat."""
+        self.maintain_links(is_owner=True)
+        working, told = frozenset({self.remote}), []
+        for tick in range(1, IDLE_HEARTBEAT_TICKS * 6):
+            recipients = self.membership.find_heartbeat_recipients(tick, True, working)
+            self.membership.send_heartbeats(recipients.active, (), 1)
+            self.membership.send_heartbeats(recipients.idle, (), 1, is_idle=True)
+            working = frozenset()
+            if recipients.idle and tick % IDLE_HEARTBEAT_TICKS:
+                told.append(tick)
+        self.assertEqual([1 + WORKING_RETENTION_TICKS], told)
+
+    def test_heartbeats_out_of_turn_say_when_the_next_one_follows(self):
+        """Claims and new links made hosts expect heartbeats that were not due."""
+        self.maintain_links(is_owner=True)
+        recipients = self.membership.split_peers((self.local, self.remote), True)
+        self.assertEqual((self.local,), recipients.active)
+        self.assertEqual((self.remote,), recipients.idle)
+
     def test_owner_ignores_the_silence_of_hosts_before_it_became_owner(self):
         """A host that owns no cell gets no heartbeats from live remote hosts."""
         self.maintain_links(is_owner=False)
@@ -155,5 +182,82 @@
         self.assertEqual(0, len(self.registry_commands))
 
 
+class PairedLinks(FakeLinks):
+    """Links of one of two hosts; messages arrive at the other one at once."""
+
+    def __init__(self, other):
+        super().__init__()
+        self.linked = (other,)
+        self.receive = None
+
+    def send_encoded(self, to, body):
+        self.receive(decode_message(body))
+
+
+class TestSilence(unittest.TestCase):
+    """Load pattern: tasks come and go between an owner and a host elsewhere.
+
+    Each end of the last common task made the owner take the host as lost until its next
+    heartbeat: its tasks were cancelled, and the link was closed and dialled again.
+    """
+
+    def setUp(self):
+        hosts = build_host("e1"), build_host("f1", "c", "aarau")
+        self.memberships = [self.build(*hosts), self.build(*reversed(hosts))]
+        self.now_s = 0.0
+        for membership, other in zip(
+            self.memberships, reversed(self.memberships), strict=True
+        ):
+            membership.links.receive = lambda message, to=other, sender=membership: (
+                to.handle_heartbeat(sender.local_host, message, self.now_s)
+            )
+
+    def build(self, host, other) -> Membership:
+        membership = Membership(
+            local_host=host,
+            links=PairedLinks(other),
+            registry_commands=Mailbox(limit=100),
+            started_s=0.0,
+        )
+        membership.heartbeat_peers = frozenset({other.name})
+        return membership
+
+    def send(self, membership: Membership, recipients) -> None:
+        membership.send_heartbeats(recipients.active, (), 1)
+        membership.send_heartbeats(recipients.idle, (), 1, is_idle=True)
+
+    def find_silent_times(self, seed: int, seconds: float) -> list[float]:
+        """Return when a host was taken as lost while tasks came and went at random."""
+        rng = random.Random(seed)
+        has_tasks, silent_s = False, []
+        for membership in self.memberships:
+            self.send(membership, membership.split_peers(membership.links.linked, True))
+        for tick in range(1, round(seconds / TICK_S)):
+            self.now_s = tick * TICK_S
+            if rng.random() < 0.05:
+                has_tasks = not has_tasks
+            for membership in self.memberships:
+                (peer,) = membership.links.linked
+                working = frozenset({peer} if has_tasks else ())
+                self.send(
+                    membership,
+                    membership.find_heartbeat_recipients(tick, True, working),
+                )
+                if rng.random() < 0.01:
+                    claims = membership.split_peers((peer,), True)
+                    self.send(membership, claims)
+            for membership in self.memberships:
+                (peer,) = membership.links.linked
+                if not membership.ownership.is_live(peer, self.now_s):
+                    silent_s.append(self.now_s)
+        return silent_s
+
+    def test_a_live_host_is_never_taken_as_lost(self):
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.assertEqual([], self.find_silent_times(seed, seconds=60.0))
+
+
 if __name__ == "__main__":
     unittest.main()
