Test how often hosts read the list of targets

Ruled out: two readers for each data centre that pass the list on (a host that has lost both would have none).

Tests: test_followers.py.

--- /dev/null
+++ b/gentianhub/host/tests/test_followers.py
@@ -0,0 +1,86 @@
+"""Load of the store: how often hosts read the list of targets.
+
+With 97 hosts that each read the list every 0.4 to 2 s, reading it was the largest cost
+of an idle deployment. Only owners need the current list.
+"""
+
+import unittest
+from contextlib import contextmanager
+from unittest import mock
+
+import gevent
+
+from gentianhub.core import Mailbox
+from gentianhub.host import followers
+from gentianhub.host import messages as ms
+from gentianhub.platform.settings import Address
+from gentianhub.platform.store import RowsRead, StoredRow
+
+# A leaving target must get no new work after this time, s.
+LEAVING_LIMIT_S = 2.0
+HOSTS, OWNERS = 97, 8
+
+
+class FakeStore:
+    """Counts the requests; the table does not change."""
+
+    def __init__(self):
+        self.requests = 0
+
+    @contextmanager
+    def open(self, host, port):
+        yield self
+
+    def read_rows(self, table):
+        self.requests += 1
+        row = StoredRow(key="t1", value=b"{}", version=1, is_removed=False)
+        return RowsRead(rows=(row,), version=1)
+
+    def follow_rows(self, table, version, wait_s):
+        self.requests += 1
+        return RowsRead(rows=(), version=version)
+
+
+class TestPollInterval(unittest.TestCase):
+    def choose(self, is_owner: bool, has_layout: bool) -> float:
+        return followers.choose_poll_interval_s(is_owner, has_layout)
+
+    def test_an_owner_sees_a_leaving_target_in_time(self):
+        for has_layout in (True, False):
+            self.assertLess(self.choose(True, has_layout), LEAVING_LIMIT_S / 2)
+
+    def test_a_host_that_may_become_the_first_owner_knows_the_targets(self):
+        """The number of cells is written when no new target has registered for 3 s."""
+        self.assertLess(self.choose(False, False), 3.0)
+
+    def test_hosts_without_a_cell_add_little_load(self):
+        """Together they make fewer requests than the owners."""
+        others = (HOSTS - OWNERS) / self.choose(False, True)
+        self.assertLess(others, OWNERS / self.choose(True, True))
+
+
+class TestTableFollower(unittest.TestCase):
+    def test_a_message_ends_the_delay(self):
+        """A new owner would use a list that is up to 20 s old."""
+        store, polls = FakeStore(), Mailbox(limit=1)
+        follower = followers.TableFollower(
+            table="servers",
+            address=Address(host="127.0.0.1", port=1),
+            coordinator=Mailbox(limit=10),
+            report=lambda rows: None,
+            get_wait_s=lambda: 0.0,
+            get_poll_interval_s=lambda: 60.0,
+            polls=polls,
+        )
+        with mock.patch.object(followers, "open_store", store.open):
+            greenlet = gevent.spawn(follower.run)
+            gevent.sleep(0.01)
+            self.assertEqual(1, store.requests)
+            polls.try_put(ms.PollTargets())
+            gevent.sleep(0.01)
+            self.assertEqual(2, store.requests)
+            greenlet.kill()
+
+
+if __name__ == "__main__":
+    unittest.main()
