--- a/gentianhub/soak/faults.py
+++ b/gentianhub/soak/faults.py
@@ -18,6 +18,10 @@
 OPERATOR = "operator"
 LOSS_PROBABILITY = 0.3
 RESTART_PAUSE_S = 0.5
+# Time for restarted hosts to learn the list of targets from others, and for all hosts
+# to read the incomplete one. An owner uses missing targets for 2.5 s.
+START_PAUSE_S = 1.5
+LIST_PAUSE_S = 1.2
 
 
 @define(kw_only=True, eq=False)
@@ -114,6 +118,9 @@
                         gevent.sleep(RESTART_PAUSE_S)
                     gevent.sleep(RESTART_PAUSE_S)
                 yield
+            case faults.LapseTargets():
+                with self._lapsed_targets(fault):
+                    yield
             case faults.PauseHost(host=host):
                 testbed.processes[host].send_signal(signal.SIGSTOP)
                 yield
@@ -139,6 +146,23 @@
                 with self._faulty_target(fault):
                     yield
 
+    @contextmanager
+    def _lapsed_targets(self, fault: faults.LapseTargets) -> Iterator[None]:
+        testbed = self.testbed
+        with self._faulty_store(faults.StoreDown()):
+            for target in fault.targets:
+                testbed.store.remove("servers", target)
+            with self._stopped(list(fault.restarted), signal.SIGKILL):
+                gevent.sleep(RESTART_PAUSE_S)
+            gevent.sleep(START_PAUSE_S)
+            yield
+        gevent.sleep(LIST_PAUSE_S)
+        others = [host for host in testbed.hosts if host not in fault.restarted]
+        with self._stopped(others, signal.SIGTERM):
+            gevent.sleep(RESTART_PAUSE_S)
+        for target in fault.targets:
+            testbed.register_target(target)
+
     @contextmanager
     def _stopped(
         self, hosts: list[str], signal_number: signal.Signals
@@ -226,6 +250,8 @@
     match fault:
         case faults.KillAllHosts() | faults.DrainHostsInTurn():
             return set(testbed.hosts)
+        case faults.LapseTargets(targets=targets):
+            return {STORE, *testbed.hosts, *targets}
         case faults.StoreDown() | faults.StoreSlow() | faults.StoreLosesAnswers():
             return {STORE}
         case faults.ChangeConfiguration():
--- a/gentianhub/soak/plan.py
+++ b/gentianhub/soak/plan.py
@@ -137,6 +137,18 @@
     """The operator adds a queue; it is removed at the end."""
 
 
+@frozen(kw_only=True)
+class LapseTargets:
+    """The store is down while the rows of some targets expire and some hosts restart.
+
+    When it is back, the other hosts drain. The restarted hosts, whose list of targets
+    is incomplete, succeed owners with runs on the missing targets.
+    """
+
+    targets: tuple[str, ...]
+    restarted: tuple[str, ...]
+
+
 Fault = (
     KillHost
     | PauseHost
@@ -158,7 +170,10 @@
     | LoseOrders
     | LeaveTarget
     | ChangeConfiguration
+    | LapseTargets
 )
+# Number of entries for `LapseTargets` among the 23 others, in a run with lapses.
+LAPSE_WEIGHT = 40
 
 
 @frozen(kw_only=True)
@@ -176,6 +191,7 @@
     gap_s: float,
     hosts: tuple[str, ...],
     targets: tuple[str, ...],
+    with_lapses: bool = False,
 ) -> Iterator[PlannedFault]:
     """Yield faults in order of their start; they may overlap.
 
@@ -185,6 +201,8 @@
         Length of the run, s; every fault is scheduled to end before.
     gap_s : float
         Mean time between the starts of two faults, s.
+    with_lapses : bool
+        Whether `LapseTargets` is among the faults; earlier seeds were drawn without it.
     """
     rng = random.Random(f"soak/{seed}")
     start_s = rng.uniform(0.0, gap_s)
@@ -192,7 +210,7 @@
         fault_duration_s = rng.uniform(0.3, 5.0)
         if start_s + fault_duration_s >= duration_s:
             return
-        fault = _draw_fault(rng, hosts, targets)
+        fault = _draw_fault(rng, hosts, targets, with_lapses)
         yield PlannedFault(
             start_s=start_s, fault_duration_s=fault_duration_s, fault=fault
         )
@@ -200,9 +218,19 @@
 
 
 def _draw_fault(
-    rng: random.Random, hosts: tuple[str, ...], targets: tuple[str, ...]
+    rng: random.Random,
+    hosts: tuple[str, ...],
+    targets: tuple[str, ...],
+    with_lapses: bool,
 ) -> Fault:
     host, target = rng.choice(hosts), rng.choice(targets)
+    lapses = ()
+    if with_lapses:
+        lapse = LapseTargets(
+            targets=tuple(rng.sample(targets, len(targets) // 2)),
+            restarted=hosts[rng.randrange(2) :: 2],
+        )
+        lapses = (lapse,) * LAPSE_WEIGHT
     return rng.choice(
         (
             KillHost(host=host),
@@ -228,5 +256,6 @@
             LoseOrders(target=target),
             LeaveTarget(target=target),
             ChangeConfiguration(),
+            *lapses,
         )
     )
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -47,25 +47,33 @@
 PROBE_INTERVAL_S = 0.25
 MAX_PRINTED_VIOLATIONS = 20
 DEFAULT_CALLERS = 16
+# Run time of the tasks on the fastest targets, s. Runs on targets whose rows lapse have
+# to outlast the takeover of their cell.
+RUN_S = 0.04
+LAPSE_RUN_S = 0.15
 
 
 @frozen(kw_only=True)
 class SoakPlan:
     """Size of a run: `callers` callers and `duration_s` seconds with faults.
 
-    `gap_s` is the mean time between the starts of two faults.
+    `gap_s` is the mean time between the starts of two faults. `with_lapses` adds store
+    outages during which the rows of targets expire.
     """
 
     seed: int
     duration_s: float
     callers: int = DEFAULT_CALLERS
     gap_s: float = 1.0
+    with_lapses: bool = False
 
 
 # Seeds that exposed faults in the past; docs/soak.md gives the cause of each.
 REGRESSION_PLANS = (
     SoakPlan(seed=106, duration_s=20.0, gap_s=0.7),
     SoakPlan(seed=201, duration_s=20.0, gap_s=0.7),
+    SoakPlan(seed=520, duration_s=30.0, gap_s=0.7, with_lapses=True),
+    SoakPlan(seed=521, duration_s=30.0, gap_s=0.7, with_lapses=True),
 )
 
 
@@ -145,11 +153,12 @@
         for index, data_centre in enumerate(DATA_CENTRES)
         for number in range(HOSTS_PER_DATA_CENTRE)
     )
+    run_s = LAPSE_RUN_S if plan.with_lapses else RUN_S
     targets = tuple(
         TargetPlan(
             name=f"{data_centre}-t{number}",
             data_centre=data_centre,
-            run_s=0.04 * (1 + number),
+            run_s=run_s * (1 + number),
         )
         for data_centre in DATA_CENTRES
         for number in range(TARGETS_PER_DATA_CENTRE)
@@ -225,7 +234,9 @@
     started_s = time.monotonic()
     hosts, targets = tuple(injector.testbed.hosts), tuple(injector.testbed.targets)
     running = []
-    for planned in plan_faults(plan.seed, plan.duration_s, plan.gap_s, hosts, targets):
+    for planned in plan_faults(
+        plan.seed, plan.duration_s, plan.gap_s, hosts, targets, plan.with_lapses
+    ):
         gevent.sleep(max(0.0, started_s + planned.start_s - time.monotonic()))
         running.append(gevent.spawn(injector.run_fault, planned))
     gevent.joinall(running, raise_error=True)
@@ -262,13 +273,22 @@
     logs: Annotated[
         Path | None, typer.Option(help="Folder in which the logs are kept.")
     ] = None,
+    lapses: Annotated[
+        bool, typer.Option(help="Let rows of targets expire while the store is down.")
+    ] = False,
     regressions: Annotated[
         bool, typer.Option(help="Run the regression seeds instead.")
     ] = False,
 ) -> None:
     """Run hosts under injected faults and check every guarantee."""
     seeded_plans = (
-        SoakPlan(seed=seed, duration_s=seconds, callers=callers, gap_s=gap_s)
+        SoakPlan(
+            seed=seed,
+            duration_s=seconds,
+            callers=callers,
+            gap_s=gap_s,
+            with_lapses=lapses,
+        )
         for seed in range(first_seed, first_seed + seeds)
     )
     failed = [
