--- a/gentianhub/capacity/heartbeat_peers.py
+++ b/gentianhub/capacity/heartbeat_peers.py
@@ -12,8 +12,8 @@
 
 from gentianhub.core import ProcessName
 
-# Number of hosts of a data centre that may own its cells: a minimum, and per cell. Other
-# hosts claim a cell while no candidate is live.
+# Number of hosts of a data centre that may own its cells: a minimum, and per cell.
+# Other hosts claim a cell while no candidate is live.
 MIN_CANDIDATES = 4
 CANDIDATES_PER_CELL = 2
 # Number of owners in each other data centre that a host may send tasks to.
