Announce rare heartbeats after each request between two hosts

Cause: a request makes its receiver expect frequent heartbeats, and the sender expect them of the receiver. A host whose tasks an owner had declined or ended before the next tick, or that cancelled a job unknown to the owner, never sent frequent heartbeats and did not announce the rare ones, so that the live host was taken as lost after 0.6 s and the link was closed. Ruled out: pauses of the processes (other hosts heard the same hosts).

Tests: one in test_front.py and one in test_cells.py; both failed before.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -67,6 +67,7 @@
     jobs: dict[str, FrontJob] = field(init=False, factory=dict)
     owners: dict[Cell, CellOwner] = field(init=False, factory=dict)
     _kept_answers: OrderedDict[str, KeptAnswer] = field(init=False, factory=OrderedDict)
+    _addressed_cells: set[Cell] = field(init=False, factory=set)
 
     def __attrs_post_init__(self):
         self.loads = LoadView(data_centre=self.data_centre)
@@ -92,13 +93,19 @@
             case ev.Tick():
                 yield from self._handle_tick(now_s)
 
-    def find_working_owners(self) -> frozenset[Incarnation]:
-        """Return the owners that have open tasks, or a cancellation to confirm."""
+    def collect_working_owners(self) -> frozenset[Incarnation]:
+        """Return the owners that expect frequent heartbeats of this host.
+
+        They have open tasks or a cancellation to confirm, or have been sent a request
+        since the last call.
+        """
         cells = {
             cell
             for job in self.jobs.values()
             for cell in (*job.assigned_cells.values(), *(job.unconfirmed_cells or ()))
         }
+        cells |= self._addressed_cells
+        self._addressed_cells = set()
         return frozenset(
             self.owners[cell].owner for cell in cells if cell in self.owners
         )
@@ -225,7 +232,13 @@
             may_decline=may_decline,
             is_repeat=is_repeat,
         )
-        return fx.SendToOwner(cell=cell, message=request)
+        return self._address(cell, request)
+
+    def _address(
+        self, cell: Cell, message: ev.RunTasks | ev.CancelTasks
+    ) -> fx.SendToOwner:
+        self._addressed_cells.add(cell)
+        return fx.SendToOwner(cell=cell, message=message)
 
     def _count_waves(self, step) -> int:
         wave_millicores = self.loads.count_total_millicores() * WAVE_CAPACITY_FRACTION
@@ -336,8 +349,7 @@
 
     def _cancel_tasks(self, job: FrontJob) -> Iterator:
         for cell in sorted(job.requested_cells):
-            message = ev.CancelTasks(cell=cell, job=job.job_id)
-            yield fx.SendToOwner(cell=cell, message=message)
+            yield self._address(cell, ev.CancelTasks(cell=cell, job=job.job_id))
 
     def _close_job(
         self, job: FrontJob, verdict: fx.JobVerdict, reason: str
@@ -410,8 +422,7 @@
     def _resend_requests(self, job: FrontJob, cell: Cell, now_s: float) -> Iterator:
         if job.unconfirmed_cells is not None:
             if cell in job.unconfirmed_cells:
-                message = ev.CancelTasks(cell=cell, job=job.job_id)
-                yield fx.SendToOwner(cell=cell, message=message)
+                yield self._address(cell, ev.CancelTasks(cell=cell, job=job.job_id))
             return
         steps: dict[int, list[TaskKey]] = {}
         for key, assigned in job.assigned_cells.items():
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -219,17 +219,27 @@
 
     def test_the_owners_of_open_tasks_are_working(self):
         working = {known.owner for known in self.owners.values()}
-        self.assertEqual(working, self.job_registry.find_working_owners())
+        self.assertEqual(working, self.job_registry.collect_working_owners())
+
+    def test_an_owner_whose_tasks_ended_since_the_last_heartbeat_is(self):
+        """It expects frequent heartbeats since the request, and took this host as lost
+        if none announced the rare ones."""
+        self.end((0,))
+        self.end((1,), cell=REMOTE_CELL)
+        working = {known.owner for known in self.owners.values()}
+        self.assertEqual(working, self.job_registry.collect_working_owners())
+        self.assertEqual(frozenset(), self.job_registry.collect_working_owners())
 
     def test_an_owner_that_has_finished_its_tasks_is_not(self):
+        self.job_registry.collect_working_owners()
         self.end((0,))
         working = {self.owners[REMOTE_CELL].owner}
-        self.assertEqual(working, self.job_registry.find_working_owners())
+        self.assertEqual(working, self.job_registry.collect_working_owners())
 
     def test_an_owner_that_has_to_confirm_a_cancellation_is(self):
         self.end((0,), ev.TaskEnd.EXPIRED, has_started=False)
         working = {known.owner for known in self.owners.values()}
-        self.assertEqual(working, self.job_registry.find_working_owners())
+        self.assertEqual(working, self.job_registry.collect_working_owners())
 
 
 class TestTaskAssignment(FrontTest):
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -37,6 +37,7 @@
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
     _estimates: RunEstimates = field(init=False, factory=lambda: RunEstimates())
+    _requesters: set[Incarnation] = field(init=False, factory=set)
 
     def __attrs_post_init__(self):
         self.connections = TargetConnectionMap(answers=self.answers)
@@ -104,6 +105,7 @@
         self, request: ev.RunTasks | ev.CancelTasks, sender: Incarnation, now_s: float
     ) -> None:
         """Handle a front host's request; ignore one for a cell that is not owned."""
+        self._requesters.add(sender)
         scheduler = self._schedulers.get(request.cell)
         if scheduler is not None:
             self._dispatch_event(scheduler, request, now_s, sender)
@@ -135,9 +137,14 @@
         for scheduler in self._schedulers.values():
             yield scheduler.build_claim(now_s)
 
-    def find_front_hosts(self) -> frozenset[Incarnation]:
-        """Return the front hosts that have or recently had tasks in the cells."""
-        return frozenset(
+    def collect_front_hosts(self) -> frozenset[Incarnation]:
+        """Return the front hosts that expect frequent heartbeats of this host.
+
+        They have or recently had tasks in the cells, or have sent a request since the
+        last call, which may name a job that is not known.
+        """
+        requesters, self._requesters = self._requesters, set()
+        return frozenset(requesters).union(
             front_host
             for scheduler in self._schedulers.values()
             for front_host, _ in scheduler.jobs
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -236,13 +236,13 @@
         self.membership.send_heartbeats(recipients.idle, claims, version, is_idle=True)
 
     def _send_due_heartbeats(self, now_s: float) -> None:
-        owners = self.requests.job_registry.find_working_owners()
+        owners = self.requests.job_registry.collect_working_owners()
         for owner in owners:
             self.membership.ownership.expect_message(owner, now_s)
         recipients = self.membership.find_heartbeat_recipients(
             self._tick_count,
             bool(self.cells),
-            owners | self.cells.find_front_hosts(),
+            owners | self.cells.collect_front_hosts(),
         )
         self._send_heartbeats(recipients, now_s)
 
--- a/gentianhub/host/tests/test_cells.py
+++ b/gentianhub/host/tests/test_cells.py
@@ -54,6 +54,16 @@
         self.cells.update_targets((build_target("t1"), build_target("t2")), 0.0)
 
 
+class TestFrontHosts(OwnedCellsTest):
+    def test_a_host_that_cancels_an_unknown_job_expects_frequent_heartbeats(self):
+        """It took this owner as lost, as none announced the rare ones."""
+        self.cells.handle_task_request(
+            ev.CancelTasks(cell=CELL, job="a"), SUCCESSOR, 0.0
+        )
+        self.assertEqual({SUCCESSOR}, self.cells.collect_front_hosts())
+        self.assertEqual(frozenset(), self.cells.collect_front_hosts())
+
+
 class TestClaims(OwnedCellsTest):
     def test_a_fenced_host_that_claims_again_asks_the_targets_that_it_had(self):
         """An outage of the store had removed some from the list: their runs went on
