Check an open connection once for a request, and collect garbage less often

About 11 ms go to each request with 3.2 tasks. Each start checked its connection twice with poll(), and collections visited all imported modules.

Change: a connection that has just been checked is not checked again; imported objects are exempt from collections, which start after 10,000 allocations.

--- a/gentianhub/host/__main__.py
+++ b/gentianhub/host/__main__.py
@@ -1,5 +1,6 @@
 """Runs one host of a deployment: `python -m gentianhub.host`."""
 
+import gc
 import sys
 
 import gevent
@@ -13,6 +14,9 @@
 )
 from gentianhub.platform.settings import load_host_settings
 
+# Allocations between two collections of the youngest generation. Few objects of a host
+# are part of cycles.
+GC_THRESHOLD = 10_000
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_SERVE = 3
 
@@ -31,6 +35,9 @@
     configure_logging(
         process=str(settings.name), level="info", handler=QueueingHandler(writer=writer)
     )
+    # The imported modules last until the end, so that collections need not visit them.
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     try:
         HostProcess(settings=settings).run()
     except OSError as error:
--- a/gentianhub/web/connection.py
+++ b/gentianhub/web/connection.py
@@ -67,8 +67,10 @@
 
         A connection that was closed by the peer is replaced.
         """
+        self._pool.is_checked = False
         self._pool.return_socket(self._pool.get_socket())
         self._pool.may_have_sent = False
+        self._pool.is_checked = True
 
     def request(
         self,
--- a/gentianhub/web/sockets.py
+++ b/gentianhub/web/sockets.py
@@ -26,6 +26,8 @@
 
     `may_have_sent` is set before the first byte of a request is sent, over any
     socket of the pool, and stays set until it is cleared by the user of the pool.
+    `is_checked` is set by the user if it has just taken the socket and put it back; the
+    next request does not check again whether it is open.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
             network_timeout=reply_timeout_s,
         )
         self.may_have_sent = False
+        self.is_checked = False
 
     def _record_send(self) -> None:
         self.may_have_sent = True
@@ -67,6 +70,9 @@
         """
         if sock is None or sock.fileno() < 0:
             return False
+        if self.is_checked:
+            self.is_checked = False
+            return True
         poller = select.poll()
         poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poller.poll(0)
