Start a task only when its earlier run, which is being stopped, has ended

Cause: a new owner stops runs of earlier owners that no front host has claimed for 0.5 s, and forgot them with the first stop. A request that repeated the task afterwards found no run and started it at once, while the earlier run took up to 50 ms to stop, or went on if the stop was lost. The capacity that the run still used counted as free as well.

Change: such a run stays known until its end is listed or it is no longer listed. A repeated task adopts it and starts again after its end.

Tests: two in test_cell.py; the first failed before.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -319,6 +319,8 @@
         self, state: TargetState, report: ev.RunsReported, now_s: float
     ) -> Iterator:
         listed = {row.key: row for row in report.running}
+        for key in [key for key in state.orphans if key not in listed]:
+            del state.orphans[key]
         for key, row in listed.items():
             run = state.runs.get(key)
             if run is None:
@@ -344,13 +346,16 @@
     def _handle_unknown_run(
         self, state: TargetState, row: ev.RunReport, now_s: float
     ) -> Iterator:
-        """Keep a run of an earlier owner for a grace period; stop any other."""
+        """Keep a run of an earlier owner for a grace period; stop any other.
+
+        A run that is being stopped stays an orphan until it has ended: its task must
+        not start elsewhere before, and it uses capacity of the target.
+        """
         is_assigned = any(row.key in other.runs for other in self.targets.values())
+        state.orphans[row.key] = row.run
         if now_s < self.owner_since_s + ORPHAN_GRACE_S and not is_assigned:
-            state.orphans[row.key] = row.run
             yield OrphanFound(target=state, key=row.key)
             return
-        state.orphans.pop(row.key, None)
         yield fx.StopRun(target=state.entry, key=row.key, run=row.run, term=self.term)
 
     def _retry_renewal(self, missed: ev.RenewalMissed, now_s: float) -> Iterator:
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -305,6 +305,32 @@
         self.assertEqual([], find_starts(effects))
         self.assertEqual([ev.TaskEnd.DONE], [e.end for e in find_ends(effects)])
 
+    def test_a_task_waits_for_the_end_of_its_earlier_run_that_is_being_stopped(self):
+        """A front host that repeated its request late had its task started while the
+        unclaimed run of the earlier owner still took 50 ms to stop."""
+        driver = SchedulerDriver([build_target("t1"), build_target("t2")])
+        row = ev.RunReport(key=build_key("a"), run=1, percent=10)
+        driver.report("t1", running=(row,))
+        driver.now_s += ORPHAN_GRACE_S + 0.01
+        self.assertEqual(1, len(find_stops(driver.report("t1", running=(row,)))))
+        driver.now_s = bound_lease_expiry(0.0) + 1.0
+        driver.report("t1", running=(row,))
+        request = build_request("a", is_repeat=True, deadline_in_s=9.0, stretch=50.0)
+        self.assertEqual([], find_starts(driver.feed(request)))
+        driver.now_s += 0.05
+        end = ev.EndReport(number=1, key=row.key, run=1, end=ev.RunEnd.STOPPED)
+        self.assertEqual(1, len(find_starts(driver.report("t1", ended=(end,)))))
+
+    def test_a_stopped_run_that_is_no_longer_listed_blocks_nothing(self):
+        driver = SchedulerDriver([build_target("t1")])
+        row = ev.RunReport(key=build_key("a"), run=1, percent=10)
+        driver.report("t1", running=(row,))
+        driver.now_s += ORPHAN_GRACE_S + 0.01
+        driver.report("t1", running=(row,))
+        driver.now_s += 0.1
+        driver.report("t1")
+        self.assertEqual(1, len(find_starts(driver.feed(build_request("b")))))
+
     def test_runs_that_no_front_host_claims_are_stopped(self):
         driver = SchedulerDriver()
         driver.list_targets(build_target("t1"))
