Ignore a decline that crosses a repeated request

A front host sends tasks that an owner may decline; the link is replaced, and it repeats them, no longer to be declined. The owner declines the first request, forgets its tasks and accepts the second one. The front host takes the decline as valid and sends the tasks to another cell, so that both run them. Ruled out: two owners of one cell (the runs are in different data centres), the earlier run that is being stopped (both runs are run 1).

Change: the front host ignores a decline of tasks whose last request the owner may not decline.

Test: test_a_decline_that_crosses_a_repeated_request_is_ignored in test_front.py failed before (the tasks went to the other cell).

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -208,6 +208,10 @@
         now_s: float,
         is_repeat: bool = False,
     ) -> fx.SendToOwner:
+        if may_decline:
+            job.binding_keys.difference_update(keys)
+        else:
+            job.binding_keys.update(keys)
         step = job.job.steps[number]
         earlier_s = sum(
             other.estimate_s * job.route.stretch
@@ -258,6 +262,9 @@
             for index in event.indexes
         ]
         keys = [key for key in keys if job.assigned_cells.get(key) == event.cell]
+        if event.end is ev.TaskEnd.DECLINED:
+            # The owner has declined an earlier request and runs the repeated one.
+            keys = [key for key in keys if key not in job.binding_keys]
         if not keys or job.unconfirmed_cells is not None:
             return
         for key in keys:
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -75,6 +75,7 @@
     while no owner is known. `requested_cells` are the cells that may have started a
     task. `offer_counts` counts how often each task was sent. `done_counts` counts the
     tasks done in each step. `released_steps` are the steps whose tasks have been sent.
+    `binding_keys` are the tasks whose last request the owner may not decline.
     `unconfirmed_cells` are the cells that have yet to confirm a cancellation, or None
     if none has been requested.
     """
@@ -90,6 +91,7 @@
     offer_counts: dict[TaskKey, int] = field(factory=dict)
     done_counts: dict[int, int] = field(factory=dict)
     released_steps: set[int] = field(factory=set)
+    binding_keys: set[TaskKey] = field(factory=set)
     has_started: bool = False
     unconfirmed_cells: set[Cell] | None = None
     confirmation_deadline_s: float = 0.0
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -255,6 +255,23 @@
         again = find_requests(self.end((0,), ev.TaskEnd.DECLINED))
         self.assertEqual([REMOTE_CELL], [request.cell for request in again])
 
+    def test_a_decline_that_crosses_a_repeated_request_is_ignored(self):
+        """The owner runs the tasks of the repeated request, which it may not decline;
+        they ran in another cell as well."""
+        owners = {cell: build_owner(cell, 60) for cell in (LOCAL_CELL, REMOTE_CELL)}
+        self.feed(OwnersChanged(owners=owners))
+        (request,) = find_requests(self.submit(build_step(count=2)))
+        self.assertTrue(request.may_decline)
+        (repeated,) = find_requests(
+            self.job_registry.resend_requests(request.cell, self.now_s)
+        )
+        self.assertFalse(repeated.may_decline)
+        declined = self.end((0, 1), ev.TaskEnd.DECLINED, has_started=False)
+        self.assertEqual([], find_requests(declined))
+        self.assertEqual(
+            [fx.JobVerdict.COMPLETED], find_verdicts(self.end((0, 1), cell=LOCAL_CELL))
+        )
+
     def test_open_tasks_are_sent_again_to_a_new_owner(self):
         self.submit()
         changed = OwnersChanged(
