Name the tasks that are lost with a target in the logs

Change: 'target silent', 'leases lapsed' and 'target restarted' name up to 16 tasks; 'target silent' says whether the connection was refused; 'target listed' gives the address. The tracker says why a run is lost (LossCause), and its events have a module of their own. Shown by test_the_log_names_the_tasks_that_are_lost_with_a_target, which fails without the change (no key 'tasks'). No decision changes.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -222,10 +222,14 @@
 
 @frozen(kw_only=True)
 class TargetSilent:
-    """A target did not answer the retry of a renewal, or is unreachable."""
+    """A target did not answer the retry of a renewal, or is unreachable.
+
+    `is_refused` is set if it refused the connection, so that it is not only late.
+    """
 
     target: str
     reason: str
+    is_refused: bool = False
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -10,7 +10,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity import target_tracker as tt
+from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.leases import LEASE_S, bound_lease_expiry
@@ -18,6 +18,7 @@
 from gentianhub.capacity.placement import PlacementRound
 from gentianhub.capacity.reports import Reporter
 from gentianhub.capacity.succession import Handover, HandoverKind
+from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
 from gentianhub.capacity.tasks import CellJob, CellTask
 from gentianhub.capacity.turnover import SlotTurnover
@@ -68,7 +69,7 @@
     owner_since_s: float
     handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
     estimates: RunEstimates = field(factory=lambda: RunEstimates())
-    tracker: tt.TargetTracker = field(init=False)
+    tracker: TargetTracker = field(init=False)
     reporter: Reporter = field(init=False)
     load: CellLoad = field(init=False)
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
@@ -81,7 +82,7 @@
     def __attrs_post_init__(self):
         self.reporter = Reporter(cell=self.cell, term=self.term)
         self.load = CellLoad(cell=self.cell, term=self.term)
-        self.tracker = tt.TargetTracker(
+        self.tracker = TargetTracker(
             cell=self.cell,
             term=self.term,
             owner_since_s=self.owner_since_s,
@@ -269,9 +270,9 @@
         """Yield effects unchanged, and apply the tracker's events to the tasks."""
         for item in items:
             match item:
-                case tt.TargetUsable():
+                case te.TargetUsable():
                     self._may_start = True
-                case tt.RunEnded(target=target, run=run, end=end):
+                case te.RunEnded(target=target, run=run, end=end):
                     self._may_start = True
                     self.turnover.record_end(now_s)
                     task = self._detach_run(run)
@@ -279,20 +280,20 @@
                     if end is ev.RunEnd.FAILED:
                         task.avoid(target.name)
                     yield from self._end_run(task, end, now_s)
-                case tt.RunLost(target=target, run=run, has_run=has_run):
+                case te.RunLost(target=target, run=run, cause=cause):
                     self._may_start = True
                     task = self._detach_run(run)
-                    if not has_run:
+                    if cause is te.LossCause.NOT_STARTED:
                         task.job.possible_runs -= 1
                     task.avoid(target.name)
                     yield from self._end_run(task, ev.RunEnd.LEASE_EXPIRED, now_s)
-                case tt.RunStalled(target=target, run=run):
+                case te.RunStalled(target=target, run=run):
                     self._started_tasks[run.key].avoid(target.name)
-                case tt.StartRefused(target=target, run=run, verdict=verdict):
+                case te.StartRefused(target=target, run=run, verdict=verdict):
                     yield from self._handle_refused_start(target, run, verdict, now_s)
-                case tt.OrphanFound(target=target, key=key):
+                case te.OrphanFound(target=target, key=key):
                     self._assign_orphan(target, key, now_s)
-                case tt.RunsDiscovered():
+                case te.RunsDiscovered():
                     yield from self._release_blocked(now_s)
                 case _:
                     yield item
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -5,12 +5,13 @@
 """
 
 from collections.abc import Iterator
+from typing import Any
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.jobs import Cell, ListedTarget, TaskKey, format_task_key
+from gentianhub.capacity.jobs import Cell, ListedTarget, format_task_key
 from gentianhub.capacity.leases import (
     HANDOVER_NOTICE_S,
     LEASE_S,
@@ -19,6 +20,17 @@
 )
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.targets import Run, RunPhase, TargetPhase, TargetState
+from gentianhub.capacity.tracker_events import (
+    LossCause,
+    OrphanFound,
+    RunEnded,
+    RunLost,
+    RunsDiscovered,
+    RunStalled,
+    StartRefused,
+    TargetUsable,
+    TrackerEvent,
+)
 
 # A new owner keeps runs of an earlier one that no front host has claimed for this long.
 ORPHAN_GRACE_S = 0.5
@@ -31,73 +43,8 @@
 # expected time, whichever is longer.
 STALL_TIMEOUT_S = 0.4
 STALL_FRACTION = 0.4
-
-
-@frozen(kw_only=True)
-class RunEnded:
-    """A target has listed a run as ended; its capacity is free."""
-
-    target: TargetState
-    run: Run
-    end: ev.RunEnd
-
-
-@frozen(kw_only=True)
-class RunLost:
-    """A run does not exist, or cannot exist any more; its capacity is free.
-
-    `has_run` is false if the target has provably never started it.
-    """
-
-    target: TargetState
-    run: Run
-    has_run: bool = True
-
-
-@frozen(kw_only=True)
-class RunStalled:
-    """A run makes no progress and is being stopped."""
-
-    target: TargetState
-    run: Run
-
-
-@frozen(kw_only=True)
-class StartRefused:
-    """A target has refused to start a run; its capacity is free."""
-
-    target: TargetState
-    run: Run
-    verdict: ev.StartVerdict
-
-
-@frozen(kw_only=True)
-class OrphanFound:
-    """A target lists a run of an earlier owner."""
-
-    target: TargetState
-    key: TaskKey
-
-
-@frozen(kw_only=True)
-class RunsDiscovered:
-    """A target has listed its runs to this owner for the first time."""
-
-
-@frozen(kw_only=True)
-class TargetUsable:
-    """A target may get tasks that it could not get before."""
-
-
-TrackerEvent = (
-    RunEnded
-    | RunLost
-    | RunStalled
-    | StartRefused
-    | OrphanFound
-    | RunsDiscovered
-    | TargetUsable
-)
+# Most tasks that one log line names.
+MAX_LOGGED_TASKS = 16
 
 
 @define(kw_only=True, eq=False)
@@ -219,7 +166,10 @@
             state = TargetState(entry=target)
             self.targets[target.name] = state
             yield self._log_decision(
-                "target listed", target.name, leaving=target.is_leaving
+                "target listed",
+                target.name,
+                address=f"{target.host}:{target.port}",
+                leaving=target.is_leaving,
             )
             yield self._renew(state, now_s)
             return
@@ -276,12 +226,11 @@
             yield self._log_decision("target answers", state.name, runs=len(state.runs))
         if state.incarnation not in (None, report.incarnation):
             yield self._log_decision(
-                "target restarted", state.name, runs=len(state.runs)
+                "target restarted", state.name, **_describe_runs(state)
             )
+            yield from self._mark_target_lost(state, LossCause.TARGET_RESTARTED)
             state.acknowledged_end = 0
-            state.orphans.clear()
             state.unclaimed_ends.clear()
-            yield from self._mark_runs_lost(state)
         state.last_report_s = now_s
         is_first = state.phase is TargetPhase.AWAITING_REPORT
         was_unusable = state.phase is not TargetPhase.READY or bool(state.orphans)
@@ -336,12 +285,12 @@
                 yield self.stop_run(state, run, now_s)
             elif run.stopped_s < report.sent_s:
                 # A start that was executed would be listed as running or ended.
-                yield from self._mark_run_lost(state, run, has_run=False)
+                yield self._mark_run_lost(state, run, LossCause.NOT_STARTED)
             elif run.confirmed_s < report.sent_s:
                 yield self._log_decision(
                     "run missing", format_task_key(run.key), target=state.name
                 )
-                yield from self._mark_run_lost(state, run)
+                yield self._mark_run_lost(state, run, LossCause.MISSING)
 
     def _handle_unknown_run(
         self, state: TargetState, row: ev.RunReport, now_s: float
@@ -375,7 +324,11 @@
             return
         if state.phase is not TargetPhase.SILENT:
             yield self._log_decision(
-                "target silent", state.name, reason=event.reason, runs=len(state.runs)
+                "target silent",
+                state.name,
+                reason=event.reason,
+                refused=event.is_refused,
+                **_describe_runs(state),
             )
         state.phase = TargetPhase.SILENT
         yield self._renew(state, now_s)
@@ -419,15 +372,15 @@
             run.stopped_s = now_s
             yield self._list_runs(state)
 
-    def _mark_runs_lost(self, state: TargetState) -> Iterator:
+    def _mark_target_lost(self, state: TargetState, cause: LossCause) -> Iterator:
+        """Mark all runs of a target as lost, those of earlier owners included."""
+        state.orphans.clear()
         for run in list(state.runs.values()):
-            yield from self._mark_run_lost(state, run)
+            yield self._mark_run_lost(state, run, cause)
 
-    def _mark_run_lost(
-        self, state: TargetState, run: Run, has_run: bool = True
-    ) -> Iterator:
+    def _mark_run_lost(self, state: TargetState, run: Run, cause: LossCause) -> RunLost:
         state.remove_run(run.key)
-        yield RunLost(target=state, run=run, has_run=has_run)
+        return RunLost(target=state, run=run, cause=cause)
 
     # Time-outs
 
@@ -436,10 +389,9 @@
             if state.phase is TargetPhase.SILENT and now_s > state.lease_expiry_s:
                 if state.runs:
                     yield self._log_decision(
-                        "leases lapsed", state.name, runs=len(state.runs)
+                        "leases lapsed", state.name, **_describe_runs(state)
                     )
-                state.orphans.clear()
-                yield from self._mark_runs_lost(state)
+                yield from self._mark_target_lost(state, LossCause.LEASE_EXPIRED)
             if state.phase is TargetPhase.READY:
                 yield from self._check_runs(state, now_s)
             yield from self._remove_target(state, now_s)
@@ -469,6 +421,15 @@
         )
 
 
+def _describe_runs(state: TargetState) -> dict[str, Any]:
+    """Return the runs of a target for a log line."""
+    keys = [*state.runs, *(key for key in state.orphans if key not in state.runs)]
+    return {
+        "runs": len(keys),
+        "tasks": [format_task_key(key) for key in keys[:MAX_LOGGED_TASKS]],
+    }
+
+
 def _update_progress(run: Run, row: ev.RunReport, now_s: float) -> None:
     if run.phase in (RunPhase.STARTING, RunPhase.UNCERTAIN):
         run.phase = RunPhase.RUNNING
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.effects import LogDecision
 from gentianhub.capacity.leases import LEASE_S, bound_lease_expiry
 from gentianhub.capacity.target_tracker import ORPHAN_GRACE_S, STALL_TIMEOUT_S
 from gentianhub.capacity.tests.builders import (
@@ -70,6 +71,21 @@
         self.assertGreater(second.run, first.run)
 
 
+class TestDecisionLog(unittest.TestCase):
+    def test_the_log_names_the_tasks_that_are_lost_with_a_target(self):
+        """Which task had crashed a target could not be told from the logs."""
+        driver = SchedulerDriver([build_target("t1")])
+        driver.feed(build_request("a", build_step(count=2)))
+        refused = ev.TargetSilent(target="t1", reason="refused", is_refused=True)
+        effects = driver.feed(refused)
+        driver.now_s += 1.0
+        effects += driver.feed(ev.Tick())
+        logged = {e.decision: e.inputs for e in effects if isinstance(e, LogDecision)}
+        self.assertTrue(logged["target silent"]["refused"])
+        for decision in ("target silent", "leases lapsed"):
+            self.assertEqual(["a/0/0", "a/0/1"], logged[decision]["tasks"])
+
+
 class TestAtMostOneRun(unittest.TestCase):
     def test_runs_on_a_silent_target_are_not_repeated_before_their_leases_expire(self):
         """A target that is partitioned continues its runs until its lease expires."""
--- /dev/null
+++ b/gentianhub/capacity/tracker_events.py
@@ -0,0 +1,82 @@
+"""Events about targets and runs, from the tracker to the scheduler of a cell."""
+
+import enum
+
+from attrs import frozen
+
+from gentianhub.capacity import events as ev
+from gentianhub.capacity.jobs import TaskKey
+from gentianhub.capacity.targets import Run, TargetState
+
+
+@frozen(kw_only=True)
+class RunEnded:
+    """A target has listed a run as ended; its capacity is free."""
+
+    target: TargetState
+    run: Run
+    end: ev.RunEnd
+
+
+class LossCause(enum.Enum):
+    """Why a run does not exist, or cannot exist any more."""
+
+    NOT_STARTED = "not_started"
+    MISSING = "missing"
+    LEASE_EXPIRED = "lease_expired"
+    TARGET_RESTARTED = "target_restarted"
+
+
+@frozen(kw_only=True)
+class RunLost:
+    """A run does not exist, or cannot exist any more; its capacity is free."""
+
+    target: TargetState
+    run: Run
+    cause: LossCause
+
+
+@frozen(kw_only=True)
+class RunStalled:
+    """A run makes no progress and is being stopped."""
+
+    target: TargetState
+    run: Run
+
+
+@frozen(kw_only=True)
+class StartRefused:
+    """A target has refused to start a run; its capacity is free."""
+
+    target: TargetState
+    run: Run
+    verdict: ev.StartVerdict
+
+
+@frozen(kw_only=True)
+class OrphanFound:
+    """A target lists a run of an earlier owner."""
+
+    target: TargetState
+    key: TaskKey
+
+
+@frozen(kw_only=True)
+class RunsDiscovered:
+    """A target has listed its runs to this owner for the first time."""
+
+
+@frozen(kw_only=True)
+class TargetUsable:
+    """A target may get tasks that it could not get before."""
+
+
+TrackerEvent = (
+    RunEnded
+    | RunLost
+    | RunStalled
+    | StartRefused
+    | OrphanFound
+    | RunsDiscovered
+    | TargetUsable
+)
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -186,10 +186,15 @@
                 return self._build_target_silent(f"status {status}")
             return self._decode_report(answer, sent_s)
         except HTTP_ERRORS as error:
-            return self._build_target_silent(repr(error))
-
-    def _build_target_silent(self, reason: str) -> ev.TargetSilent:
-        return ev.TargetSilent(target=self.target.name, reason=f"{reason:.120}")
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return self._build_target_silent(repr(error), is_refused)
+
+    def _build_target_silent(
+        self, reason: str, is_refused: bool = False
+    ) -> ev.TargetSilent:
+        return ev.TargetSilent(
+            target=self.target.name, reason=f"{reason:.120}", is_refused=is_refused
+        )
 
     def _decode_report(self, answer: dict, sent_s: float) -> ev.RunsReported:
         return ev.RunsReported(
