--- a/gentianhub/capacity/tests/lossy_targets.py
+++ b/gentianhub/capacity/tests/lossy_targets.py
@@ -8,6 +8,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import AnswerTimes
 from gentianhub.capacity.tests.builders import (
+    FRONT_HOST,
     SchedulerDriver,
     build_request,
     build_step,
@@ -32,11 +33,13 @@
     def __init__(self, seed: int, targets: int, unanswered_probability: float):
         self.random = random.Random(seed)
         self.unanswered_probability = unanswered_probability
-        targets = [build_target(f"t{number}") for number in range(targets)]
-        self.driver = SchedulerDriver(targets)
-        self.answer_times = {target.name: AnswerTimes() for target in targets}
-        self.running = {target.name: {} for target in targets}
-        self.ended = {target.name: [] for target in targets}
+        self.entries = {}
+        self.answer_times = {}
+        self.running = {}
+        self.ended = {}
+        for number in range(targets):
+            self.add_target(build_target(f"t{number}", port=8000 + number))
+        self.driver = SchedulerDriver(list(self.entries.values()))
         self.queue = []
         self.sequence = itertools.count()
         self.submitted_s = {}
@@ -46,6 +49,15 @@
         self.reported_unstarted = set()
         self.executed = set()
 
+    def add_target(self, entry) -> None:
+        self.entries[entry.name] = entry
+        self.answer_times[entry.name] = AnswerTimes()
+        self.running[entry.name] = {}
+        self.ended[entry.name] = []
+
+    def list_targets(self) -> None:
+        self.feed(ev.TargetsListed(targets=tuple(self.entries.values())))
+
     def schedule(self, delay_s: float, action, *arguments) -> None:
         at_s = self.driver.now_s + delay_s
         heapq.heappush(self.queue, (at_s, next(self.sequence), action, arguments))
@@ -81,8 +93,8 @@
         )
         return in_time / len(jobs)
 
-    def feed(self, event) -> None:
-        for effect in self.driver.feed(event):
+    def feed(self, event, front_host=None) -> None:
+        for effect in self.driver.feed(event, front_host or FRONT_HOST):
             match effect:
                 case fx.StartRun() | fx.StopRun() | fx.ListRuns():
                     self.send(effect)
@@ -150,7 +162,7 @@
     def build_report(self, name: str, sent_s: float) -> ev.RunsReported:
         return ev.RunsReported(
             target=name,
-            incarnation=1,
+            incarnation=self.entries[name].incarnation,
             sent_s=sent_s,
             running=tuple(
                 ev.RunReport(key=key, run=run, percent=50)
