Give up tasks that crash their targets, and keep their neighbours

What callers saw: one task of a job crashed target after target, as often as its deadline allowed, and every crash took the runs of other jobs with it. Cause: a lost run was put back into the queue without a record of how it was lost; only ends 'failed' were counted. Ruled out: a limit for each task alone. Two to five runs are lost with a target, and under load a neighbour is lost twice, so it would fail jobs that can be done. Change: a ledger of lost targets and the tasks on them (capacity/losses.py). A task that was on a lost target runs alone from then on. A task that was on two lost targets, on one of them alone, is the cause: it is not started again, and ends as 'crashed', so that its job fails, once both targets have provably restarted (another incarnation under the name or at the address). Until then its job ends as interrupted, as a silent target may also be cut off. Targets for tasks that run alone are at most a quarter, and are kept free so that such a task does not wait as long as there is load. After a takeover, repeated tasks that were found nowhere may have run on the targets that never answered.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -9,6 +9,7 @@
     CancelTasks,
     CellTargets,
     RunTasks,
+    TargetLoss,
     TasksEnded,
 )
 from gentianhub.capacity.jobs import Cell, ListedTarget, TaskKey
@@ -80,6 +81,13 @@
     message: CellTargets
 
 
+@frozen(kw_only=True)
+class AnnounceLoss:
+    """Announce the loss of a target, or its outcome, to the other owners."""
+
+    loss: TargetLoss
+
+
 @frozen(kw_only=True)
 class SendToFront:
     """Send a report about tasks to a front host."""
@@ -137,6 +145,7 @@
     | ListRuns
     | CloseTarget
     | AnnounceTargets
+    | AnnounceLoss
     | SendToFront
     | LogDecision
 )
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -50,13 +50,19 @@
 
 
 class TaskEnd(enum.Enum):
-    """Outcome of a task, as reported to its front host."""
+    """Outcome of a task, as reported to its front host.
+
+    A `CRASHED` task has crashed the targets that started it. A `LOST` task may have run
+    on a target that is lost, and cannot be started again in time.
+    """
 
     DONE = "done"
     FAILED = "failed"
     DECLINED = "declined"
     EXPIRED = "expired"
     CANCELLED = "cancelled"
+    CRASHED = "crashed"
+    LOST = "lost"
 
 
 @frozen(kw_only=True)
@@ -133,6 +139,53 @@
     is_complete: bool = False
 
 
+class LossOutcome(enum.Enum):
+    """Whether a lost target has crashed; open until it, or its successor, is seen."""
+
+    OPEN = "open"
+    CRASHED = "crashed"
+    SURVIVED = "survived"
+
+
+@frozen(kw_only=True)
+class TargetLoss:
+    """A target was lost while it ran tasks.
+
+    `loss_id` is unique. `host` and `port` are the target's address, and `incarnation`
+    is 0 if the target tells none. `is_complete` is set if `tasks` are all that can have
+    run there. `age_s` is the time since the loss, at the sending of this message.
+    """
+
+    loss_id: str
+    cell: Cell
+    target: str
+    host: str
+    port: int
+    incarnation: int
+    tasks: tuple[TaskKey, ...]
+    is_complete: bool = True
+    age_s: float = 0.0
+    outcome: LossOutcome = LossOutcome.OPEN
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether only one task was running on the target."""
+        return self.is_complete and len(self.tasks) == 1
+
+
+@frozen(kw_only=True)
+class TargetLosses:
+    """An owner's announcement of losses, so that they outlive the owner.
+
+    It goes to the other owners and to the hosts that may succeed the sender. An owner
+    passes on those that it did not know, with `is_passed_on` set, to the hosts that may
+    succeed it in turn.
+    """
+
+    losses: tuple[TargetLoss, ...]
+    is_passed_on: bool = False
+
+
 @frozen(kw_only=True)
 class ConfigurationRequest:
     """Request for a configuration that is newer than the sender's."""
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -283,6 +283,14 @@
                 job.has_started = True
                 reason = "a task has used up its attempts"
                 yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
+            case ev.TaskEnd.CRASHED:
+                job.has_started = True
+                reason = "a task has crashed the targets that ran it"
+                yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
+            case ev.TaskEnd.LOST:
+                job.has_started = True
+                reason = "a task was lost with its target"
+                yield from self._close_job(job, fx.JobVerdict.INTERRUPTED, reason)
             case ev.TaskEnd.EXPIRED:
                 yield from self._abandon_job(
                     job, "no capacity before the deadline", now_s
@@ -307,9 +315,9 @@
         task has since been sent to the current owner.
         """
         match event.end:
-            case ev.TaskEnd.DONE | ev.TaskEnd.FAILED:
+            case ev.TaskEnd.DONE | ev.TaskEnd.FAILED | ev.TaskEnd.CRASHED:
                 return True
-            case ev.TaskEnd.DECLINED | ev.TaskEnd.EXPIRED | ev.TaskEnd.CANCELLED:
+            case _:
                 known = self.owners.get(event.cell)
                 return known is not None and known.claim.term == event.term
 
--- a/gentianhub/capacity/placement.py
+++ b/gentianhub/capacity/placement.py
@@ -5,6 +5,8 @@
 speed the one with the least capacity left over (best fit).
 """
 
+from collections.abc import Iterable
+
 from attrs import define, field
 
 from gentianhub.capacity.jobs import JobStep
@@ -16,6 +18,9 @@
 # Factor on the run time of a task that does not run in the rack of its data, if the
 # platform specifies none.
 REMOTE_DATA_FACTOR = 2.0
+# Largest fraction of the targets that are used or kept free for tasks that run alone.
+# After the loss of many targets there are many of them, and other work goes on.
+MAX_EXCLUSIVE_FRACTION = 0.25
 
 
 @define(kw_only=True, eq=False)
@@ -28,9 +33,47 @@
     with the load.
     """
 
-    usable: list[TargetState]
+    targets: Iterable[TargetState]
+    now_s: float
+    usable: list[TargetState] = field(init=False)
+    _exclusive_left: int = field(init=False)
     _too_large: list[tuple[str, Resources]] = field(init=False, factory=list)
 
+    def __attrs_post_init__(self):
+        targets = list(self.targets)
+        self.usable = [t for t in targets if t.is_usable(self.now_s)]
+        in_use = sum(target.exclusive_task is not None for target in targets)
+        limit = max(1, round(MAX_EXCLUSIVE_FRACTION * len(targets)))
+        self._exclusive_left = limit - in_use
+
+    def choose_exclusive_target(
+        self, step: JobStep, service: str, avoided: frozenset[str]
+    ) -> TargetState | None:
+        """Return the best idle target for a task that has to run alone, or None.
+
+        If none is idle, the one that will be soonest gets no other task in this round,
+        so that the task does not wait for as long as there is load.
+        """
+        if self._exclusive_left <= 0:
+            return None
+        suitable = [
+            target
+            for target in self.usable
+            if target.entry.service == service
+            and step.demand.fits_in(target.entry.capacity)
+            and (target.runs or meets_constraints(target, step))
+        ]
+        if not suitable:
+            return None
+        self._exclusive_left -= 1
+        idle = [target for target in suitable if not target.runs]
+        if idle:
+            chosen = min(idle, key=lambda t: rank_target(t, step, avoided))
+        else:
+            chosen = min(suitable, key=lambda t: t.predict_idle_s())
+        self.usable.remove(chosen)
+        return chosen if idle else None
+
     def choose_target(
         self, step: JobStep, service: str, avoided: frozenset[str]
     ) -> TargetState | None:
--- a/gentianhub/capacity/reports.py
+++ b/gentianhub/capacity/reports.py
@@ -30,21 +30,24 @@
         )
         return SendToFront(front_host=first.job.front_host, message=message)
 
-    def build_cancelled_refusal(self, request: RunTasks, job: CellJob) -> SendToFront:
-        """Return the refusal of a request for a job that has been cancelled.
-
-        The owner considered the front host lost and cancelled its jobs.
-        """
+    def build_refusal(
+        self,
+        request: RunTasks,
+        front_host: Incarnation,
+        end: TaskEnd,
+        has_started: bool,
+    ) -> SendToFront:
+        """Return the refusal of all tasks of a request."""
         message = TasksEnded(
             cell=self.cell,
             term=self.term,
             job=request.job,
             step_number=request.step_number,
             indexes=request.indexes,
-            end=TaskEnd.EXPIRED,
-            has_started=job.has_started,
+            end=end,
+            has_started=has_started,
         )
-        return SendToFront(front_host=job.front_host, message=message)
+        return SendToFront(front_host=front_host, message=message)
 
     def build_cancel_confirmation(
         self, name: str, front_host: Incarnation, job: CellJob | None
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -15,9 +15,11 @@
 from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.leases import LEASE_S, bound_lease_expiry
 from gentianhub.capacity.load import CellLoad
+from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.placement import PlacementRound
 from gentianhub.capacity.reports import Reporter
 from gentianhub.capacity.succession import Handover, HandoverKind
+from gentianhub.capacity.suspects import Suspects
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
 from gentianhub.capacity.tasks import CellJob, CellTask
@@ -62,6 +64,8 @@
         Monotonic time at which this host became the owner, in seconds.
     handover : Handover
         What is known about the targets of earlier owners.
+    losses : LossLedger
+        The losses of targets that this host knows of, in all cells.
     """
 
     cell: Cell
@@ -69,9 +73,11 @@
     owner_since_s: float
     handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
     estimates: RunEstimates = field(factory=lambda: RunEstimates())
+    losses: LossLedger = field(factory=lambda: LossLedger())
     tracker: TargetTracker = field(init=False)
     reporter: Reporter = field(init=False)
     load: CellLoad = field(init=False)
+    suspects: Suspects = field(init=False)
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
     waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
@@ -82,6 +88,7 @@
     def __attrs_post_init__(self):
         self.reporter = Reporter(cell=self.cell, term=self.term)
         self.load = CellLoad(cell=self.cell, term=self.term)
+        self.suspects = Suspects(cell=self.cell, term=self.term, losses=self.losses)
         self.tracker = TargetTracker(
             cell=self.cell,
             term=self.term,
@@ -143,13 +150,22 @@
         if job is None:
             job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
             self.jobs[(front_host, request.job)] = job
-        if job.is_cancelled:
-            yield self.reporter.build_cancelled_refusal(request, job)
-            return
         keys = [
             TaskKey(job=request.job, step=request.step_number, index=index)
             for index in request.indexes
         ]
+        end = self.suspects.find_end(keys)
+        if end is not None:
+            yield self.suspects.log_given_up(keys, end)
+            yield self.reporter.build_refusal(request, front_host, end, True)
+            yield from self._cancel_job(job, now_s)
+            return
+        if job.is_cancelled:
+            # The owner considered the front host lost and cancelled its jobs.
+            yield self.reporter.build_refusal(
+                request, front_host, ev.TaskEnd.EXPIRED, job.has_started
+            )
+            return
         new_keys = [key for key in keys if key not in job.tasks]
         self.load.record_demand(request.step)
         yield from self._resend_ends(job, [k for k in keys if k in job.tasks])
@@ -220,6 +236,7 @@
             phase=RunPhase.RUNNING,
             confirmed_s=now_s,
             progress_s=now_s,
+            is_exclusive=self.suspects.has_to_run_alone(task.key),
         )
         target.add_run(run)
         task.target, task.last_run = target.name, number
@@ -287,6 +304,11 @@
                         task.job.possible_runs -= 1
                     task.avoid(target.name)
                     yield from self._end_run(task, ev.RunEnd.LEASE_EXPIRED, now_s)
+                case te.TargetLost():
+                    repeated = [t.key for t in self._blocked if t.request.is_repeat]
+                    yield from self.suspects.record_loss(item, repeated, now_s)
+                case te.TargetAnswered():
+                    yield from self.suspects.resolve_losses(item, now_s)
                 case te.RunStalled(target=target, run=run):
                     self._started_tasks[run.key].avoid(target.name)
                 case te.StartRefused(target=target, run=run, verdict=verdict):
@@ -388,25 +410,34 @@
         self._may_start = False
         if not self.waiting:
             return
-        placement = PlacementRound(
-            usable=[t for t in self.targets.values() if t.is_usable(now_s)]
-        )
+        placement = PlacementRound(targets=self.targets.values(), now_s=now_s)
         skipped = []
+        skipped_suspects = []
         for task in self.waiting.pop_ordered(now_s):
             if task.is_too_late(now_s):
                 yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
                 yield from self._cancel_job(task.job, now_s)
                 continue
-            target = placement.choose_target(
-                task.step, task.request.service, task.avoided
+            end = self.suspects.find_end([task.key])
+            if end is not None:
+                yield self.suspects.log_given_up([task.key], end)
+                yield from self._end_task(task, end, now_s)
+                yield from self._cancel_job(task.job, now_s)
+                continue
+            is_suspect = self.suspects.has_to_run_alone(task.key)
+            choose_target = (
+                placement.choose_exclusive_target
+                if is_suspect
+                else placement.choose_target
             )
+            target = choose_target(task.step, task.request.service, task.avoided)
             if target is not None:
-                yield self._start_task(task, target, now_s)
+                yield self._start_task(task, target, now_s, is_suspect)
                 continue
-            skipped.append(task)
+            (skipped_suspects if is_suspect else skipped).append(task)
             if len(skipped) >= MAX_SKIPPED_TASKS:
                 break
-        for task in skipped:
+        for task in skipped + skipped_suspects:
             self.waiting.push(task, now_s)
 
     def _push_waiting(self, task: CellTask, now_s: float) -> None:
@@ -414,7 +445,7 @@
         self._may_start = True
 
     def _start_task(
-        self, task: CellTask, state: TargetState, now_s: float
+        self, task: CellTask, state: TargetState, now_s: float, is_exclusive: bool
     ) -> fx.StartRun:
         task.last_run += 1
         task.target = state.name
@@ -428,6 +459,7 @@
             expected_s=task.expected_s
             * state.pace.value
             / self.tracker.compute_mean_pace(),
+            is_exclusive=is_exclusive,
         )
         inputs = {
             "term": self.term,
@@ -437,6 +469,8 @@
             "room_millicores": state.available.cpu_millicores,
             "report_age_s": round(now_s - state.last_report_s, 4),
         }
+        if is_exclusive:
+            inputs["exclusive"] = True
         state.add_run(run)
         state.lease_expiry_s = max(state.lease_expiry_s, bound_lease_expiry(now_s))
         return fx.StartRun(
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -28,6 +28,8 @@
     RunsDiscovered,
     RunStalled,
     StartRefused,
+    TargetAnswered,
+    TargetLost,
     TargetUsable,
     TrackerEvent,
 )
@@ -224,6 +226,8 @@
             return
         if state.phase is TargetPhase.SILENT:
             yield self._log_decision("target answers", state.name, runs=len(state.runs))
+        if state.phase is not TargetPhase.READY:
+            yield TargetAnswered(target=state, incarnation=report.incarnation or 0)
         if state.incarnation not in (None, report.incarnation):
             yield self._log_decision(
                 "target restarted", state.name, **_describe_runs(state)
@@ -236,6 +240,7 @@
         was_unusable = state.phase is not TargetPhase.READY or bool(state.orphans)
         state.incarnation = report.incarnation
         state.phase = TargetPhase.READY
+        state.has_listed_runs, state.is_lost = True, False
         yield from self._process_ended_runs(state, report, is_first)
         if report.sent_s >= state.last_request_s:
             # Answers may arrive out of order; an older list would revive ended runs.
@@ -374,6 +379,15 @@
 
     def _mark_target_lost(self, state: TargetState, cause: LossCause) -> Iterator:
         """Mark all runs of a target as lost, those of earlier owners included."""
+        keys = tuple(state.runs.keys() | state.orphans.keys())
+        if keys or not (state.has_listed_runs or state.is_lost):
+            yield TargetLost(
+                target=state,
+                keys=keys,
+                is_complete=state.has_listed_runs,
+                cause=cause,
+            )
+        state.is_lost = True
         state.orphans.clear()
         for run in list(state.runs.values()):
             yield self._mark_run_lost(state, run, cause)
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -34,7 +34,8 @@
 
     `confirmed_s` is when the target first confirmed the run, `progress_s` when its
     progress last increased and `stopped_s` when the target confirmed a stop.
-    `expected_s` is the expected run time on this target.
+    `expected_s` is the expected run time on this target. An exclusive run shares its
+    target with no other.
     """
 
     key: TaskKey
@@ -48,6 +49,7 @@
     progress_s: float = 0.0
     stop_sent_s: float = float("-inf")
     stopped_s: float = float("inf")
+    is_exclusive: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -57,8 +59,10 @@
     `last_report_s` is when it last answered. `last_request_s` is when the request for
     its latest list of running tasks was sent. `lease_expiry_s` is when all its runs
     have ended for certain if no lease is renewed any more. `available` is the capacity
-    that no known run uses. `orphans` are runs of an earlier owner that no front host
-    has claimed, and `unclaimed_ends` the ends of such runs.
+    that no known run uses. `has_listed_runs` is set once it has listed its runs to this
+    owner, and `is_lost` while it is silent for longer than its leases. `orphans` are
+    runs of an earlier owner that no front host has claimed, and `unclaimed_ends` the
+    ends of such runs.
     """
 
     entry: ListedTarget
@@ -69,11 +73,14 @@
     last_report_s: float = 0.0
     last_request_s: float = float("-inf")
     missing_since_s: float | None = None
+    has_listed_runs: bool = False
+    is_lost: bool = False
     runs: dict[TaskKey, Run] = field(factory=dict)
     orphans: dict[TaskKey, int] = field(factory=dict)
     unclaimed_ends: dict[TaskKey, RunEnd] = field(factory=dict)
     health: TargetHealth = field(factory=lambda: TargetHealth())
     pace: TargetPace = field(factory=lambda: TargetPace())
+    exclusive_task: TaskKey | None = field(init=False, default=None)
     used: Resources = field(init=False, factory=lambda: Resources())
     available: Resources = field(init=False)
 
@@ -91,10 +98,15 @@
             self.phase is TargetPhase.READY
             and not self.entry.is_leaving
             and not self.orphans
+            and self.exclusive_task is None
             and not self.health.is_ejected(now_s)
             and not (self.health.is_suspect and self.runs)
         )
 
+    def predict_idle_s(self) -> float:
+        """Return the monotonic time at which all present runs should have ended, s."""
+        return max(run.sent_s + run.expected_s for run in self.runs.values())
+
     def update(self, entry: ListedTarget) -> None:
         """Replace the target's entry by a newer one."""
         self.entry = entry
@@ -104,6 +116,8 @@
         """Add a run and reserve its capacity."""
         assert run.key not in self.runs, f"{run.key} already has a run on {self.name}"
         self.runs[run.key] = run
+        if run.is_exclusive:
+            self.exclusive_task = run.key
         self.used = self.used + run.demand
         self.available = self.entry.capacity - self.used
 
@@ -111,6 +125,8 @@
         """Remove and return a run and free its capacity; None if there is none."""
         run = self.runs.pop(key, None)
         if run is not None:
+            if run.is_exclusive:
+                self.exclusive_task = None
             self.used = self.used - run.demand
             self.available = self.entry.capacity - self.used
         return run
--- a/gentianhub/capacity/tests/crashing_targets.py
+++ b/gentianhub/capacity/tests/crashing_targets.py
@@ -3,7 +3,12 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import TaskKey
-from gentianhub.capacity.tests.builders import build_request, build_step, build_target
+from gentianhub.capacity.tests.builders import (
+    CELL,
+    build_request,
+    build_step,
+    build_target,
+)
 from gentianhub.capacity.tests.lossy_targets import RUN_S, LossyTargets
 
 # A crashed target refuses connections at once, and is listed under a new name later.
@@ -29,6 +34,7 @@
         self.ends: dict[TaskKey, list[ev.TaskEnd]] = {}
         self.crashed: set[str] = set()
         self.restarts = 0
+        self.list_targets()
 
     def submit(self, job: str, tasks: int, front_host=None) -> None:
         step = build_step(count=tasks, cores=27, estimate_s=RUN_S)
@@ -79,6 +85,12 @@
         self.schedule(REFUSAL_S, self.feed, silent)
         self.schedule(RESTART_S, self.restart, name)
 
+    def list_targets(self) -> None:
+        targets = tuple(self.entries.values())
+        scheduler = self.driver.scheduler
+        list(scheduler.losses.resolve_by_list(targets, {CELL}, self.driver.now_s))
+        super().list_targets()
+
     def restart(self, name: str) -> None:
         """List a new target at the address of a crashed one, which is gone."""
         entry = self.entries.pop(name)
--- a/gentianhub/capacity/tracker_events.py
+++ b/gentianhub/capacity/tracker_events.py
@@ -36,6 +36,32 @@
     cause: LossCause
 
 
+@frozen(kw_only=True)
+class TargetLost:
+    """A target has restarted, or is silent for longer than its leases.
+
+    `keys` are the tasks that may have been running on it. `is_complete` is false if it
+    has never listed its runs to this owner, so that there may be others. The loss of
+    each run of this owner is reported besides.
+    """
+
+    target: TargetState
+    keys: tuple[TaskKey, ...]
+    is_complete: bool
+    cause: LossCause
+
+
+@frozen(kw_only=True)
+class TargetAnswered:
+    """A target answers for the first time, or again after a silence.
+
+    `incarnation` is 0 if it tells none.
+    """
+
+    target: TargetState
+    incarnation: int
+
+
 @frozen(kw_only=True)
 class RunStalled:
     """A run makes no progress and is being stopped."""
@@ -74,6 +100,8 @@
 TrackerEvent = (
     RunEnded
     | RunLost
+    | TargetLost
+    | TargetAnswered
     | RunStalled
     | StartRefused
     | OrphanFound
