Let the knowledge of lost targets outlive their owner

Cause: the ledger of lost targets was kept by one scheduler, so that each owner, cell and takeover began without it and would start the task again. Change: a host has one ledger for its cells. Losses and their outcomes are announced to the other owners and to the possible successors, an owner passes on what it did not know to its own successors, and a newly linked host gets all of them. Hosts that own nothing decide nothing, so front hosts need no copy.

--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -8,6 +8,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, ListedTarget, format_task_key
+from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.core import Incarnation, Mailbox
@@ -16,6 +17,11 @@
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.target_ports import TargetConnectionMap
 
+# Losses in one message; one of them takes some hundred bytes.
+MAX_LOSSES_PER_MESSAGE = 100
+# Most tasks that a log line names.
+MAX_LOGGED_TASKS = 16
+
 
 @define(kw_only=True, eq=False)
 class OwnedCells:
@@ -27,16 +33,21 @@
         Receives the targets' answers; this is the coordinator's mailbox.
     find_successors : callable
         Returns the linked hosts that may succeed this one as owner.
+    find_other_owners : callable
+        Returns the hosts that own the other cells.
     """
 
     answers: Mailbox
     outbox: Outbox
     metrics: HostMetrics
     find_successors: Callable[[], tuple[Incarnation, ...]]
+    find_other_owners: Callable[[], tuple[Incarnation, ...]] = lambda: ()
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
     _estimates: RunEstimates = field(init=False, factory=lambda: RunEstimates())
+    losses: LossLedger = field(init=False, factory=lambda: LossLedger())
+    _new_losses: list[ev.TargetLoss] = field(init=False, factory=list)
     _requesters: set[Incarnation] = field(init=False, factory=set)
 
     def __attrs_post_init__(self):
@@ -59,6 +70,7 @@
             owner_since_s=now_s,
             handover=handover,
             estimates=self._estimates,
+            losses=self.losses,
         )
         self._schedulers[cell] = scheduler
         known = handover.merge_targets(self._find_cell_targets(cell))
@@ -83,6 +95,8 @@
         If `may_add` is false, the owned cells get no new targets.
         """
         self.targets = targets
+        for loss in self.losses.resolve_by_list(targets, self._schedulers, now_s):
+            self._execute_effect(fx.AnnounceLoss(loss=loss), now_s)
         for cell, scheduler in list(self._schedulers.items()):
             listed = tuple(
                 target
@@ -101,6 +115,33 @@
             for scheduler in self._schedulers.values():
                 self.outbox.send(peer, scheduler.tracker.build_announcement())
 
+    def announce_losses(self, peer: Incarnation, now_s: float) -> None:
+        """Announce all known losses of targets to a newly linked host."""
+        if self._schedulers and peer in self._find_loss_observers():
+            losses = tuple(self.losses.list_losses(now_s))
+            self._send_losses((peer,), losses, is_passed_on=False)
+
+    def record_losses(self, message: ev.TargetLosses, now_s: float) -> None:
+        """Record losses that another host has announced, and pass them on."""
+        new = tuple(x for x in message.losses if self.losses.record(x, now_s))
+        if new and self._schedulers and not message.is_passed_on:
+            self._send_losses(self.find_successors(), new, is_passed_on=True)
+
+    def _find_loss_observers(self) -> tuple[Incarnation, ...]:
+        return tuple({*self.find_successors(), *self.find_other_owners()})
+
+    def _send_losses(
+        self,
+        peers: tuple[Incarnation, ...],
+        losses: tuple[ev.TargetLoss, ...],
+        is_passed_on: bool,
+    ) -> None:
+        for start in range(0, len(losses), MAX_LOSSES_PER_MESSAGE):
+            part = losses[start : start + MAX_LOSSES_PER_MESSAGE]
+            message = ev.TargetLosses(losses=part, is_passed_on=is_passed_on)
+            for peer in peers:
+                self.outbox.send(peer, message)
+
     def handle_task_request(
         self, request: ev.RunTasks | ev.CancelTasks, sender: Incarnation, now_s: float
     ) -> None:
@@ -126,6 +167,7 @@
 
     def handle_tick(self, now_s: float) -> None:
         """Pass a timer tick to every scheduler."""
+        self.losses.remove_expired(now_s)
         self._dispatch_to_all(ev.Tick(), now_s)
 
     def _dispatch_to_all(self, event, now_s: float) -> None:
@@ -178,6 +220,9 @@
     ) -> None:
         for effect in scheduler.handle(event, now_s, sender):
             self._execute_effect(effect, now_s)
+        if self._new_losses:
+            losses, self._new_losses = tuple(self._new_losses), []
+            self._send_losses(self._find_loss_observers(), losses, is_passed_on=False)
 
     def _execute_effect(self, effect: fx.CellEffect, now_s: float) -> None:
         match effect:
@@ -210,12 +255,27 @@
             case fx.AnnounceTargets(message=message):
                 for successor in self.find_successors():
                     self.outbox.send(successor, message)
+            case fx.AnnounceLoss(loss=loss):
+                self._record_loss(loss)
             case fx.SendToFront(front_host=front_host, message=message):
                 self._record_end(message)
                 self.outbox.send(front_host, message)
             case fx.LogDecision():
                 log_decision(effect.decision, effect.subject, **effect.inputs)
 
+    def _record_loss(self, loss: ev.TargetLoss) -> None:
+        self.metrics.losses[loss.outcome.value] += 1
+        log_decision(
+            "target lost",
+            loss.target,
+            loss=loss.loss_id,
+            outcome=loss.outcome.value,
+            tasks=[format_task_key(key) for key in loss.tasks[:MAX_LOGGED_TASKS]],
+            alone=loss.is_alone,
+            age_s=round(loss.age_s, 3),
+        )
+        self._new_losses.append(loss)
+
     def _reject_start(self, start: fx.StartRun, now_s: float) -> None:
         """Report a start as not sent because the target's command queue is full."""
         self.answers.try_put(
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -96,6 +96,7 @@
             outbox=self.outbox,
             metrics=self.metrics,
             find_successors=lambda: self.membership.find_successors(),
+            find_other_owners=self._find_other_owners,
         )
         self.membership = Membership(
             local_host=self.local_host,
@@ -218,6 +219,10 @@
         self.target_polls.try_put(ms.PollTargets())
         self.cells.acquire(claimed.cell, claimed.term, now_s, handover)
 
+    def _find_other_owners(self) -> tuple[Incarnation, ...]:
+        owners = {known.owner for known in self.requests.job_registry.owners.values()}
+        return tuple(owners - {self.local_host})
+
     def _report_own_loads(self, now_s: float) -> None:
         if self.cells:
             claims = tuple(self.cells.build_claims(now_s))
@@ -268,6 +273,8 @@
                 self._offer_configuration(sender)
             case ev.CellTargets():
                 self.announcements.record(message)
+            case ev.TargetLosses():
+                self.cells.record_losses(message, now_s)
             case ev.TargetsOffer(rows=rows):
                 # A list read from the store is newer than an offered one.
                 if not self.membership.ownership.has_targets:
@@ -310,6 +317,7 @@
             self.cells.remove_front_host(other, now_s)
         # A draining heartbeat tells that the announcement before it is complete.
         self.cells.announce_targets(peer)
+        self.cells.announce_losses(peer, now_s)
         self._send_heartbeats_now((peer,), now_s)
         job_registry = self.requests.job_registry
         for cell, cell_owner in list(job_registry.owners.items()):
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -10,7 +10,7 @@
 import capnp
 
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget
+from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget, TaskKey
 from gentianhub.capacity.resources import Resources
 from gentianhub.linking.frames import MalformedMessage
 from gentianhub.linking.handshake import Hello, build_hello, fill_struct, read_hello
@@ -76,6 +76,9 @@
             return {"configurationOffer": {"version": version, "content": compressed}}
         case ev.CellTargets():
             return {"cellTargets": _build_cell_targets(message)}
+        case ev.TargetLosses(losses=losses, is_passed_on=is_passed_on):
+            built = list(map(_build_loss, losses))
+            return {"targetLosses": {"losses": built, "isPassedOn": is_passed_on}}
         case ev.TargetsOffer(rows=rows):
             listed = [{"key": key, "value": value} for key, value in rows]
             return {"targetsOffer": {"rows": listed}}
@@ -177,6 +180,24 @@
     }
 
 
+def _build_loss(loss: ev.TargetLoss) -> dict:
+    return {
+        "lossId": loss.loss_id,
+        "cell": _build_cell(loss.cell),
+        "target": loss.target,
+        "host": loss.host,
+        "port": _clamp(loss.port, MAX_UINT16),
+        "incarnation": _clamp(loss.incarnation, MAX_INT64, -MAX_INT64),
+        "tasks": [
+            {"job": key.job, "step": _clamp(key.step), "index": _clamp(key.index)}
+            for key in loss.tasks
+        ],
+        "isComplete": loss.is_complete,
+        "ageS": loss.age_s,
+        "outcome": loss.outcome.value,
+    }
+
+
 def _build_tasks_ended(ended: ev.TasksEnded) -> dict:
     return {
         "cell": _build_cell(ended.cell),
@@ -282,6 +303,31 @@
     )
 
 
+def _read_losses(content) -> ev.TargetLosses:
+    return ev.TargetLosses(
+        losses=tuple(map(_read_loss, content.losses)),
+        is_passed_on=content.isPassedOn,
+    )
+
+
+def _read_loss(content) -> ev.TargetLoss:
+    return ev.TargetLoss(
+        loss_id=content.lossId,
+        cell=_read_cell(content.cell),
+        target=content.target,
+        host=content.host,
+        port=content.port,
+        incarnation=content.incarnation,
+        tasks=tuple(
+            TaskKey(job=key.job, step=key.step, index=key.index)
+            for key in content.tasks
+        ),
+        is_complete=content.isComplete,
+        age_s=content.ageS,
+        outcome=ev.LossOutcome(content.outcome),
+    )
+
+
 def _read_cancel_tasks(content) -> ev.CancelTasks:
     return ev.CancelTasks(cell=_read_cell(content.cell), job=content.job)
 
@@ -319,6 +365,7 @@
 READERS = {
     "targetsOffer": _read_targets_offer,
     "cellTargets": _read_cell_targets,
+    "targetLosses": _read_losses,
     "hello": read_hello,
     "hostBeat": _read_heartbeat,
     "runTasks": _read_task_request,
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -106,6 +106,30 @@
   isComplete @4 :Bool;
 }
 
+struct TaskKey {
+  job @0 :Text;
+  step @1 :UInt32;
+  index @2 :UInt32;
+}
+
+struct TargetLoss {
+  lossId @0 :Text;
+  cell @1 :Cell;
+  target @2 :Text;
+  host @3 :Text;
+  port @4 :UInt16;
+  incarnation @5 :Int64;
+  tasks @6 :List(TaskKey);
+  isComplete @7 :Bool;
+  ageS @8 :Float64;
+  outcome @9 :Text;
+}
+
+struct TargetLosses {
+  losses @0 :List(TargetLoss);
+  isPassedOn @1 :Bool;
+}
+
 struct ConfigurationOffer {
   version @0 :UInt64;
   content @1 :Data;  # compressed with zlib
@@ -126,5 +150,6 @@
     targetsOffer @6 :TargetsOffer;
     cellTargets @7 :CellTargets;
     configurationRequest @8 :ConfigurationRequest;
+    targetLosses @9 :TargetLosses;
   }
 }
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -21,6 +21,7 @@
     submissions: Counter = field(factory=Counter)
     answers: Counter = field(factory=Counter)
     ends: Counter = field(factory=Counter)
+    losses: Counter = field(factory=Counter)
     response_ms: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(create_response_histogram)
     )
@@ -45,6 +46,9 @@
         yield _build_family("jobs", "Jobs submitted", "route", self.submissions)
         yield _build_family("answers", "Answers to callers", "verdict", self.answers)
         yield _build_family("task_reports", "Reports of tasks", "end", self.ends)
+        yield _build_family(
+            "target_losses", "Losses of targets", "outcome", self.losses
+        )
         yield self._collect_responses()
 
     def _collect_responses(self) -> GaugeMetricFamily:
--- a/gentianhub/host/tests/test_cells.py
+++ b/gentianhub/host/tests/test_cells.py
@@ -5,12 +5,19 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.succession import Handover, HandoverKind
-from gentianhub.capacity.tests.builders import CELL, build_host, build_target
+from gentianhub.capacity.tests.builders import (
+    CELL,
+    build_host,
+    build_key,
+    build_request,
+    build_target,
+)
 from gentianhub.core import Mailbox
 from gentianhub.host.cells import OwnedCells
 from gentianhub.host.metrics import HostMetrics
 
 SUCCESSOR = build_host("e2", "b")
+OTHER_OWNER = build_host("e3", "c", data_centre="aarau")
 UNKNOWN = Handover(kind=HandoverKind.UNKNOWN)
 
 
@@ -37,6 +44,9 @@
     def renew(self, renewal: fx.RenewLease) -> None:
         self.renewed.append(renewal.target.name)
 
+    def enqueue(self, command) -> bool:
+        return True
+
     def close_target(self, name: str) -> None:
         pass
 
@@ -49,6 +59,7 @@
             outbox=self.outbox,
             metrics=HostMetrics(),
             find_successors=lambda: (SUCCESSOR,),
+            find_other_owners=lambda: (OTHER_OWNER,),
         )
         self.cells.connections = FakeConnections()
         self.cells.update_targets((build_target("t1"), build_target("t2")), 0.0)
@@ -104,5 +115,100 @@
         self.assertEqual([], self.cells.connections.renewed)
 
 
+def build_losses(*numbers: int) -> tuple[ev.TargetLoss, ...]:
+    return tuple(
+        ev.TargetLoss(
+            loss_id=f"9-{number}",
+            cell=CELL,
+            target=f"t{number}",
+            host="127.0.0.1",
+            port=8000,
+            incarnation=1,
+            tasks=(build_key("a"),),
+            outcome=ev.LossOutcome.CRASHED,
+        )
+        for number in numbers
+    )
+
+
+class TestLosses(OwnedCellsTest):
+    """Guards against knowledge of a crashing task that ends with one host."""
+
+    def setUp(self):
+        super().setUp()
+        self.cells.acquire(CELL, 1, 0.0, UNKNOWN)
+        self.outbox.sent.clear()
+
+    def find_announced(self) -> dict:
+        return {
+            to: [loss.loss_id for loss in message.losses]
+            for to, message in self.outbox.sent
+            if isinstance(message, ev.TargetLosses)
+        }
+
+    def test_a_loss_is_announced_to_successors_and_other_owners(self):
+        self.cells.handle_answer("t1", build_report("t1", incarnation=1), 0.1)
+        request = build_request("a")
+        self.cells.handle_task_request(request, SUCCESSOR, 0.1)
+        self.cells.handle_answer("t1", build_report("t1", incarnation=2), 0.2)
+        self.assertEqual({SUCCESSOR, OTHER_OWNER}, set(self.find_announced()))
+
+    def test_an_owner_passes_new_losses_on_to_its_successors(self):
+        """Otherwise the owner that follows it would start the task again."""
+        message = ev.TargetLosses(losses=build_losses(1))
+        self.cells.record_losses(message, 1.0)
+        self.assertEqual({SUCCESSOR: ["9-1"]}, self.find_announced())
+        self.outbox.sent.clear()
+        self.cells.record_losses(message, 2.0)
+        self.assertEqual({}, self.find_announced())
+
+    def test_losses_that_were_passed_on_go_no_further(self):
+        message = ev.TargetLosses(losses=build_losses(1), is_passed_on=True)
+        self.cells.record_losses(message, 1.0)
+        self.assertEqual({}, self.find_announced())
+
+    def test_a_host_that_links_later_gets_all_losses(self):
+        """After a restart of all hosts in turn, none would know them."""
+        self.cells.record_losses(ev.TargetLosses(losses=build_losses(1, 2)), 1.0)
+        self.outbox.sent.clear()
+        self.cells.announce_losses(build_host("front"), 2.0)
+        self.cells.announce_losses(SUCCESSOR, 2.0)
+        self.assertEqual({SUCCESSOR: ["9-1", "9-2"]}, self.find_announced())
+
+    def test_an_owner_refuses_a_task_that_crashed_targets_of_other_cells(self):
+        self.cells.record_losses(ev.TargetLosses(losses=build_losses(1, 2)), 1.0)
+        self.cells.handle_task_request(build_request("a"), SUCCESSOR, 1.0)
+        (ended,) = [
+            message
+            for _, message in self.outbox.sent
+            if isinstance(message, ev.TasksEnded)
+        ]
+        self.assertIs(ev.TaskEnd.CRASHED, ended.end)
+
+    def test_the_next_owner_of_the_cell_knows_the_losses(self):
+        successor = OwnedCells(
+            answers=Mailbox(limit=10),
+            outbox=self.outbox,
+            metrics=HostMetrics(),
+            find_successors=lambda: (),
+        )
+        successor.connections = FakeConnections()
+        self.cells.record_losses(ev.TargetLosses(losses=build_losses(1, 2)), 1.0)
+        for to, message in list(self.outbox.sent):
+            if to == SUCCESSOR:
+                successor.record_losses(message, 1.0)
+        successor.acquire(CELL, 2, 2.0, UNKNOWN)
+        self.outbox.sent.clear()
+        successor.handle_task_request(build_request("a"), OTHER_OWNER, 2.0)
+        ((_, ended),) = self.outbox.sent
+        self.assertIs(ev.TaskEnd.CRASHED, ended.end)
+
+
+def build_report(target: str, incarnation: int) -> ev.RunsReported:
+    return ev.RunsReported(
+        target=target, incarnation=incarnation, sent_s=0.0, running=(), ended=()
+    )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -6,6 +6,7 @@
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.tests.builders import (
     build_host,
+    build_key,
     build_request,
     build_step,
     build_target,
@@ -43,6 +44,23 @@
         removed=("t2",),
         is_complete=True,
     ),
+    ev.TargetLosses(
+        losses=(
+            ev.TargetLoss(
+                loss_id="7-1",
+                cell=CELL,
+                target="t1",
+                host="10.0.0.1",
+                port=8000,
+                incarnation=2**41,
+                tasks=(build_key("a"), build_key("b", 3)),
+                is_complete=False,
+                age_s=1.5,
+                outcome=ev.LossOutcome.CRASHED,
+            ),
+        ),
+        is_passed_on=True,
+    ),
     ev.TargetsOffer(rows=(("i-1", b"\x00\xff"), ("i-2", b""))),
 ]
 
