Answer at once the jobs that a crashed target has made hopeless

Cause: a run on a silent target was considered again only when its lease had expired; by then most jobs were too late, and the front host took this for a lack of capacity. Ruled out: starting the task again before the lease has expired. A refused connection does not prove the end of the runs; cuts refuse connections as well. Change: once a target refuses connections, tasks that would be too late after its leases end as 'lost', and their jobs as interrupted, with this reason. A target that only does not answer in time may still have the runs, and changes nothing. Shown by TestCallers in test_crashing_tasks.py, which failed before: no report until the lease had expired.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -309,6 +309,8 @@
                     yield from self.suspects.record_loss(item, repeated, now_s)
                 case te.TargetAnswered():
                     yield from self.suspects.resolve_losses(item, now_s)
+                case te.TargetRefuses(target=target):
+                    yield from self._end_hopeless_tasks(target, now_s)
                 case te.RunStalled(target=target, run=run):
                     self._started_tasks[run.key].avoid(target.name)
                 case te.StartRefused(target=target, run=run, verdict=verdict):
@@ -320,6 +322,18 @@
                 case _:
                     yield item
 
+    def _end_hopeless_tasks(self, target: TargetState, now_s: float) -> Iterator:
+        """End the tasks that have to wait for their leases for too long to be of use.
+
+        Their callers would be held for the rest of the lease without any effect.
+        """
+        for run in list(target.runs.values()):
+            task = self._started_tasks[run.key]
+            is_open = task.end is None and not task.job.is_cancelled
+            if is_open and task.is_too_late(target.lease_expiry_s):
+                yield from self._end_task(task, ev.TaskEnd.LOST, now_s)
+                yield from self._cancel_job(task.job, now_s)
+
     def _detach_run(self, run: Run) -> CellTask:
         task = self._started_tasks.pop(run.key)
         task.target = None
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -30,6 +30,7 @@
     StartRefused,
     TargetAnswered,
     TargetLost,
+    TargetRefuses,
     TargetUsable,
     TrackerEvent,
 )
@@ -337,6 +338,8 @@
             )
         state.phase = TargetPhase.SILENT
         yield self._renew(state, now_s)
+        if event.is_refused:
+            yield TargetRefuses(target=state)
 
     # Answers to starts and stops
 
--- a/gentianhub/capacity/tests/test_crashing_tasks.py
+++ b/gentianhub/capacity/tests/test_crashing_tasks.py
@@ -136,6 +136,32 @@
         self.assertEqual([], driver.scheduler.losses.find_losses(key))
 
 
+class TestCallers(unittest.TestCase):
+    """Guards against callers that are held although their job is known to be lost."""
+
+    def refuse(self, **options) -> list[ev.TasksEnded]:
+        """Start a job of two tasks, let its target refuse connections."""
+        driver = SchedulerDriver([build_target("t1")])
+        for start in find_starts(driver.feed(build_request("a", **options))):
+            driver.answer(start)
+        refused = ev.TargetSilent(target="t1", reason="refused", is_refused=True)
+        return find_ends(driver.feed(refused))
+
+    def test_a_job_that_cannot_be_repeated_in_time_ends_at_once(self):
+        """Its caller was held for a lease, 0.87 s, and told that there was no room."""
+        (ended,) = self.refuse()
+        self.assertEqual((ev.TaskEnd.LOST, True), (ended.end, ended.has_started))
+
+    def test_a_job_that_can_be_repeated_in_time_goes_on(self):
+        self.assertEqual([], self.refuse(objective_s=10.0, deadline_in_s=30.0))
+
+    def test_a_job_on_a_target_that_only_does_not_answer_goes_on(self):
+        driver = SchedulerDriver([build_target("t1")])
+        driver.feed(build_request("a"))
+        silent = ev.TargetSilent(target="t1", reason="time-out")
+        self.assertEqual([], find_ends(driver.feed(silent)))
+
+
 class TestTakeover(unittest.TestCase):
     """Guards against losses that the death of an owner hides."""
 
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -76,8 +76,12 @@
     return [e.message for e in effects if isinstance(e, fx.SendToOwner)]
 
 
+def find_answers(effects) -> list[fx.AnswerCaller]:
+    return [effect for effect in effects if isinstance(effect, fx.AnswerCaller)]
+
+
 def find_verdicts(effects) -> list[fx.JobVerdict]:
-    return [e.verdict for e in effects if isinstance(e, fx.AnswerCaller)]
+    return [answer.verdict for answer in find_answers(effects)]
 
 
 class TestLoads(FrontTest):
@@ -126,6 +130,19 @@
         self.assertEqual([fx.JobVerdict.COMPLETED], find_verdicts(effects))
         self.assertEqual([], find_requests(effects))
 
+    def test_the_caller_of_a_job_that_crashes_targets_is_told_so(self):
+        """Its caller read "no capacity before the deadline" and submitted it again."""
+        self.submit(build_step(count=2))
+        (answer,) = find_answers(self.end((0,), ev.TaskEnd.CRASHED))
+        self.assertIs(fx.JobVerdict.FAILED, answer.verdict)
+        self.assertIn("crashed the targets", answer.reason)
+
+    def test_the_caller_of_a_job_that_lost_its_target_is_told_so(self):
+        self.submit(build_step(count=2))
+        (answer,) = find_answers(self.end((0,), ev.TaskEnd.LOST))
+        self.assertIs(fx.JobVerdict.INTERRUPTED, answer.verdict)
+        self.assertIn("lost with its target", answer.reason)
+
     def test_a_failed_task_ends_the_job_and_cancels_the_rest(self):
         self.submit(build_step(count=2))
         effects = self.end((0,), ev.TaskEnd.FAILED, has_started=True)
--- a/gentianhub/capacity/tracker_events.py
+++ b/gentianhub/capacity/tracker_events.py
@@ -62,6 +62,13 @@
     incarnation: int
 
 
+@frozen(kw_only=True)
+class TargetRefuses:
+    """A target refuses connections: its runs have ended, or end with their leases."""
+
+    target: TargetState
+
+
 @frozen(kw_only=True)
 class RunStalled:
     """A run makes no progress and is being stopped."""
@@ -102,6 +109,7 @@
     | RunLost
     | TargetLost
     | TargetAnswered
+    | TargetRefuses
     | RunStalled
     | StartRefused
     | OrphanFound
