Keep the answer of a failed job like that of a completed one

Cause: only completed jobs kept their answer, so that a copy of the submission that arrives seconds after the answer 'failed' ran all tasks again, those that had used up their attempts included. Shown by test_a_job_that_has_failed_is_not_run_again, which failed before: the copy sent a new request to the cell.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -282,11 +282,11 @@
             case ev.TaskEnd.FAILED:
                 job.has_started = True
                 reason = "a task has used up its attempts"
-                yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
+                yield from self._fail_job(job, reason, now_s)
             case ev.TaskEnd.CRASHED:
                 job.has_started = True
                 reason = "a task has crashed the targets that ran it"
-                yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
+                yield from self._fail_job(job, reason, now_s)
             case ev.TaskEnd.LOST:
                 job.has_started = True
                 reason = "a task was lost with its target"
@@ -330,6 +330,10 @@
         else:
             yield from self._release_steps(job, now_s)
 
+    def _fail_job(self, job: FrontJob, reason: str, now_s: float) -> Iterator:
+        self._store_answer(job.job_id, fx.JobVerdict.FAILED, now_s)
+        yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
+
     def _store_answer(self, job_id: str, verdict: fx.JobVerdict, now_s: float) -> None:
         self._kept_answers[job_id] = KeptAnswer(verdict=verdict, answered_s=now_s)
         while len(self._kept_answers) > MAX_KEPT_ANSWERS:
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -130,6 +130,16 @@
         self.assertEqual([fx.JobVerdict.COMPLETED], find_verdicts(effects))
         self.assertEqual([], find_requests(effects))
 
+    def test_a_job_that_has_failed_is_not_run_again(self):
+        """Its tasks were started beyond their attempts, or crashed more targets."""
+        for job_id, end in (("a", ev.TaskEnd.FAILED), ("b", ev.TaskEnd.CRASHED)):
+            with self.subTest(end):
+                self.submit(job_id=job_id)
+                self.end(end=end, job=job_id)
+                effects = self.submit(job_id=job_id)
+                self.assertEqual([fx.JobVerdict.FAILED], find_verdicts(effects))
+                self.assertEqual([], find_requests(effects))
+
     def test_the_caller_of_a_job_that_crashes_targets_is_told_so(self):
         """Its caller read "no capacity before the deadline" and submitted it again."""
         self.submit(build_step(count=2))
