Let a new owner respect capacities that have shrunk and targets that leave

A target that does not would be overcommitted (LIMIT), and a leaving one would get tasks. Cause: hosts without a cell read the list of targets every 20 s, and owners announced only added and removed targets. After a takeover the new owner used its old list until it had read the store, for as long as that was away. Change: owners announce each change of a target. A new owner uses the smaller of both capacities, and takes a target as leaving if either source says so, until it has read the list.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -128,7 +128,7 @@
 class CellTargets:
     """An owner announces the targets of its cell to the hosts that may succeed it.
 
-    `targets` are added or replaced and `removed` are names of targets that are no
+    `targets` are added or have changed, and `removed` are names of targets that are no
     longer used. If `is_complete` is set, `targets` are all targets of the cell.
     """
 
--- a/gentianhub/capacity/resources.py
+++ b/gentianhub/capacity/resources.py
@@ -29,6 +29,14 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def compute_minimum(self, other: "Resources") -> "Resources":
+        """Return the smaller amount of each resource."""
+        return Resources(
+            cpu_millicores=min(self.cpu_millicores, other.cpu_millicores),
+            memory_mb=min(self.memory_mb, other.memory_mb),
+            accelerators=min(self.accelerators, other.accelerators),
+        )
+
     def fits_in(self, available: "Resources") -> bool:
         """Whether each resource is within the `available` amount."""
         return (
--- a/gentianhub/capacity/succession.py
+++ b/gentianhub/capacity/succession.py
@@ -9,7 +9,7 @@
 import enum
 from collections.abc import Iterable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from gentianhub.capacity.events import CellTargets
 from gentianhub.capacity.jobs import Cell, ListedTarget
@@ -37,10 +37,26 @@
     targets: tuple[ListedTarget, ...] = ()
 
     def merge_targets(self, listed: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
-        """Return the listed targets and those that only an earlier owner has used."""
-        listed = tuple(listed)
-        names = {target.name for target in listed}
-        return listed + tuple(t for t in self.targets if t.name not in names)
+        """Return the listed targets and those that only an earlier owner has used.
+
+        Neither the list of a host that is no owner nor an announcement is certain to be
+        the newer one. Until the list is read again, a target has the smaller of both
+        capacities, and is leaving if either says so.
+        """
+        announced = {target.name: target for target in self.targets}
+        merged = tuple(
+            _merge_entries(target, announced.pop(target.name, target))
+            for target in listed
+        )
+        return merged + tuple(announced.values())
+
+
+def _merge_entries(listed: ListedTarget, announced: ListedTarget) -> ListedTarget:
+    return evolve(
+        listed,
+        capacity=listed.capacity.compute_minimum(announced.capacity),
+        is_leaving=listed.is_leaving or announced.is_leaving,
+    )
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -146,10 +146,10 @@
                 yield self._log_decision(
                     "target not listed", state.name, runs=len(state.runs)
                 )
-        known = {name: state.entry.address for name, state in self.targets.items()}
-        added = tuple(t for t in listed if known.get(t.name) != t.address)
-        if added:
-            yield self._announce(targets=added, is_complete=not self._has_announced)
+        known = {name: state.entry for name, state in self.targets.items()}
+        changed = tuple(t for t in listed if known.get(t.name) != t)
+        if changed:
+            yield self._announce(targets=changed, is_complete=not self._has_announced)
             self._has_announced = True
         for target in listed:
             yield from self._update_target(target, now_s)
--- a/gentianhub/host/tests/test_cells.py
+++ b/gentianhub/host/tests/test_cells.py
@@ -91,6 +91,17 @@
         self.cells.acquire(CELL, 1, 0.0, handover)
         self.assertEqual({"t1", "t2", "t3"}, set(self.cells.connections.renewed))
 
+    def test_a_new_owner_starts_with_the_smaller_of_two_known_capacities(self):
+        """Its own list is up to 20 s old, and a target may have shrunk since."""
+        announced = (build_target("t1", cores=16), build_target("t2", is_leaving=True))
+        handover = Handover(kind=HandoverKind.SILENT, targets=announced)
+        self.cells.acquire(CELL, 1, 0.0, handover)
+        targets = self.cells.find_scheduler("t1").targets
+        self.assertEqual(16_000, targets["t1"].available.cpu_millicores)
+        self.assertTrue(targets["t2"].entry.is_leaving)
+        self.cells.update_targets((build_target("t1"), build_target("t2")), 0.1, 0.05)
+        self.assertEqual(64_000, targets["t1"].available.cpu_millicores)
+
     def test_the_targets_are_announced_to_the_possible_successors(self):
         self.cells.acquire(CELL, 1, 0.0, UNKNOWN)
         ((to, message),) = self.outbox.sent
