Reject entries of targets with values that cannot be used

What callers saw: one entry of another writer among those of the targets ended every host that read the list, again after each restart, as the entry stays (LOST). Cause: entries were checked for types only. The port '\u00b2' raised a ValueError in the follower of the list; a capacity of 400 digits an OverflowError when it was converted to floating point; a port of 99999 ended the greenlet of the target's renewals; values nested 900 deep are parsed, but exceed the recursion limit when they are compared or described. Change: where a row is decoded, numbers have to be finite, in 64 bits and in the range of their field, addresses IPv4 with a port, names visible ASCII, and JSON at most 32 levels deep.

--- /dev/null
+++ b/gentianhub/host/tests/test_odd_entries.py
@@ -0,0 +1,82 @@
+"""A host goes on, and follows the tables, while another writer leaves odd entries."""
+
+import unittest
+
+import gevent
+
+from gentianhub.host.tests.host_processes import HostProcessesTest
+
+# Longer than a host takes to read a changed table.
+READING_S = 0.6
+# Python's parser accepts nesting up to its recursion limit, which is 1,000.
+DEEP = "[" * 900 + "]" * 900
+VERY_DEEP = "[" * 100_000 + "]" * 100_000
+HUGE = "9" * 400
+VERY_HUGE = "9" * 5000
+
+TARGET = {
+    "service": '"desk"',
+    "address": '"127.0.0.1:9"',
+    "zone": '"olten"',
+    "state": '"ready"',
+    "born": "1",
+    "capacity": '{"cpu": 64000, "mem_mb": 4096}',
+    "labels": "[]",
+}
+ODD_TARGETS = [
+    {"address": '"127.0.0.1:99999"'},
+    {"address": '"127.0.0.1:0"'},
+    {"address": '"127.0.0.1:\\u00b2"'},
+    {"address": f'"127.0.0.1:{VERY_HUGE}"'},
+    {"address": '"no host:80"'},
+    {"address": DEEP},
+    {"capacity": f'{{"cpu": {HUGE}}}'},
+    {"capacity": '{"cpu": 1e999}'},
+    {"capacity": '{"cpu": -64000}'},
+    {"capacity": f'{{"cpu": {DEEP}}}'},
+    {"labels": DEEP},
+    {"born": HUGE},
+    {"born": VERY_HUGE},
+    {"other": VERY_DEEP},
+    {"zone": '"\\ud800"'},
+]
+
+
+def encode(fields: dict[str, str]) -> bytes:
+    """Return a JSON object from encoded values, which may be out of Python's range."""
+    return ("{" + ",".join(f'"{k}": {v}' for k, v in fields.items()) + "}").encode()
+
+
+class TestOddEntries(HostProcessesTest):
+    """Guards against hosts that end again and again, or stop following a table."""
+
+    addresses = ("127.0.3.11",)
+
+    def check_is_served(self, number: int) -> None:
+        gevent.sleep(READING_S)
+        (process,) = self.processes
+        (log,) = self.logs.values()
+        self.assertIsNone(process.poll(), log.read_text()[-3000:])
+        self.assertEqual(200, self.submit(number))
+
+    def check_list_is_followed(self) -> None:
+        """The last good target leaves, and another one is used."""
+        for target, state in ((0, "draining"), (1, "ready")):
+            self.register_target(target, state)
+        gevent.sleep(READING_S)
+        before = len(self.targets[0].records)
+        self.assertEqual(200, self.submit(900))
+        self.assertEqual(before, len(self.targets[0].records))
+
+    def test_odd_entries_among_the_targets(self):
+        for number, change in enumerate(ODD_TARGETS):
+            self.store.put("servers", f"odd-{number}", encode(TARGET | change))
+            with self.subTest(str(change)[:80]):
+                self.check_is_served(number)
+        self.store.put("servers", "odd\r\nname", encode(TARGET))
+        self.check_is_served(100)
+        self.check_list_is_followed()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/gentianhub/platform/content.py
+++ b/gentianhub/platform/content.py
@@ -1,14 +1,31 @@
 """Decoding of the rows that the operator and the targets write to the store."""
 
 import json
+import re
+from collections.abc import Iterator
 
 from attrs import define, field
 
 from gentianhub.capacity.jobs import Configuration, ListedTarget, Route
 from gentianhub.capacity.resources import Resources
-from gentianhub.platform.fields import FieldError, read_field, read_strings
+from gentianhub.platform.fields import (
+    FieldError,
+    describe_value,
+    read_field,
+    read_number,
+    read_strings,
+)
 from gentianhub.platform.settings import normalize_name, parse_address
 
+# Deepest nesting of objects and lists; the formats of the platform have five levels.
+MAX_NESTING = 32
+# Largest amount of a resource that a target has or a task requests.
+MAX_RESOURCE_AMOUNT = 2**31 - 1
+# Unix times in milliseconds stay below this until the year 10889.
+MAX_UNIX_MS = 2**48
+# A target's name is sent in a header.
+_TARGET_NAME_PATTERN = re.compile(r"[!-~]{1,200}")
+
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
 
@@ -26,10 +43,27 @@
     except (ValueError, RecursionError) as error:
         raise FieldError(f"expected a JSON object: {error!r:.100}") from error
     if not isinstance(decoded, dict):
-        raise FieldError(f"expected a JSON object, got {decoded!r:.60}")
+        raise FieldError(f"expected a JSON object, got {describe_value(decoded)}")
+    if content.count(b"[") + content.count(b"{") > MAX_NESTING:
+        _check_nesting(decoded)
     return decoded
 
 
+def _check_nesting(decoded: dict) -> None:
+    """Reject values so deep that comparing or describing them fails."""
+    level: list = [decoded]
+    for _ in range(MAX_NESTING):
+        level = [item for value in level for item in _iterate_containers(value)]
+        if not level:
+            return
+    raise FieldError(f"expected at most {MAX_NESTING} levels of nesting")
+
+
+def _iterate_containers(value: dict | list) -> Iterator[dict | list]:
+    items = value.values() if isinstance(value, dict) else value
+    return (item for item in items if isinstance(item, dict | list))
+
+
 @define(kw_only=True, eq=False)
 class ConfigurationDecoder:
     """Decodes the versions of a configuration; unchanged routes are decoded once.
@@ -94,6 +128,8 @@
     FieldError
         If the entry does not describe a target that can be used.
     """
+    if not _TARGET_NAME_PATTERN.fullmatch(name):
+        raise FieldError(f"name: expected visible ASCII, got {describe_value(name)}")
     decoded = decode_json(content)
     state = read_field(decoded, "state", str)
     if state not in (READY_STATE, DRAINING_STATE):
@@ -102,7 +138,7 @@
     return ListedTarget(
         name=name,
         # `born` is the Unix time of the target's start, ms.
-        incarnation=read_field(decoded, "born", int, 0),
+        incarnation=read_number(decoded, "born", int, 0, MAX_UNIX_MS, 0),
         host=address.host,
         port=address.port,
         # A data centre is a `zone` on the wire.
@@ -115,9 +151,19 @@
 
 
 def decode_resources(content: dict) -> Resources:
-    """Return the resource amounts in an object; absent ones are zero."""
+    """Return the resource amounts in an object; absent ones are zero.
+
+    Raises
+    ------
+    FieldError
+        If an amount is negative, too large or not a whole number.
+    """
     return Resources(
-        cpu_millicores=read_field(content, "cpu", int, 0),
-        memory_mb=read_field(content, "mem_mb", int, 0),
-        accelerators=read_field(content, "gpu", int, 0),
+        cpu_millicores=_read_amount(content, "cpu"),
+        memory_mb=_read_amount(content, "mem_mb"),
+        accelerators=_read_amount(content, "gpu"),
     )
+
+
+def _read_amount(content: dict, name: str) -> int:
+    return read_number(content, name, int, 0, MAX_RESOURCE_AMOUNT, 0)
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes for each host."""
 
+import ipaddress
 import os
 import re
 import tomllib
@@ -11,10 +12,17 @@
 
 from gentianhub.core import ProcessName, SettingsError, Step
 from gentianhub.core.ids import PROCESS_NAME_PATTERN
-from gentianhub.platform.fields import FieldError, read_field, read_strings
+from gentianhub.platform.fields import (
+    FieldError,
+    describe_value,
+    read_field,
+    read_strings,
+)
 
 SETTINGS_VARIABLE = "GENTIANHUB_BOOT"
 MAX_NAME_LENGTH = 31
+MAX_PORT = 2**16 - 1
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 @frozen(kw_only=True)
@@ -102,9 +110,27 @@
         If the text has another form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise FieldError(f"expected IP:PORT, got {text!r:.60}")
-    return Address(host=host, port=int(port))
+    if not _PORT_PATTERN.fullmatch(port):
+        raise FieldError(f"expected IP:PORT, got {describe_value(text)}")
+    return check_address(host, int(port))
+
+
+def check_address(host: str, port: int) -> Address:
+    """Return an address if it can be connected to.
+
+    Raises
+    ------
+    FieldError
+        If the host is no IPv4 address or the port is out of range.
+    """
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        found = describe_value(host)
+        raise FieldError(f"address: expected IPv4, got {found}") from error
+    if not 1 <= port <= MAX_PORT:
+        raise FieldError(f"port: expected 1 to {MAX_PORT}, got {port}")
+    return Address(host=host, port=port)
 
 
 def normalize_name(text: str) -> str:
--- a/gentianhub/platform/tests/test_adapter.py
+++ b/gentianhub/platform/tests/test_adapter.py
@@ -6,7 +6,7 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity.jobs import TaskKey
 from gentianhub.platform import callers, content, settings, targets
-from gentianhub.platform.fields import FieldError
+from gentianhub.platform.fields import FieldError, read_field
 
 CONFIGURATION = {
     "version": 7,
@@ -79,6 +79,39 @@
             with self.subTest(change), self.assertRaises(FieldError):
                 content.decode_target("i-1", encode(TARGET | change))
 
+    def test_values_out_of_range_are_rejected(self):
+        """Each of them ended the process or the greenlet that used it later."""
+        broken = {
+            "port": {"address": "10.0.0.1:65536"},
+            "IP:PORT": {"address": "10.0.0.1:\u00b2"},
+            "IPv4": {"address": "name:80"},
+            "cpu": {"capacity": {"cpu": 10**400}},
+            "mem_mb": {"capacity": {"mem_mb": -1}},
+            "gpu": {"capacity": {"gpu": 2**31}},
+            "born": {"born": 2**60},
+        }
+        for field, change in broken.items():
+            with self.subTest(change), self.assertRaisesRegex(FieldError, field):
+                content.decode_target("i-1", encode(TARGET | change))
+
+    def test_names_that_cannot_be_sent_in_a_header_are_rejected(self):
+        for name in ("", "i 1", "i\r\n", "\u00e9", "i" * 201):
+            with self.subTest(name), self.assertRaisesRegex(FieldError, "name"):
+                content.decode_target(name, encode(TARGET))
+
+    def test_deeply_nested_values_are_rejected(self):
+        """Comparing or describing them exceeded the recursion limit."""
+        for depth in (40, 500, 900):
+            nested = "[" * depth + "]" * depth
+            row = f'{{"born": {nested}}}'.encode()
+            with self.subTest(depth), self.assertRaisesRegex(FieldError, "nesting"):
+                content.decode_target("i-1", row)
+
+    def test_numbers_that_are_not_finite_are_rejected(self):
+        for text in ("NaN", "Infinity", "1e999", "9" * 400):
+            with self.subTest(text), self.assertRaisesRegex(FieldError, "x: expected"):
+                read_field(json.loads(f'{{"x": {text}}}'), "x", float)
+
     def test_task_names_decode_to_the_encoded_key(self):
         key = TaskKey(job="5c0e7a21d94b36f8", step=1, index=17)
         self.assertEqual(key, targets.decode_key(targets.encode_key(key)))
