Reject rows of hosts and layouts with values that cannot be used

What callers saw: one odd row in the table of hosts ended all hosts, again after each restart. Cause: a data centre or name outside the pattern of names raised a ValueError in the coordinator; a port out of range ended the greenlet that dialled it, so that the host was never dialled again; a layout of 10**9 cells would use up the memory. Change: addresses, names, start times, sizes and the number of cells are checked where a row is decoded; an invalid row is logged and skipped. Left: hosts that start while the row of their layout is invalid learn the layout only from hosts that know it.

--- a/gentianhub/host/registry.py
+++ b/gentianhub/host/registry.py
@@ -4,8 +4,20 @@
 
 from attrs import asdict, frozen
 
-from gentianhub.platform.content import decode_json
-from gentianhub.platform.fields import read_field
+from gentianhub.core.ids import PROCESS_NAME_PATTERN
+from gentianhub.platform.content import MAX_UNIX_MS, decode_json
+from gentianhub.platform.fields import (
+    FieldError,
+    describe_value,
+    read_field,
+    read_number,
+)
+from gentianhub.platform.settings import check_address
+
+# Largest size of a host, and largest number of cells of a data centre, which a message
+# has 16 bits for.
+MAX_CORES = 1024.0
+MAX_CELLS = 2**16 - 1
 
 HOSTS_TABLE = "gentianhub-hosts"
 # One row for each data centre: the number of cells that its targets are split into.
@@ -41,16 +53,26 @@
         If the row describes no host.
     """
     decoded = decode_json(content)
+    address = check_address(
+        read_field(decoded, "address", str), read_field(decoded, "port", int)
+    )
     return HostEntry(
-        data_centre=read_field(decoded, "data_centre", str),
-        name=read_field(decoded, "name", str),
-        address=read_field(decoded, "address", str),
-        port=read_field(decoded, "port", int),
-        started_ms=read_field(decoded, "started_ms", int),
-        cores=read_field(decoded, "cores", float, 1.0),
+        data_centre=_read_name(decoded, "data_centre"),
+        name=_read_name(decoded, "name"),
+        address=address.host,
+        port=address.port,
+        started_ms=read_number(decoded, "started_ms", int, 0, MAX_UNIX_MS),
+        cores=read_number(decoded, "cores", float, 0.0, MAX_CORES, 1.0),
     )
 
 
+def _read_name(content: dict, name: str) -> str:
+    value = read_field(content, name, str)
+    if not PROCESS_NAME_PATTERN.fullmatch(value):
+        raise FieldError(f"{name}: expected a name, got {describe_value(value)}")
+    return value
+
+
 def encode_layout(cells: int) -> bytes:
     """Return the content of a data centre's row in the layout."""
     return json.dumps({"cells": cells}).encode()
@@ -64,4 +86,4 @@
     FieldError
         If the row does not hold it.
     """
-    return max(1, read_field(decode_json(content), "cells", int))
+    return read_number(decode_json(content), "cells", int, 1, MAX_CELLS)
--- a/gentianhub/host/tests/test_odd_entries.py
+++ b/gentianhub/host/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from gentianhub.host.registry import HOSTS_TABLE
 from gentianhub.host.tests.host_processes import HostProcessesTest
 
 # Longer than a host takes to read a changed table.
@@ -23,6 +24,14 @@
     "capacity": '{"cpu": 64000, "mem_mb": 4096}',
     "labels": "[]",
 }
+HOST = {
+    "data_centre": '"olten"',
+    "name": '"odd"',
+    "address": '"127.0.3.12"',
+    "port": "9",
+    "started_ms": "1",
+    "cores": "1.0",
+}
 ODD_TARGETS = [
     {"address": '"127.0.0.1:99999"'},
     {"address": '"127.0.0.1:0"'},
@@ -40,6 +49,18 @@
     {"other": VERY_DEEP},
     {"zone": '"\\ud800"'},
 ]
+ODD_HOSTS = [
+    {"port": "99999"},
+    {"port": "-1"},
+    {"port": HUGE},
+    {"address": '"no host"'},
+    {"data_centre": '"NOT A NAME"'},
+    {"name": '""'},
+    {"cores": "NaN"},
+    {"cores": HUGE},
+    {"started_ms": HUGE},
+    {"name": DEEP},
+]
 
 
 def encode(fields: dict[str, str]) -> bytes:
@@ -77,6 +98,12 @@
         self.check_is_served(100)
         self.check_list_is_followed()
 
+    def test_odd_entries_among_the_hosts(self):
+        for number, change in enumerate(ODD_HOSTS):
+            self.store.put(HOSTS_TABLE, f"odd-{number}", encode(HOST | change))
+            with self.subTest(str(change)[:80]):
+                self.check_is_served(number)
+
 
 if __name__ == "__main__":
     unittest.main()
