Check the values of a configuration, route by route

What callers saw: a configuration with an objective of 400 digits ended every host; one that is NaN or infinite left the order of waiting tasks undefined. A configuration with one field of another type was rejected as a whole, and so was each later one as long as the field stayed. Cause: numbers were checked for their type only. Change: the numbers of a route have bounds. A route that cannot be used is logged and stays as it was in the version before, or is left out if it is new; all others come into force. A version or list of routes that cannot be read still rejects the version.

--- a/gentianhub/host/tests/test_odd_entries.py
+++ b/gentianhub/host/tests/test_odd_entries.py
@@ -1,11 +1,12 @@
 """A host goes on, and follows the tables, while another writer leaves odd entries."""
 
+import json
 import unittest
 
 import gevent
 
 from gentianhub.host.registry import HOSTS_TABLE
-from gentianhub.host.tests.host_processes import HostProcessesTest
+from gentianhub.host.tests.host_processes import CONFIGURATION, HostProcessesTest
 
 # Longer than a host takes to read a changed table.
 READING_S = 0.6
@@ -61,6 +62,16 @@
     {"started_ms": HUGE},
     {"name": DEEP},
 ]
+ODD_ROUTES = [
+    {"slo_ms": HUGE},
+    {"slo_ms": "NaN"},
+    {"stretch": "1e999"},
+    {"timeout_ms": "1e300"},
+    {"max_attempts": "0"},
+    {"priority": HUGE},
+    {"advice": DEEP},
+    {"other": DEEP},
+]
 
 
 def encode(fields: dict[str, str]) -> bytes:
@@ -104,6 +115,20 @@
             with self.subTest(str(change)[:80]):
                 self.check_is_served(number)
 
+    def test_odd_configurations(self):
+        (route,) = CONFIGURATION["routes"]
+        values = {name: json.dumps(value) for name, value in route.items()}
+        for number, change in enumerate(ODD_ROUTES):
+            routes = encode(values | change).decode()
+            content = {"version": str(10 + number), "routes": f"[{routes}]"}
+            self.store.put("op", "config", encode(content))
+            with self.subTest(str(change)[:80]):
+                self.check_is_served(number)
+        followed = CONFIGURATION | {"version": 50, "routes": []}
+        self.store.put("op", "config", json.dumps(followed).encode())
+        gevent.sleep(READING_S)
+        self.assertEqual(404, self.submit(100))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/platform/content.py
+++ b/gentianhub/platform/content.py
@@ -1,6 +1,7 @@
 """Decoding of the rows that the operator and the targets write to the store."""
 
 import json
+import logging
 import re
 from collections.abc import Iterator
 
@@ -23,6 +24,13 @@
 MAX_RESOURCE_AMOUNT = 2**31 - 1
 # Unix times in milliseconds stay below this until the year 10889.
 MAX_UNIX_MS = 2**48
+# Largest values of a route: they can be encoded, and their products stay finite.
+MAX_PRIORITY = 2**31 - 1
+MAX_ATTEMPTS = 2**31 - 1
+MAX_STRETCH = 1e6
+MAX_DURATION_MS = 1e9
+# The version of a configuration is encoded in 64 bits.
+MAX_VERSION = 2**63 - 1
 # A target's name is sent in a header.
 _TARGET_NAME_PATTERN = re.compile(r"[!-~]{1,200}")
 
@@ -30,6 +38,9 @@
 DRAINING_STATE = "draining"
 
 
+logger = logging.getLogger(__name__)
+
+
 def decode_json(content: bytes) -> dict:
     """Return the JSON object in a body or a row.
 
@@ -76,6 +87,8 @@
     def decode(self, content: bytes) -> Configuration:
         """Return the operator's configuration.
 
+        A route that cannot be used is logged, and stays as it was before, if it was.
+
         Raises
         ------
         FieldError
@@ -83,21 +96,44 @@
         """
         decoded = decode_json(content)
         limits = read_field(decoded, "limits", dict, {})
+        version = read_number(decoded, "version", int, 0, MAX_VERSION)
         rows = read_field(decoded, "routes", list, [])
-        routes = tuple(map(self._decode_route, rows))
-        self._known = {
-            route.name: (row, route) for row, route in zip(rows, routes, strict=True)
-        }
+        decoded_rows = list(self._decode_routes(rows, version))
+        self._known = {route.name: (row, route) for row, route in decoded_rows}
         return Configuration(
-            version=read_field(decoded, "version", int),
-            routes=routes,
+            version=version,
+            routes=tuple(route for _, route in decoded_rows),
             max_body_bytes=read_field(limits, "max_body_bytes", int, 262_144),
         )
 
-    def _decode_route(self, row: object) -> Route:
-        name = read_field(row, "name", str)
-        known_row, route = self._known.get(name, (None, None))
-        return route if known_row == row else _decode_route(row)
+    def _decode_routes(
+        self, rows: list, version: int
+    ) -> Iterator[tuple[object, Route]]:
+        """Yield the row of each route and the decoded route."""
+        for row in rows:
+            try:
+                name = read_field(row, "name", str)
+                known_row, route = self._known.get(name, (None, None))
+                yield row, route if known_row == row else _decode_route(row)
+            except FieldError as error:
+                earlier = self._find_earlier(row)
+                logger.warning(
+                    "invalid route",
+                    extra={
+                        "id": earlier.name if earlier else describe_value(row),
+                        "version": version,
+                        "reason": str(error),
+                        "kept": earlier is not None,
+                    },
+                )
+                if earlier is not None:
+                    yield row, earlier
+
+    def _find_earlier(self, row: object) -> Route | None:
+        """Return the route of this name in the version before, if there is one."""
+        name = row.get("name") if isinstance(row, dict) else None
+        is_known = isinstance(name, str) and name in self._known
+        return self._known[name][1] if is_known else None
 
 
 def decode_configuration(content: bytes) -> Configuration:
@@ -111,15 +147,19 @@
         host=read_field(content, "host", str),
         prefix=read_field(content, "prefix", str),
         service=read_field(content, "service", str),
-        priority=read_field(content, "priority", int, 0),
-        max_attempts=read_field(content, "max_attempts", int, 1),
-        objective_s=read_field(content, "slo_ms", float, 0.0) / 1000,
-        stretch=read_field(content, "stretch", float, 1.0),
-        timeout_s=read_field(content, "timeout_ms", float, 0.0) / 1000,
+        priority=read_number(content, "priority", int, -MAX_PRIORITY, MAX_PRIORITY, 0),
+        max_attempts=read_number(content, "max_attempts", int, 1, MAX_ATTEMPTS, 1),
+        objective_s=_read_duration_s(content, "slo_ms"),
+        stretch=read_number(content, "stretch", float, 0.0, MAX_STRETCH, 1.0),
+        timeout_s=_read_duration_s(content, "timeout_ms"),
         requires_advice=read_field(content, "advice", dict, None) is not None,
     )
 
 
+def _read_duration_s(content: object, name: str) -> float:
+    return read_number(content, name, float, 0.0, MAX_DURATION_MS, 0.0) / 1000
+
+
 def decode_target(name: str, content: bytes) -> ListedTarget:
     """Return the target that an entry of the service discovery describes.
 
--- a/gentianhub/platform/tests/test_adapter.py
+++ b/gentianhub/platform/tests/test_adapter.py
@@ -58,6 +58,46 @@
             with self.assertRaises(FieldError):
                 content.decode_configuration(broken)
 
+    def test_values_out_of_range_are_rejected(self):
+        """A huge objective ended each host at the next job of its route."""
+        odd = self.find_odd_routes()
+        for field, route in odd.items():
+            changed = CONFIGURATION | {"routes": [route]}
+            with self.subTest(field), self.assertLogs(content.logger) as logs:
+                read = content.decode_configuration(encode(changed))
+                self.assertEqual((), read.routes)
+                self.assertIn(field, logs.records[0].reason)
+
+    def test_an_odd_route_stays_as_it_was_and_holds_up_no_other_change(self):
+        """One odd route would keep all later versions from coming into force."""
+        decoder = content.ConfigurationDecoder()
+        before = decoder.decode(encode(CONFIGURATION)).routes[0]
+        for field, route in self.find_odd_routes().items():
+            new = CONFIGURATION["routes"][1] | {"name": "r3"}
+            changed = CONFIGURATION | {"version": 8, "routes": [route, new]}
+            with self.subTest(field), self.assertLogs(content.logger):
+                routes = decoder.decode(encode(changed)).routes
+                self.assertEqual(before, routes[0])
+                self.assertEqual(["r1", "r3"], [route.name for route in routes])
+
+    def test_a_route_without_a_usable_name_is_left_out(self):
+        for row in (5, {}, {"name": ["r1"]}):
+            changed = CONFIGURATION | {"routes": [row, CONFIGURATION["routes"][0]]}
+            with self.subTest(row), self.assertLogs(content.logger):
+                read = content.decode_configuration(encode(changed))
+                self.assertEqual(["r1"], [route.name for route in read.routes])
+
+    def find_odd_routes(self) -> dict[str, dict]:
+        broken = {
+            "slo_ms": 10**400,
+            "timeout_ms": -1,
+            "stretch": 1e300,
+            "max_attempts": 0,
+            "priority": 2**40,
+        }
+        known = CONFIGURATION["routes"][0]
+        return {field: known | {field: value} for field, value in broken.items()}
+
 
 class TestTargets(unittest.TestCase):
     def test_entry_is_decoded_to_a_listed_target(self):
