Check the values that callers and targets send

Cause: of the answers of targets and the requests of callers, types were checked but not ranges. A progress of 1e999 ended the greenlet of a target's renewals, so that the target was not used again; the name of a task with a lone surrogate, sent on to other hosts with the losses of targets, would end the process; a job could request a negative or unbounded amount and any number of tasks; a 'Deadline-Ms' of 'inf' kept a job open for good. Change: names of tasks are visible ASCII with bounded numbers, progress is limited to 0 to 100, amounts and durations of steps have bounds, a job has 10,000 tasks at most in all steps together, and a wait has to be finite.

--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -1,6 +1,7 @@
 """HTTP servers for callers and for the host's readiness, metrics and state."""
 
 import json
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -21,6 +22,8 @@
 
 # Most concurrent connections of callers; the host may open 4,100 file descriptors.
 MAX_CALLERS = 2000
+# Longest wait for an answer that a caller can request, s.
+MAX_WAIT_S = 86_400.0
 MAX_BODY_BYTES = 1_048_576
 # All requests are answered before the servers stop, but callers keep idle connections
 # open until the process exits, which must happen within the grace period.
@@ -76,9 +79,10 @@
 def parse_wait_s(text: str | None) -> float | None:
     """Return how long the caller waits, s; None without a valid header."""
     try:
-        return max(0.0, float(text) / 1000) if text else None
+        wait_s = float(text) / 1000 if text else math.nan
     except ValueError:
         return None
+    return min(max(0.0, wait_s), MAX_WAIT_S) if math.isfinite(wait_s) else None
 
 
 def _refuse_body(error: BodyError) -> Response:
--- a/gentianhub/platform/callers.py
+++ b/gentianhub/platform/callers.py
@@ -5,13 +5,22 @@
 
 from gentianhub.capacity.effects import AnswerCaller, JobVerdict
 from gentianhub.capacity.jobs import CapacityJob, JobStep
-from gentianhub.platform.content import decode_json, decode_resources
-from gentianhub.platform.fields import FieldError, read_field
+from gentianhub.platform.content import (
+    decode_json,
+    decode_resources,
+    read_duration_s,
+)
+from gentianhub.platform.fields import (
+    FieldError,
+    describe_value,
+    read_field,
+    read_number,
+)
 from gentianhub.web import Response
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 MAX_PAYLOAD_BYTES = 4000
-MAX_TASKS_PER_STEP = 10_000
+MAX_TASKS = 10_000
 DEADLINE_HEADER = "deadline-ms"
 JSON_HEADERS = {"Content-Type": "application/json"}
 # Fields of a submission or a step that request features which are not implemented.
@@ -44,6 +53,9 @@
     )
     if not steps:
         raise FieldError("phases: expected at least one")
+    tasks = sum(step.count for step in steps)
+    if tasks > MAX_TASKS:
+        raise FieldError(f"phases: expected at most {MAX_TASKS} tasks, got {tasks}")
     is_durable = not read_field(decoded, "best_effort", bool, False)
     unsupported = [name for name in UNSUPPORTED_JOB_FIELDS if decoded.get(name)]
     unsupported += [
@@ -60,21 +72,20 @@
 
 
 def _decode_step(position: int, content: object) -> JobStep:
-    count = read_field(content, "count", int, 1)
+    count = read_number(content, "count", int, 1, MAX_TASKS, 1)
     after = tuple(read_field(content, "after", list, []))
-    if not 1 <= count <= MAX_TASKS_PER_STEP:
-        raise FieldError(f"count: expected 1 to {MAX_TASKS_PER_STEP}, got {count}")
     if not all(type(number) is int and 0 <= number < position for number in after):
-        raise FieldError(f"after: expected numbers of earlier steps, got {after!r}")
+        found = describe_value(after)
+        raise FieldError(f"after: expected numbers of earlier steps, got {found}")
     return JobStep(
         count=count,
         demand=decode_resources(content),
-        estimate_s=read_field(content, "estimate_ms", float, 0.0) / 1000,
+        estimate_s=read_duration_s(content, "estimate_ms"),
         after=after,
         required_label=read_field(content, "required_label", str, ""),
         data_rack=read_field(content, "data_rack", str, ""),
         # A target is a `server` on the wire.
-        max_per_target=read_field(content, "max_per_server", int, 0),
+        max_per_target=read_number(content, "max_per_server", int, 0, MAX_TASKS, 0),
     )
 
 
--- a/gentianhub/platform/content.py
+++ b/gentianhub/platform/content.py
@@ -149,14 +149,15 @@
         service=read_field(content, "service", str),
         priority=read_number(content, "priority", int, -MAX_PRIORITY, MAX_PRIORITY, 0),
         max_attempts=read_number(content, "max_attempts", int, 1, MAX_ATTEMPTS, 1),
-        objective_s=_read_duration_s(content, "slo_ms"),
+        objective_s=read_duration_s(content, "slo_ms"),
         stretch=read_number(content, "stretch", float, 0.0, MAX_STRETCH, 1.0),
-        timeout_s=_read_duration_s(content, "timeout_ms"),
+        timeout_s=read_duration_s(content, "timeout_ms"),
         requires_advice=read_field(content, "advice", dict, None) is not None,
     )
 
 
-def _read_duration_s(content: object, name: str) -> float:
+def read_duration_s(content: object, name: str) -> float:
+    """Return a duration that is given in milliseconds, s; 0 if the field is absent."""
     return read_number(content, name, float, 0.0, MAX_DURATION_MS, 0.0) / 1000
 
 
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -1,6 +1,7 @@
 """Requests to one target: starts, stops and lease renewals."""
 
 import json
+import math
 import re
 
 import gevent
@@ -12,15 +13,16 @@
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
 from gentianhub.core import read_monotonic_s
 from gentianhub.platform.content import decode_json
-from gentianhub.platform.fields import FieldError, read_field
+from gentianhub.platform.fields import FieldError, describe_value, read_field
 from gentianhub.web import HTTP_ERRORS, HttpConnection
 
 CONNECT_TIMEOUT_S = 0.2
 # Added to the time for which the target holds a renewal, s.
 RENEWAL_SLACK_S = 0.1
+MAX_PERCENT = 100
 INCARNATION_HEADER = "Target-Instance"
 
-_TASK_PATTERN = re.compile(r"(.+)\.(\d+)\.(\d+)\.(\d+)")
+_TASK_PATTERN = re.compile(r"([!-~]{1,64})\.([0-9]+)\.([0-9]{1,9})\.([0-9]{1,9})")
 _START_REFUSALS = {
     "fence": ev.StartVerdict.FENCED,
     "old": ev.StartVerdict.STALE_RUN,
@@ -201,9 +203,7 @@
             target=self.target.name,
             incarnation=read_field(answer, "born", int, None),
             sent_s=sent_s,
-            running=tuple(
-                map(_decode_running, read_field(answer, "running", list, []))
-            ),
+            running=tuple(map(decode_running, read_field(answer, "running", list, []))),
             ended=tuple(map(_decode_ended, read_field(answer, "ended", list, []))),
         )
 
@@ -257,16 +257,27 @@
     """
     match = _TASK_PATTERN.fullmatch(text) if isinstance(text, str) else None
     if match is None:
-        raise FieldError(f"task: expected JOB.OCCURRENCE.STEP.INDEX, got {text!r:.60}")
+        found = describe_value(text)
+        raise FieldError(f"task: expected JOB.OCCURRENCE.STEP.INDEX, got {found}")
     return TaskKey(job=match[1], step=int(match[3]), index=int(match[4]))
 
 
-def _decode_running(row: object) -> ev.RunReport:
+def decode_running(row: object) -> ev.RunReport:
+    """Return the run that a row of a target's list describes.
+
+    Raises
+    ------
+    FieldError
+        If the row has another form.
+    """
     match row:
-        case [task, int(run), _, int() | float() as percent, *_]:
-            return ev.RunReport(key=decode_key(task), run=run, percent=int(percent))
+        case [task, int(run), _, int() | float() as percent, *_] if math.isfinite(
+            min(percent, MAX_PERCENT)
+        ):
+            whole_percent = int(max(0, min(percent, MAX_PERCENT)))
+            return ev.RunReport(key=decode_key(task), run=run, percent=whole_percent)
         case _:
-            raise FieldError(f"running: unexpected row {row!r:.80}")
+            raise FieldError(f"running: unexpected row {describe_value(row)}")
 
 
 def _decode_ended(row: object) -> ev.EndReport:
@@ -276,4 +287,4 @@
                 number=number, key=decode_key(task), run=run, end=_RUN_ENDS[end_name]
             )
         case _:
-            raise FieldError(f"ended: unexpected row {row!r:.80}")
+            raise FieldError(f"ended: unexpected row {describe_value(row)}")
--- a/gentianhub/platform/tests/test_adapter.py
+++ b/gentianhub/platform/tests/test_adapter.py
@@ -159,6 +159,23 @@
             with self.assertRaises(FieldError):
                 targets.decode_key(broken)
 
+    def test_odd_rows_in_the_answer_of_a_target_are_rejected(self):
+        """The greenlet of its renewals ended, and the target was never used again."""
+        for text in ("-1e999", "NaN", '"5"', "[[]]"):
+            row = json.loads(f'["a.0.0.0", 1, "", {text}]')
+            with self.subTest(text), self.assertRaises(FieldError):
+                targets.decode_running(row)
+        for text, percent in (("1e999", 100), ("9" * 400, 100), ("-5", 0)):
+            row = json.loads(f'["a.0.0.0", 1, "", {text}]')
+            with self.subTest(text):
+                self.assertEqual(percent, targets.decode_running(row).percent)
+
+    def test_names_of_tasks_that_cannot_be_sent_to_hosts_are_rejected(self):
+        """A lone surrogate ends the process when it is encoded for another host."""
+        for name in ("\ud800.0.0.0", "a b.0.0.0", f"a.0.0.{10**30}", "a" * 300):
+            with self.subTest(name), self.assertRaises(FieldError):
+                targets.decode_key(name)
+
 
 class TestJobs(unittest.TestCase):
     def test_job_is_decoded_with_its_steps(self):
@@ -183,6 +200,18 @@
             with self.subTest(phases), self.assertRaises(FieldError):
                 callers.decode_job(encode(JOB | {"phases": phases}))
 
+    def test_steps_with_values_out_of_range_are_rejected(self):
+        broken = [
+            [{"count": 1, "cpu": -1}],
+            [{"count": 1, "cpu": 10**400}],
+            [{"count": 1, "estimate_ms": 1e300}],
+            [{"count": 1, "max_per_server": -1}],
+            [{"count": 10_000}, {"count": 1}],
+        ]
+        for phases in broken:
+            with self.subTest(phases), self.assertRaises(FieldError):
+                callers.decode_job(encode(JOB | {"phases": phases}))
+
     def test_lone_surrogates_are_rejected(self):
         """An escaped lone surrogate ended the process when the job was sent on."""
         with self.assertRaisesRegex(FieldError, "spec"):
