Let jobs of the soak crash targets, and audit what becomes of them

The first task of a fraction of the jobs (--crashing) crashes each target that starts it; their callers submit them again through other hosts, while hosts are killed, paused and drained. The audit reports a task with more than five crashes, and a failed job whose own tasks are not the cause.

--- a/gentianhub/soak/callers.py
+++ b/gentianhub/soak/callers.py
@@ -10,6 +10,7 @@
 from geventhttpclient import HTTPClient
 
 from gentianhub.soak.testbed import QUEUE_HOST, QUEUE_PREFIX, SoakTestbed
+from gentianhub.stand_ins.users_platform import CRASHING_PAYLOAD
 from gentianhub.web import HTTP_ERRORS
 
 DEADLINE_S = 3.0
@@ -37,21 +38,29 @@
 
 @define(kw_only=True, eq=False)
 class JobTrace:
-    """A job and the answers that its caller received."""
+    """A job and the answers that its caller received.
+
+    The first task of a crashing job crashes each target that starts it.
+    """
 
     job_id: str
     tasks: int
+    is_crashing: bool = False
     attempts: list[Attempt] = field(factory=list)
     cancelled_s: float | None = None
 
 
 @define(kw_only=True, eq=False)
 class Caller:
-    """One caller: a greenlet with at most one connection for submissions."""
+    """One caller: a greenlet with at most one connection for submissions.
+
+    `crashing_fraction` of its jobs crash targets.
+    """
 
     number: int
     seed: int
     testbed: SoakTestbed
+    crashing_fraction: float = 0.0
     traces: list[JobTrace] = field(factory=list)
     random: Random = field(init=False)
     _client: HTTPClient | None = field(init=False, default=None)
@@ -66,12 +75,18 @@
             trace = JobTrace(
                 job_id=f"{self.number:04x}{len(self.traces):04x}{self.seed:08x}",
                 tasks=self.random.randint(1, 5),
+                is_crashing=self._draw_crashing(),
             )
             self.traces.append(trace)
             self._submit(trace)
             gevent.sleep(self.random.uniform(0.0, 2 * MEAN_PAUSE_S))
         self._close()
 
+    def _draw_crashing(self) -> bool:
+        # Seeds without crashing jobs keep their sequence of random numbers.
+        fraction = self.crashing_fraction
+        return fraction > 0 and self.random.random() < fraction
+
     def _submit(self, trace: JobTrace) -> None:
         for _ in range(MAX_ATTEMPTS):
             attempt = self._submit_once(trace)
@@ -81,6 +96,9 @@
             if trace.cancelled_s is not None:
                 return
             gevent.sleep(RESEND_DELAY_S)
+            if trace.is_crashing:
+                # The job reaches other hosts, which have to know of its crashes.
+                self._close()
 
     def _submit_once(self, trace: JobTrace) -> Attempt:
         if self._client is None:
@@ -115,7 +133,8 @@
 
     def _send_request(self, trace: JobTrace, timeout_s: float) -> tuple[int, str]:
         phases = [{"count": trace.tasks, "cpu": 3000, "mem_mb": 16, "estimate_ms": 60}]
-        job = {"spec": "text", "best_effort": True, "phases": phases}
+        payload = CRASHING_PAYLOAD if trace.is_crashing else "text"
+        job = {"spec": payload, "best_effort": True, "phases": phases}
         try:
             with gevent.Timeout(timeout_s, TimeoutError):
                 response = self._client.request(
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -58,7 +58,8 @@
     """Size of a run: `callers` callers and `duration_s` seconds with faults.
 
     `gap_s` is the mean time between the starts of two faults. `with_lapses` adds store
-    outages during which the rows of targets expire.
+    outages during which the rows of targets expire. `crashing_fraction` of the jobs
+    crash the targets that start their first task.
     """
 
     seed: int
@@ -66,6 +67,7 @@
     callers: int = DEFAULT_CALLERS
     gap_s: float = 1.0
     with_lapses: bool = False
+    crashing_fraction: float = 0.0
 
 
 # Seeds that exposed faults in the past; docs/soak.md gives the cause of each.
@@ -74,6 +76,8 @@
     SoakPlan(seed=201, duration_s=20.0, gap_s=0.7),
     SoakPlan(seed=520, duration_s=30.0, gap_s=0.7, with_lapses=True),
     SoakPlan(seed=521, duration_s=30.0, gap_s=0.7, with_lapses=True),
+    SoakPlan(seed=700, duration_s=25.0, gap_s=0.7, crashing_fraction=0.01),
+    SoakPlan(seed=701, duration_s=25.0, gap_s=0.7, crashing_fraction=0.01),
 )
 
 
@@ -192,12 +196,19 @@
     injector = FaultInjector(testbed=testbed)
     probe = ConfigurationProbe(testbed=testbed, injector=injector)
     callers = [
-        Caller(number=number, seed=plan.seed, testbed=testbed)
+        Caller(
+            number=number,
+            seed=plan.seed,
+            testbed=testbed,
+            crashing_fraction=plan.crashing_fraction,
+        )
         for number in range(plan.callers)
     ]
     greenlets = [gevent.spawn(caller.run, run_finished.is_set) for caller in callers]
     greenlets.append(gevent.spawn(probe.run, run_finished.is_set))
     fault_free_from_s = _inject_faults(injector, plan) + RECOVERY_S
+    for caller in callers:
+        caller.crashing_fraction = 0.0
     gevent.sleep(RECOVERY_S + FAULT_FREE_S)
     run_finished.set()
     gevent.joinall(greenlets, raise_error=True)
@@ -276,6 +287,10 @@
     lapses: Annotated[
         bool, typer.Option(help="Let rows of targets expire while the store is down.")
     ] = False,
+    crashing: Annotated[
+        float,
+        typer.Option(min=0.0, max=1.0, help="Fraction of jobs that crash targets."),
+    ] = 0.0,
     regressions: Annotated[
         bool, typer.Option(help="Run the regression seeds instead.")
     ] = False,
@@ -288,6 +303,7 @@
             callers=callers,
             gap_s=gap_s,
             with_lapses=lapses,
+            crashing_fraction=crashing,
         )
         for seed in range(first_seed, first_seed + seeds)
     )
--- a/gentianhub/soak/testbed.py
+++ b/gentianhub/soak/testbed.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from functools import partial
 from pathlib import Path
 
 import gevent
@@ -27,6 +28,8 @@
 EXTRA_QUEUE_PREFIX = "/extra/"
 QUEUE_HOST = "desk.example"
 GRACE_PERIOD_S = 6.0
+# Time until a target that a task has crashed is back.
+RESTART_S = 2.0
 
 
 @frozen(kw_only=True)
@@ -112,7 +115,11 @@
     def open_targets(self, stack: ExitStack) -> None:
         """Serve the targets, each behind a relay, and register them."""
         for plan in self.target_plans.values():
-            target = LeasedTargetStandIn(name=plan.name, run_s=plan.run_s)
+            target = LeasedTargetStandIn(
+                name=plan.name,
+                run_s=plan.run_s,
+                on_crash=partial(self._restart_target, plan.name),
+            )
             port, relay_port = find_free_ports(2)
             stack.enter_context(serve_stand_in((LOOPBACK, port), target))
             relay = stack.enter_context(open_relay(relay_port, port))
@@ -121,6 +128,17 @@
             self.targets[plan.name], self.target_relays[plan.name] = target, relay
             self.register_target(plan.name)
 
+    def _restart_target(self, name: str) -> None:
+        """Refuse connections to a target for some time after a task has crashed it."""
+        relay = self.target_relays[name]
+        relay.cut_link()
+
+        def restore() -> None:
+            relay.restore_link()
+            self.register_target(name)
+
+        gevent.spawn_later(RESTART_S, restore)
+
     def register_target(self, name: str, state: str = "ready") -> None:
         """Write a target's row to the store."""
         relay, data_centre = (
--- a/gentianhub/soak/tests/test_audit.py
+++ b/gentianhub/soak/tests/test_audit.py
@@ -63,6 +63,26 @@
         trace = build_trace(build_attempt(), tasks=2)
         self.assertEqual(["an answer is whole"], find_guarantees(trace, build_run()))
 
+    def test_a_task_that_crashes_many_targets_is_reported(self):
+        trace = build_trace(build_attempt(504, ""))
+        trace.is_crashing = True
+        runs = [
+            build_run(run=n, started_s=n / 10, ended_s=n / 10, outcome="crashed")
+            for n in range(1, 7)
+        ]
+        self.assertEqual([], find_guarantees(trace, *runs[:5]))
+        self.assertEqual(["a task crashes few targets"], find_guarantees(trace, *runs))
+
+    def test_a_job_that_failed_for_another_one_is_reported(self):
+        """Its task has run beside one that crashed their targets."""
+        trace = build_trace(build_attempt(state="failed"))
+        runs = [
+            build_run(run=n, started_s=n, ended_s=n, outcome="crashed") for n in (1, 2)
+        ]
+        self.assertIn("a failed job has a cause", find_guarantees(trace, *runs))
+        trace.is_crashing = True
+        self.assertNotIn("a failed job has a cause", find_guarantees(trace, *runs))
+
     def test_a_run_that_outlives_its_caller_is_reported(self):
         trace = build_trace(build_attempt(0, ""))
         run = build_run(ended_s=0.5 + RESEND_DELAY_S + 0.5, outcome="lapsed")
--- a/gentianhub/soak/tests/test_soak.py
+++ b/gentianhub/soak/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 SEED = 1
 LAPSE_SEED = 520
+CRASHING_SEED = 700
 SECONDS = 10.0
 
 
@@ -29,3 +30,8 @@
         """New owners repeated tasks whose runs went on at targets not listed."""
         result = self.run_soak(seed=LAPSE_SEED, with_lapses=True)
         self.assertGreater(result.faults["LapseTargets"], 0)
+
+    def test_tasks_that_crash_targets_violate_no_guarantee(self):
+        """Such tasks crashed up to eight targets, through several owners and hosts."""
+        result = self.run_soak(seed=CRASHING_SEED, crashing_fraction=0.02)
+        self.assertTrue(any(trace.is_crashing for trace in result.traces))
--- a/gentianhub/stand_ins/users_platform.py
+++ b/gentianhub/stand_ins/users_platform.py
@@ -9,7 +9,7 @@
 import json
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
 
@@ -31,6 +31,8 @@
 MAX_LEASE_S = 1.0
 # Shortest time between two checks of the lease.
 MIN_LEASE_CHECK_INTERVAL_S = 0.05
+# Payload of jobs whose first task crashes each target that starts it.
+CRASHING_PAYLOAD = "crash"
 # Longer than any client waits, so that the answer counts as lost.
 LOST_ANSWER_DELAY_S = 30.0
 # Delay after which a target executes a request whose answer is lost.
@@ -176,6 +178,8 @@
         Probability that a request gets no answer in time and is executed late.
     born_ms : int
         Start time that identifies the target's incarnation; a restart increments it.
+    on_crash : callable
+        Called when a task crashes the target.
     """
 
     name: str
@@ -185,6 +189,7 @@
     stalls: bool = False
     loss_probability: float = 0.0
     born_ms: int = 1
+    on_crash: Callable[[], None] = lambda: None
     random: Random = field(factory=Random)
     records: list[RunRecord] = field(init=False, factory=list)
     _fence: int = field(init=False, default=0)
@@ -276,6 +281,9 @@
         record = RunRecord(task=task, run=run, started_s=time.monotonic())
         self.records.append(record)
         self._running[task] = (record, gevent.spawn(self._run, task))
+        if body["spec"] == CRASHING_PAYLOAD and task.endswith(".0"):
+            self.restart()
+            self.on_crash()
         return self._answer({})
 
     def _run(self, task: str) -> None:
