Let owners that cannot read the store follow the list of another owner

What callers saw: nothing, as the targets of the deployments at hand refuse what does not fit; found while checking the other ways to LIMIT. Cause: an owner that is cut off from the store kept the capacities and states of the last list that it had read, for as long as the cut lasted. Ruled out: to hand the cell over, which would cancel or move its work for a list of some kilobytes; to take the capacities from the answers of targets, which do not have them. Change: such an owner requests the rows of its data centre from the other owners in turn, once a second; only one that can read the store answers.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -119,9 +119,20 @@
 
 @frozen(kw_only=True)
 class TargetsOffer:
-    """The list of targets as last read by the sender, in its original encoding."""
+    """The list of targets as last read by the sender, in its original encoding.
+
+    It is the part of one data centre, or the whole list if `data_centre` is empty.
+    """
 
     rows: tuple[tuple[str, bytes], ...]
+    data_centre: str = ""
+
+
+@frozen(kw_only=True)
+class TargetsRequest:
+    """Request of an owner that cannot read the list for the part of a data centre."""
+
+    data_centre: str
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -21,12 +21,14 @@
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.request_handler import RequestHandler
+from gentianhub.host.target_list import TargetList
 from gentianhub.linking.link_events import (
     DialFailed,
     LinkClosed,
     LinkOpened,
     MessageReceived,
 )
+from gentianhub.platform.store import TARGETS_TABLE
 
 # Interval, in ticks, of layout requests and of the removal of silent and lost hosts.
 HOUSEKEEPING_TICKS = 20
@@ -78,7 +80,7 @@
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
     _tick_count: int = field(init=False, default=0)
-    _target_rows: tuple = field(init=False, default=())
+    _target_list: TargetList = field(init=False, factory=lambda: TargetList())
 
     def __attrs_post_init__(self):
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
@@ -157,8 +159,12 @@
                 self.membership.adopt_layout(cells, "store")
             case ms.StoreLost(table=table, reason=reason):
                 log_decision("store lost", table, reason=reason)
+                if table == TARGETS_TABLE:
+                    self._target_list.is_store_lost = True
             case ms.StoreRegained(table=table):
                 log_decision("store regained", table)
+                if table == TARGETS_TABLE:
+                    self._target_list.is_store_lost = False
             case ms.StartDrain(reply_to=reply_to):
                 self._start_drain(reply_to, now_s)
             case ms.InterruptOpenJobs():
@@ -173,7 +179,7 @@
     def _update_targets(
         self, targets, rows, now_s: float, read_s: float | None = None
     ) -> None:
-        self._target_rows = rows
+        self._target_list.targets, self._target_list.rows = targets, rows
         self.membership.ownership.has_targets = True
         self.membership.request_layout(targets, now_s)
         # A successor would not know targets that a draining owner adds.
@@ -275,11 +281,10 @@
                 self.announcements.record(message)
             case ev.TargetLosses():
                 self.cells.record_losses(message, now_s)
-            case ev.TargetsOffer(rows=rows):
-                # A list read from the store is newer than an offered one.
-                if not self.membership.ownership.has_targets:
-                    log_decision("targets offered", str(sender), count=len(rows))
-                    self._update_targets(tuple(decode_targets(rows)), rows, now_s)
+            case ev.TargetsRequest(data_centre=data_centre):
+                self._offer_targets(sender, data_centre)
+            case ev.TargetsOffer():
+                self._adopt_targets(message, sender, now_s)
             case _:
                 kind = type(message).__name__
                 log_decision("message not used", str(sender), kind=kind)
@@ -295,14 +300,46 @@
             self.requests.handle_event(
                 LoadsReported(owner=sender, claims=heartbeat.claims), now_s
             )
-        if heartbeat.lacks_targets and self._target_rows:
-            self.links.send(sender, ev.TargetsOffer(rows=self._target_rows))
+        if heartbeat.lacks_targets and self._target_list.rows:
+            self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
             request = ev.ConfigurationRequest(known_version=self.configuration.version)
             self.links.send(sender, request)
 
+    def _request_targets(self, now_s: float) -> None:
+        """Request the list of targets of an owner that can probably read it."""
+        if not self.cells:
+            return
+        peer = self._target_list.choose_peer(self._find_other_owners(), now_s)
+        if peer is not None:
+            log_decision("targets requested", str(peer))
+            data_centre = self.local_host.name.data_centre
+            self.links.send(peer, ev.TargetsRequest(data_centre=data_centre))
+
+    def _offer_targets(self, peer: Incarnation, data_centre: str) -> None:
+        """Offer the list only if it is newer than that of a host without the store."""
+        if self.cells and not self._target_list.is_store_lost:
+            rows = self._target_list.select_rows(data_centre)
+            offer = ev.TargetsOffer(rows=rows, data_centre=data_centre)
+            self.links.send(peer, offer)
+
+    def _adopt_targets(
+        self, offer: ev.TargetsOffer, sender: Incarnation, now_s: float
+    ) -> None:
+        """Adopt an offered list unless this host can read a newer one itself."""
+        target_list = self._target_list
+        if offer.data_centre and target_list.is_store_lost and offer.rows:
+            target_list.replace_part(offer.data_centre, offer.rows)
+        elif not self.membership.ownership.has_targets:
+            target_list.targets = tuple(decode_targets(offer.rows))
+            target_list.rows = offer.rows
+        else:
+            return
+        log_decision("targets offered", str(sender), count=len(offer.rows))
+        self._update_targets(target_list.targets, target_list.rows, now_s)
+
     def _offer_configuration(self, peer: Incarnation) -> None:
         version, content = self.configuration.version, self.configuration.content
         if version:
@@ -351,6 +388,7 @@
             )
         self.requests.handle_event(ev.Tick(), now_s)
         self._send_due_heartbeats(now_s)
+        self._request_targets(now_s)
         if self._tick_count % HOUSEKEEPING_TICKS == 0:
             self.membership.request_layout(self.cells.targets, now_s)
             self.membership.ownership.remove_expired_peers(now_s)
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -79,9 +79,11 @@
         case ev.TargetLosses(losses=losses, is_passed_on=is_passed_on):
             built = list(map(_build_loss, losses))
             return {"targetLosses": {"losses": built, "isPassedOn": is_passed_on}}
-        case ev.TargetsOffer(rows=rows):
+        case ev.TargetsOffer(rows=rows, data_centre=data_centre):
             listed = [{"key": key, "value": value} for key, value in rows]
-            return {"targetsOffer": {"rows": listed}}
+            return {"targetsOffer": {"rows": listed, "dataCentre": data_centre}}
+        case ev.TargetsRequest(data_centre=data_centre):
+            return {"targetsRequest": {"dataCentre": data_centre}}
 
 
 def _clamp(number: int, largest: int = MAX_UINT32, smallest: int = 0) -> int:
@@ -358,12 +360,18 @@
 
 def _read_targets_offer(content) -> ev.TargetsOffer:
     return ev.TargetsOffer(
-        rows=tuple((row.key, bytes(row.value)) for row in content.rows)
+        rows=tuple((row.key, bytes(row.value)) for row in content.rows),
+        data_centre=content.dataCentre,
     )
 
 
+def _read_targets_request(content) -> ev.TargetsRequest:
+    return ev.TargetsRequest(data_centre=content.dataCentre)
+
+
 READERS = {
     "targetsOffer": _read_targets_offer,
+    "targetsRequest": _read_targets_request,
     "cellTargets": _read_cell_targets,
     "targetLosses": _read_losses,
     "hello": read_hello,
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -84,6 +84,11 @@
 
 struct TargetsOffer {
   rows @0 :List(StoredRow);
+  dataCentre @1 :Text;
+}
+
+struct TargetsRequest {
+  dataCentre @0 :Text;
 }
 
 struct ListedTarget {
@@ -151,5 +156,6 @@
     cellTargets @7 :CellTargets;
     configurationRequest @8 :ConfigurationRequest;
     targetLosses @9 :TargetLosses;
+    targetsRequest @10 :TargetsRequest;
   }
 }
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -61,6 +61,8 @@
         ),
         is_passed_on=True,
     ),
+    ev.TargetsRequest(data_centre="olten"),
+    ev.TargetsOffer(rows=(("i-3", b"{}"),), data_centre="olten"),
     ev.TargetsOffer(rows=(("i-1", b"\x00\xff"), ("i-2", b""))),
 ]
 
