--- a/gentianhub/capacity/losses.py
+++ b/gentianhub/capacity/losses.py
@@ -9,7 +9,7 @@
 
 import enum
 from collections import OrderedDict
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator, Set
 
 from attrs import define, evolve, field, frozen
 
@@ -53,7 +53,7 @@
     _losses: OrderedDict[str, _RecordedLoss] = field(init=False, factory=OrderedDict)
     _ids_by_task: dict[TaskKey, list[str]] = field(init=False, factory=dict)
     _open_ids: set[str] = field(init=False, factory=set)
-    _listed_names: frozenset[str] | None = field(init=False, default=None)
+    _listed_names: Set[str] | None = field(init=False, default=None)
 
     def record(self, loss: TargetLoss, now_s: float) -> bool:
         """Record a loss or its outcome; return whether this was new."""
@@ -117,13 +117,19 @@
 
         It has a new incarnation of the lost target, by the same name or address.
         """
-        targets = tuple(targets)
-        earlier = self._listed_names
-        self._listed_names = frozenset(target.name for target in targets)
-        for loss in self._find_open():
-            if loss.cell in cells and any(
-                _replaces(target, loss, earlier) for target in targets
-            ):
+        by_name = {target.name: target for target in targets}
+        earlier, self._listed_names = self._listed_names, by_name.keys()
+        open_losses = [loss for loss in self._find_open() if loss.cell in cells]
+        if not open_losses:
+            return
+        # The entry of a crashed target stays in the list for some seconds, so that only
+        # an entry that was not listed before is its successor.
+        added = () if earlier is None else by_name.keys() - earlier
+        added_addresses = {by_name[name].address for name in added}
+        for loss in open_losses:
+            listed = by_name.get(loss.target)
+            has_successor = (loss.host, loss.port) in added_addresses
+            if has_successor or (listed is not None and _has_restarted(listed, loss)):
                 yield from self._resolve(loss, LossOutcome.CRASHED, now_s)
 
     def list_losses(self, now_s: float) -> Iterator[TargetLoss]:
@@ -169,17 +175,6 @@
     return len(losses) >= MAX_CRASHES and any(loss.is_alone for loss in losses)
 
 
-def _replaces(
-    target: ListedTarget, loss: TargetLoss, earlier: frozenset[str] | None
-) -> bool:
-    """Whether a listed target is a later incarnation of a lost one.
-
-    `earlier` are the names in the list before, None if there was none. The entry of a
-    crashed target stays in the list for some seconds.
-    """
-    if target.name == loss.target:
-        return 0 not in (target.incarnation, loss.incarnation) and (
-            target.incarnation > loss.incarnation
-        )
-    is_new = earlier is not None and target.name not in earlier
-    return is_new and target.address == (loss.host, loss.port)
+def _has_restarted(listed: ListedTarget, loss: TargetLoss) -> bool:
+    """Whether a target of the same name is a later incarnation than the lost one."""
+    return 0 < loss.incarnation < listed.incarnation
