Keep no record of a job that was refused because of its losses

Cause: the refusal created a job at the owner and cancelled it, so that the same front host's next submission was refused as not run for 3 s, although its losses were decided in its favour meanwhile and earlier runs had taken place. Shown by test_a_job_whose_targets_were_only_cut_off_runs_when_it_is_submitted_again, which failed before.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -147,9 +147,6 @@
         self, request: ev.RunTasks, front_host: Incarnation, now_s: float
     ) -> Iterator:
         job = self.jobs.get((front_host, request.job))
-        if job is None:
-            job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
-            self.jobs[(front_host, request.job)] = job
         keys = [
             TaskKey(job=request.job, step=request.step_number, index=index)
             for index in request.indexes
@@ -160,6 +157,9 @@
             yield self.reporter.build_refusal(request, front_host, end, True)
             yield from self._cancel_job(job, now_s)
             return
+        if job is None:
+            job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
+            self.jobs[(front_host, request.job)] = job
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
             yield self.reporter.build_refusal(
--- a/gentianhub/capacity/tests/test_crashing_tasks.py
+++ b/gentianhub/capacity/tests/test_crashing_tasks.py
@@ -56,6 +56,20 @@
         self.cell.run(until_s=6.0)
         self.assertEqual(set(), self.cell.executed)
 
+    def test_a_job_whose_targets_were_only_cut_off_runs_when_it_is_submitted_again(
+        self,
+    ):
+        """The refusal was kept as a cancelled job, which was refused as not run."""
+        self.cell.run(until_s=2.5)
+        self.cell.submit("deadly", 1, OTHER_FRONT_HOST)
+        losses = self.cell.driver.scheduler.losses
+        for loss in losses.find_losses(build_key("deadly")):
+            list(losses.resolve_by_report(loss.target, loss.incarnation, 2.6))
+        self.cell.executed.clear()
+        self.cell.submit("deadly", 1, OTHER_FRONT_HOST)
+        self.cell.run(until_s=2.8)
+        self.assertEqual({"deadly"}, self.cell.executed)
+
 
 class TestNeighbours(unittest.TestCase):
     """Guards against innocent tasks that fail because of a task beside them."""
