Run a job that its front host cancels and submits again

What callers saw: a job that was answered 504 and submitted again after 1.3 s through the same host was answered 504 at once, 'no capacity before the deadline', for 3 s. Cause: an owner keeps a cancelled job for 3 s to refuse requests that cross its own cancellation, and did not tell these from a new submission after the front host's. Ruled out: a shorter time, which would let late requests of lost front hosts in. Change: a job that its front host has cancelled is replaced by the next request, which follows the cancellation on the same link. Its tasks wait for the end of earlier runs, as after a submission through another host, and continue their numbers. Shown by test_a_job_that_is_submitted_again_runs_after_its_earlier_run_has_ended, which failed before (an end 'expired').

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -111,6 +111,8 @@
             case ev.CancelTasks(job=job_id):
                 job = self.jobs.get((front_host, job_id))
                 yield from self._cancel_job(job, now_s)
+                if job is not None:
+                    job.is_withdrawn = True
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
             case ev.FrontLost(front_host=lost):
                 yield from self._give_up_front_host(lost, now_s)
@@ -157,7 +159,7 @@
             yield self.reporter.build_refusal(request, front_host, end, True)
             yield from self._cancel_job(job, now_s)
             return
-        if job is None:
+        if job is None or job.is_withdrawn:
             job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
             self.jobs[(front_host, request.job)] = job
         if job.is_cancelled:
@@ -207,8 +209,9 @@
         """Queue a task, adopt its run, or block it until earlier runs are known."""
         earlier = self._started_tasks.get(task.key)
         if earlier is not None:
-            # The job was resubmitted through another front host after the first failed.
+            # The job was submitted again; targets reject a number that was used before.
             task.is_blocked = True
+            task.last_run = max(task.last_run, earlier.last_run)
             self._blocked.append(task)
             yield from self._cancel_job(earlier.job, now_s)
             return
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -12,7 +12,8 @@
     """The tasks of one job that one front host has sent to a cell.
 
     `possible_runs` counts the runs that have started or may have started; a start that
-    a target has provably not executed is none.
+    a target has provably not executed is none. `is_withdrawn` is set if the front host
+    has cancelled the job, so that a later request is a new submission.
     """
 
     front_host: Incarnation
@@ -20,6 +21,7 @@
     possible_runs: int = 0
     is_late: bool = False
     is_cancelled: bool = False
+    is_withdrawn: bool = False
     changed_s: float = 0.0
     tasks: dict[TaskKey, "CellTask"] = field(factory=dict)
 
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -102,6 +102,29 @@
         (again,) = find_starts(driver.feed(ev.Tick()))
         self.assertNotEqual(start.target.name, again.target.name)
 
+    def test_a_job_that_is_submitted_again_runs_after_its_earlier_run_has_ended(self):
+        """A caller submits again 1.3 s after an answer 504, often to the same host.
+
+        For 3 s the job was refused as cancelled, for lack of capacity.
+        """
+        driver = SchedulerDriver([build_target("t1")])
+        (start,) = find_starts(driver.feed(build_request("a")))
+        driver.answer(start)
+        driver.feed(ev.CancelTasks(cell=get_cell(), job="a"))
+        again = driver.feed(build_request("a"))
+        self.assertEqual(([], []), (find_starts(again), find_ends(again)))
+        ended = driver.end(start, 1, ev.RunEnd.STOPPED)
+        (again,) = find_starts(ended)
+        self.assertEqual(("a", start.run + 1), (again.key.job, again.run))
+
+    def test_a_job_that_its_owner_gave_up_is_not_taken_up_by_a_late_request(self):
+        """The request crosses the report that the job has been given up."""
+        driver = SchedulerDriver([build_target("t1")])
+        driver.feed(build_request("a", build_step(count=2)))
+        driver.feed(ev.FrontLost(front_host=FRONT_HOST))
+        (refusal,) = find_ends(driver.feed(build_request("a", build_step(count=2))))
+        self.assertIs(ev.TaskEnd.EXPIRED, refusal.end)
+
     def test_one_lost_answer_to_a_renewal_does_not_silence_a_target(self):
         """With 5% of answers lost, targets were idle and leases expired."""
         driver = SchedulerDriver([build_target("t1")])
