--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -2,6 +2,8 @@
 
 import hashlib
 import math
+from collections.abc import Iterable
+from itertools import islice
 
 from attrs import field, frozen
 
@@ -10,6 +12,8 @@
 # The owner of a cell of 59 targets used at most 0.38 of a core at the load peak of the
 # users' grown deployment. Larger cells waste less capacity by fragmentation.
 TARGETS_PER_CELL = 48
+# Most tasks that one log line names.
+MAX_LOGGED_TASKS = 16
 
 
 @frozen(kw_only=True)
@@ -58,6 +62,11 @@
     return f"{key.job}/{key.step}/{key.index}"
 
 
+def format_task_keys(keys: Iterable[TaskKey]) -> list[str]:
+    """Return the identifiers of the first tasks, as many as a log line may name."""
+    return [format_task_key(key) for key in islice(keys, MAX_LOGGED_TASKS)]
+
+
 @frozen(kw_only=True)
 class Route:
     """A route of the operator's configuration: a URL prefix and its settings.
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -11,7 +11,12 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.jobs import Cell, ListedTarget, format_task_key
+from gentianhub.capacity.jobs import (
+    Cell,
+    ListedTarget,
+    format_task_key,
+    format_task_keys,
+)
 from gentianhub.capacity.leases import (
     HANDOVER_NOTICE_S,
     LEASE_S,
@@ -46,8 +51,6 @@
 # expected time, whichever is longer.
 STALL_TIMEOUT_S = 0.4
 STALL_FRACTION = 0.4
-# Most tasks that one log line names.
-MAX_LOGGED_TASKS = 16
 
 
 @define(kw_only=True, eq=False)
@@ -443,7 +446,7 @@
     keys = [*state.runs, *(key for key in state.orphans if key not in state.runs)]
     return {
         "runs": len(keys),
-        "tasks": [format_task_key(key) for key in keys[:MAX_LOGGED_TASKS]],
+        "tasks": format_task_keys(keys),
     }
 
 
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -7,7 +7,12 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.estimates import RunEstimates
-from gentianhub.capacity.jobs import Cell, ListedTarget, format_task_key
+from gentianhub.capacity.jobs import (
+    Cell,
+    ListedTarget,
+    format_task_key,
+    format_task_keys,
+)
 from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
@@ -19,8 +24,6 @@
 
 # Losses in one message; one of them takes some hundred bytes.
 MAX_LOSSES_PER_MESSAGE = 100
-# Most tasks that a log line names.
-MAX_LOGGED_TASKS = 16
 
 
 @define(kw_only=True, eq=False)
@@ -270,7 +273,7 @@
             loss.target,
             loss=loss.loss_id,
             outcome=loss.outcome.value,
-            tasks=[format_task_key(key) for key in loss.tasks[:MAX_LOGGED_TASKS]],
+            tasks=format_task_keys(loss.tasks),
             alone=loss.is_alone,
             age_s=round(loss.age_s, 3),
         )
