Keep only targets with the required label free for a suspect

Found in the read-through. Cause: a busy target was kept free for a task that runs alone without a look at the label that the task requires; one without it would stay idle, again and again, as long as the task waits. No task was started on a wrong target. Shown by test_no_target_without_the_required_label_is_kept_free, which failed before (no start).

--- a/gentianhub/capacity/placement.py
+++ b/gentianhub/capacity/placement.py
@@ -61,7 +61,7 @@
             for target in self.usable
             if target.entry.service == service
             and step.demand.fits_in(target.entry.capacity)
-            and (target.runs or meets_constraints(target, step))
+            and has_required_label(target, step)
         ]
         if not suitable:
             return None
@@ -101,9 +101,14 @@
 
 def meets_constraints(target: TargetState, step: JobStep) -> bool:
     """Whether a target has the step's label and is below its limit of tasks."""
-    if step.required_label and step.required_label not in target.entry.labels:
-        return False
-    return not step.max_per_target or len(target.runs) < step.max_per_target
+    return has_required_label(target, step) and (
+        not step.max_per_target or len(target.runs) < step.max_per_target
+    )
+
+
+def has_required_label(target: TargetState, step: JobStep) -> bool:
+    """Whether a target has the label that a step requires, if it requires one."""
+    return not step.required_label or step.required_label in target.entry.labels
 
 
 def rank_target(
--- a/gentianhub/capacity/tests/test_crashing_tasks.py
+++ b/gentianhub/capacity/tests/test_crashing_tasks.py
@@ -133,6 +133,22 @@
         (start,) = find_starts(driver.report(running.target.name, ended=[ended]))
         self.assertEqual("a", start.key.job)
 
+    def test_no_target_without_the_required_label_is_kept_free(self):
+        """It would stay idle for as long as the suspect waits."""
+        labelled = build_target("t0", cores=32, labels=("b",))
+        driver = SchedulerDriver([labelled, build_target("t1", port=8001)])
+        request = build_request(
+            "a", build_step(required_label="b"), objective_s=10.0, deadline_in_s=30.0
+        )
+        (start,) = find_starts(driver.feed(request))
+        (running,) = find_starts(driver.feed(build_request("b")))
+        self.assertEqual(("t0", "t1"), (start.target.name, running.target.name))
+        driver.feed(ev.TargetSilent(target="t0", reason="refused"))
+        driver.now_s += 1.0
+        driver.feed(ev.Tick())
+        starts = find_starts(driver.feed(self.build_other_request("c")))
+        self.assertEqual(["t1"], [start.target.name for start in starts])
+
     def build_other_request(self, job: str) -> ev.RunTasks:
         return build_request(job, objective_s=10.0, deadline_in_s=30.0)
 
