Reserve a block of ports for each process that starts servers in tests

Cause: each test process draws ports one after the other from a random start among 22,000. A port is free while its server is stopped, so that a process whose range overlaps takes it. That this happened is concluded from the error; which process had the port was not recorded. Change: a process draws from a block of 500 ports, which it reserves with a bound socket for as long as it lives. Shown by test_ports.py: blocks never overlap.

--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -27,6 +27,7 @@
 POLL_INTERVAL_S = 0.05
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+PORTS_PER_PROCESS = 500
 
 
 @frozen(kw_only=True)
@@ -91,18 +92,39 @@
     """Return loopback ports that are free at present.
 
     They are below the ephemeral port range, since an outgoing connection could take
-    a port from that range before the server binds it. No port is returned twice
-    until all have been returned.
+    a port from that range before the server binds it. Each process draws from a block
+    of its own: a server that is stopped and started again needs its port to stay free
+    meanwhile. No port is returned twice until all of the block have been returned.
     """
     free = filter(_is_free, _PORTS)
     return [next(free) for _ in range(count)]
 
 
+def reserve_ports() -> tuple[range, socket.socket]:
+    """Return a block of ports, and the socket that reserves it while it is open.
+
+    Raises
+    ------
+    RuntimeError
+        If every block is reserved.
+    """
+    starts = range(FIRST_PORT, LAST_PORT - PORTS_PER_PROCESS + 1, PORTS_PER_PROCESS)
+    for start in random.SystemRandom().sample(starts, len(starts)):
+        lock = socket.socket()
+        try:
+            lock.bind((LOOPBACK, start))
+        except OSError:
+            lock.close()
+            continue
+        return range(start + 1, start + PORTS_PER_PROCESS), lock
+    raise RuntimeError(f"no free block of ports from {FIRST_PORT} to {LAST_PORT}")
+
+
 def _draw_ports() -> Iterator[int]:
-    """Yield all ports cyclically, starting from a random one."""
-    ports = range(FIRST_PORT, LAST_PORT)
-    start = random.SystemRandom().randrange(len(ports))
-    yield from itertools.cycle((*ports[start:], *ports[:start]))
+    """Yield the ports of a reserved block cyclically."""
+    ports, lock = reserve_ports()
+    with lock:
+        yield from itertools.cycle(ports)
 
 
 _PORTS = _draw_ports()
