Count a lease from the decision that grants it

Cause: the owner noted the end of a lease from the moment of its decision, while the adapter computed `until_ms` from the moment of sending. A start or renewal that waited between the two (in the queue of the target's connections, for a connection that takes up to 0.2 s, in a paused process) granted a lease that outlived the noted one by the time of the wait, which had no bound. The task could be started elsewhere beside its run.

Ruled out: the reading of the target's clock. It is taken when the answer arrives, so that the computed end is early by the way of the answer.

Change: StartRun and RenewLease carry the monotonic time of the decision, and the lease ends `lease_s` after it. A renewal whose lease is over carries none. A start that has waited for more than START_WAIT_LIMIT_S (0.35 s, so that the rest of its lease covers a renewal and a retry) is not sent, before or after it has connected: NOT_SENT, and the task is placed again. "start refused" has the time of the wait, and gentianhub_host_start_answers counts the verdicts.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -18,13 +18,17 @@
 
 @frozen(kw_only=True)
 class StartRun:
-    """Start a run on a target; `inputs` are the values to log with the decision."""
+    """Start a run on a target; `inputs` are the values to log with the decision.
+
+    The lease ends `lease_s` after `decided_s`, the monotonic time of the decision.
+    """
 
     target: ListedTarget
     key: TaskKey
     run: int
     payload: str
     term: int
+    decided_s: float
     lease_s: float
     inputs: dict[str, Any]
 
@@ -43,12 +47,15 @@
 class RenewLease:
     """Renew a target's lease and wait up to `wait_s` for a run to end (long poll).
 
-    `acknowledged_end` is the highest number of an ended run that the target need not
-    list again. `is_retry` marks a renewal that follows one without an answer.
+    The lease ends `lease_s` after `decided_s`, the monotonic time of the decision; it
+    stays unchanged if `lease_s` is 0. `acknowledged_end` is the highest number of an
+    ended run that the target need not list again. `is_retry` marks a renewal that
+    follows one without an answer.
     """
 
     target: ListedTarget
     term: int
+    decided_s: float
     lease_s: float
     acknowledged_end: int
     wait_s: float
--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -15,6 +15,9 @@
 LEASE_SLACK_S = 0.03
 # Long-poll time of a renewal. At this value an idle target costs four calls a second.
 RENEWAL_WAIT_S = 0.25
+# A start that has waited longer than this since its decision is not sent. What is left
+# of its lease covers the next renewal and one retry.
+START_WAIT_LIMIT_S = 0.35
 # A host that has sent no message for this long is considered lost.
 HOST_SILENCE_TIMEOUT_S = 0.6
 # The same for a host that has announced rare heartbeats, one a second, because neither
@@ -25,6 +28,9 @@
 HANDOVER_NOTICE_S = 0.1
 
 
-def bound_lease_expiry(sent_s: float) -> float:
-    """Return the time at which a lease granted at `sent_s` has expired for certain."""
-    return sent_s + LEASE_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
+def bound_lease_expiry(decided_s: float) -> float:
+    """Return the time at which a lease granted at `decided_s` has expired for certain.
+
+    A lease ends `LEASE_S` after the decision, however long the order waits.
+    """
+    return decided_s + LEASE_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -497,6 +497,7 @@
             run=run.number,
             payload=task.request.payload,
             term=self.term,
+            decided_s=now_s,
             lease_s=LEASE_S,
         )
 
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -213,6 +213,7 @@
         return fx.RenewLease(
             target=state.entry,
             term=self.term,
+            decided_s=now_s,
             lease_s=LEASE_S if is_answering else 0.0,
             acknowledged_end=state.acknowledged_end,
             wait_s=RENEWAL_WAIT_S if is_ready and not is_retry else 0.0,
@@ -369,6 +370,7 @@
                     format_task_key(run.key),
                     target=state.name,
                     verdict=verdict.value,
+                    waited_s=round(answer.sent_s - run.sent_s, 3),
                 )
                 state.remove_run(run.key)
                 yield StartRefused(target=state, run=run, verdict=verdict)
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -156,6 +156,9 @@
 
     def handle_answer(self, target: str, event, now_s: float) -> None:
         """Pass a target's answer to the scheduler of its cell."""
+        match event:
+            case ev.StartAnswered(verdict=verdict):
+                self.metrics.start_answers[verdict.value] += 1
         scheduler = self.find_scheduler(target)
         if scheduler is not None:
             self._dispatch_event(scheduler, event, now_s)
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -18,6 +18,7 @@
 
     starts: int = 0
     stops: int = 0
+    start_answers: Counter = field(factory=Counter)
     submissions: Counter = field(factory=Counter)
     answers: Counter = field(factory=Counter)
     ends: Counter = field(factory=Counter)
@@ -42,6 +43,9 @@
     def collect(self):
         """Yield metric families in the form that prometheus_client renders."""
         yield _build_family("starts", "Runs started", "kind", {"start": self.starts})
+        yield _build_family(
+            "start_answers", "Answers to starts", "verdict", self.start_answers
+        )
         yield _build_family("stops", "Runs stopped", "kind", {"stop": self.stops})
         yield _build_family("jobs", "Jobs submitted", "route", self.submissions)
         yield _build_family("answers", "Answers to callers", "verdict", self.answers)
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -11,6 +11,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import AnswerTimes
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
+from gentianhub.capacity.leases import START_WAIT_LIMIT_S
 from gentianhub.core import read_monotonic_s
 from gentianhub.platform.content import decode_json
 from gentianhub.platform.fields import FieldError, describe_value, read_field
@@ -53,12 +54,15 @@
         """Record a reading of the target's clock that has just arrived."""
         self.reading_ms, self.read_at_s = reading_ms, read_monotonic_s()
 
-    def compute_lease_end_ms(self, lease_s: float) -> int | None:
-        """Return the end of a lease on the target's clock, ms; None if unknown."""
-        if self.reading_ms is None or lease_s <= 0:
+    def compute_lease_end_ms(self, lease: fx.StartRun | fx.RenewLease) -> int | None:
+        """Return the end of a lease on the target's clock, ms.
+
+        It is None if the clock is unknown or the lease has ended.
+        """
+        end_s = lease.decided_s + lease.lease_s
+        if self.reading_ms is None or end_s <= read_monotonic_s():
             return None
-        elapsed_s = read_monotonic_s() - self.read_at_s
-        return round(self.reading_ms + (elapsed_s + lease_s) * 1000)
+        return round(self.reading_ms + (end_s - self.read_at_s) * 1000)
 
 
 @define(kw_only=True, eq=False)
@@ -87,8 +91,13 @@
 
     def start(self, start: fx.StartRun) -> ev.StartAnswered:
         """Request the start of a run."""
+        is_connected = not _is_overdue(start) and self._connect()
         sent_s = read_monotonic_s()
-        verdict = self._start(start)
+        until_ms = self.clock.compute_lease_end_ms(start)
+        if not is_connected or _is_overdue(start) or until_ms is None:
+            verdict = ev.StartVerdict.NOT_SENT
+        else:
+            verdict = self._send_start(start, until_ms)
         return ev.StartAnswered(
             target=self.target.name,
             key=start.key,
@@ -97,10 +106,16 @@
             sent_s=sent_s,
         )
 
-    def _start(self, start: fx.StartRun) -> ev.StartVerdict:
-        until_ms = self.clock.compute_lease_end_ms(start.lease_s)
-        if until_ms is None:
-            return ev.StartVerdict.NOT_SENT
+    def _connect(self) -> bool:
+        """Open the connection; return whether that succeeded."""
+        try:
+            self._connection.connect()
+        except (OSError, gevent.Timeout):
+            self._connection.reset()
+            return False
+        return True
+
+    def _send_start(self, start: fx.StartRun, until_ms: int) -> ev.StartVerdict:
         command = {
             "task": encode_key(start.key),
             "run": start.run,
@@ -108,11 +123,6 @@
             "until_ms": until_ms,
             "fence": start.term,
         }
-        try:
-            self._connection.connect()
-        except (OSError, gevent.Timeout):
-            self._connection.reset()
-            return ev.StartVerdict.NOT_SENT
         try:
             status, answer = self._send_command("/api/run-start", command)
         except HTTP_ERRORS:
@@ -151,6 +161,7 @@
         renewal = fx.RenewLease(
             target=query.target,
             term=query.term,
+            decided_s=read_monotonic_s(),
             lease_s=0.0,
             acknowledged_end=query.acknowledged_end,
             wait_s=0.0,
@@ -169,7 +180,7 @@
             "fence": renewal.term,
             "acked_upto": renewal.acknowledged_end,
         }
-        until_ms = self.clock.compute_lease_end_ms(renewal.lease_s)
+        until_ms = self.clock.compute_lease_end_ms(renewal)
         if until_ms is not None:
             command["until_ms"] = until_ms
         if renewal.wait_s:
@@ -242,6 +253,11 @@
         return response.status_code, answer
 
 
+def _is_overdue(start: fx.StartRun) -> bool:
+    """Whether a start has waited for too long to be sent."""
+    return read_monotonic_s() > start.decided_s + START_WAIT_LIMIT_S
+
+
 def encode_key(key: TaskKey) -> str:
     """Return a task's name on the wire; the occurrence is unused and always 0."""
     return f"{key.job}.0.{key.step}.{key.index}"
