Send a stop again as soon as its answer is overdue

Cause: a target that leaves a stop unanswered may carry it out seconds later or never. The owner sent it again 0.15 to 0.2 s after the last one, whatever the time-out of the target's answers (30 to 120 ms), and not at all while the target counted as silent, which with half of the orders unanswered it often does although its lease is renewed again a moment later.

Ruled out: the queue of the connections. A command that times out resets its connection, and up to three of them serve a target; the next stop does not wait for the last one.

Change: a stop is kept with its target until the run has ended, and an answer that is overdue sends it again at once, on a connection that is free. One that fails sooner, as the target refuses connections, and one whose run is still listed wait for STOP_RETRY_S as before, on silent targets too.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -11,9 +11,11 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.answer_times import MIN_TIMEOUT_S
 from gentianhub.capacity.jobs import (
     Cell,
     ListedTarget,
+    TaskKey,
     format_task_key,
     format_task_keys,
 )
@@ -24,7 +26,7 @@
     bound_lease_expiry,
 )
 from gentianhub.capacity.succession import Handover, HandoverKind
-from gentianhub.capacity.targets import Run, RunPhase, TargetPhase, TargetState
+from gentianhub.capacity.targets import Run, RunPhase, Stop, TargetPhase, TargetState
 from gentianhub.capacity.tracker_events import (
     LossCause,
     OrphanFound,
@@ -130,10 +132,13 @@
     def stop_run(self, state: TargetState, run: Run, now_s: float) -> fx.StopRun:
         """Stop a run; its capacity becomes free when the target lists its end."""
         run.phase = RunPhase.STOPPING
-        run.stop_sent_s = now_s
-        return fx.StopRun(
-            target=state.entry, key=run.key, run=run.number, term=self.term
-        )
+        return self._send_stop(state, run.key, run.number, now_s)
+
+    def _send_stop(
+        self, state: TargetState, key: TaskKey, run: int, now_s: float
+    ) -> fx.StopRun:
+        state.stops[key] = Stop(run=run, sent_s=now_s)
+        return fx.StopRun(target=state.entry, key=key, run=run, term=self.term)
 
     # The list of targets
 
@@ -378,13 +383,33 @@
     def _handle_stop_answer(self, answer: ev.StopAnswered, now_s: float) -> Iterator:
         """Request the target's runs; a run that was started has 50 ms to end."""
         state = self.targets.get(answer.target)
-        run = state.runs.get(answer.key) if state is not None else None
-        if run is None or run.number != answer.run or not answer.is_confirmed:
+        if state is None:
+            return
+        if not answer.is_confirmed:
+            yield from self._retry_stop(state, answer, now_s)
+            return
+        run = state.runs.get(answer.key)
+        if run is None or run.number != answer.run:
             return
         if run.confirmed_s == float("inf") and run.stopped_s == float("inf"):
             run.stopped_s = now_s
             yield self._list_runs(state)
 
+    def _retry_stop(
+        self, state: TargetState, answer: ev.StopAnswered, now_s: float
+    ) -> Iterator:
+        """Send a stop again whose answer is overdue.
+
+        A stop that fails sooner, as the target refuses connections, is retried later.
+        """
+        stop = state.stops.get(answer.key)
+        if (
+            stop is not None
+            and stop.run == answer.run
+            and now_s >= stop.sent_s + MIN_TIMEOUT_S
+        ):
+            yield self._send_stop(state, answer.key, answer.run, now_s)
+
     def _mark_target_lost(self, state: TargetState, cause: LossCause) -> Iterator:
         """Mark all runs of a target as lost, those of earlier owners included."""
         keys = tuple(state.runs.keys() | state.orphans.keys())
@@ -414,6 +439,9 @@
                         "leases lapsed", state.name, **_describe_runs(state)
                     )
                 yield from self._mark_target_lost(state, LossCause.LEASE_EXPIRED)
+            for key, stop in list(state.stops.items()):
+                if now_s > stop.sent_s + STOP_RETRY_S:
+                    yield self._send_stop(state, key, stop.run, now_s)
             if state.phase is TargetPhase.READY:
                 yield from self._check_runs(state, now_s)
             yield from self._remove_target(state, now_s)
@@ -421,8 +449,6 @@
     def _check_runs(self, state: TargetState, now_s: float) -> Iterator:
         for run in list(state.runs.values()):
             match run.phase:
-                case RunPhase.STOPPING if now_s > run.stop_sent_s + STOP_RETRY_S:
-                    yield self.stop_run(state, run, now_s)
                 case RunPhase.RUNNING if _is_stalled(run, state.last_report_s):
                     yield self._log_decision(
                         "run stalled",
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -47,11 +47,21 @@
     confirmed_s: float = float("inf")
     percent: int = -1
     progress_s: float = 0.0
-    stop_sent_s: float = float("-inf")
     stopped_s: float = float("inf")
     is_exclusive: bool = False
 
 
+@define(kw_only=True, eq=False)
+class Stop:
+    """The stop of a run that has not ended; times are monotonic and in seconds.
+
+    `sent_s` is when the stop was last sent.
+    """
+
+    run: int
+    sent_s: float
+
+
 @define(kw_only=True, eq=False)
 class TargetState:
     """A target with its runs, health and pace; times are monotonic and in seconds.
@@ -62,7 +72,7 @@
     that no known run uses. `has_listed_runs` is set once it has listed its runs to this
     owner, and `is_lost` while it is silent for longer than its leases. `orphans` are
     runs of an earlier owner that no front host has claimed, and `unclaimed_ends` the
-    ends of such runs.
+    ends of such runs. `stops` has the runs and the orphans that are being stopped.
     """
 
     entry: ListedTarget
@@ -77,6 +87,7 @@
     is_lost: bool = False
     runs: dict[TaskKey, Run] = field(factory=dict)
     orphans: dict[TaskKey, int] = field(factory=dict)
+    stops: dict[TaskKey, Stop] = field(factory=dict)
     unclaimed_ends: dict[TaskKey, RunEnd] = field(factory=dict)
     health: TargetHealth = field(factory=lambda: TargetHealth())
     pace: TargetPace = field(factory=lambda: TargetPace())
@@ -125,6 +136,7 @@
         """Remove and return a run and free its capacity; None if there is none."""
         run = self.runs.pop(key, None)
         if run is not None:
+            self.stops.pop(key, None)
             if run.is_exclusive:
                 self.exclusive_task = None
             self.used = self.used - run.demand
