Withhold leases from a target that leaves a stop unconfirmed

Cause: a stop is sent again until a target carries it out, but nothing bounds for how long that may fail, and meanwhile each renewal and each start on the target extends the lease of the run that has to end. Of the callers that have left, each submits its job again 1.3 s later, at any host.

Considered: giving each run a lease of its own (the platform has one for each target); treating the target as silent (its tasks would count as lost, and be suspected of having crashed it).

Change: 0.3 s after a stop was decided without its confirmation (STOP_CONFIRMATION_S), the owner grants the target no lease, neither by a renewal nor by a start, until the stop is confirmed or the end listed. The last lease ends the run by 0.3 + 0.85 s, and the runs beside it, which are repeated. A renewal without a lease is still a long poll and is retried once. A stopped run that a target never lists is given up after the last lease, so that the target is used again.

The bound does not cover a lost front host, whose tasks are stopped 0.65 s after it: that would take a lease shorter than 0.65 s.

With no stop answered at all, the runs of all ten seeds of the new test outlived 1.2 s before and none does.

Four of the seven new tests of stops failed before, and one of the three of renewals.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -137,7 +137,11 @@
     def _send_stop(
         self, state: TargetState, key: TaskKey, run: int, now_s: float
     ) -> fx.StopRun:
-        state.stops[key] = Stop(run=run, sent_s=now_s)
+        stop = state.stops.get(key)
+        if stop is None or stop.run != run:
+            stop = Stop(run=run, decided_s=now_s, sent_s=now_s)
+            state.stops[key] = stop
+        stop.sent_s = now_s
         return fx.StopRun(target=state.entry, key=key, run=run, term=self.term)
 
     # The list of targets
@@ -182,7 +186,7 @@
                 address=f"{target.host}:{target.port}",
                 leaving=target.is_leaving,
             )
-            yield self._renew(state, now_s)
+            yield from self._renew(state, now_s)
             return
         if target.is_leaving and not state.entry.is_leaving:
             yield self._log_decision("target leaves", target.name, runs=len(state.runs))
@@ -209,17 +213,30 @@
 
     def _renew(
         self, state: TargetState, now_s: float, is_retry: bool = False
-    ) -> fx.RenewLease:
-        """Renew the lease of a target that answers; only poll one that does not."""
-        is_answering = state.phase is not TargetPhase.SILENT
-        if is_answering:
+    ) -> Iterator[fx.RenewLease | fx.LogDecision]:
+        """Renew the lease of a target that answers; only poll any other.
+
+        A target that leaves a stop unanswered is only polled, too: a lease would also
+        be one of the run that has to end.
+        """
+        is_granted = state.phase is not TargetPhase.SILENT
+        overdue = state.find_overdue_stops(now_s)
+        if is_granted and overdue:
+            yield self._log_decision(
+                "lease withheld",
+                state.name,
+                overdue=format_task_keys(overdue),
+                **_describe_runs(state),
+            )
+            is_granted = False
+        if is_granted:
             state.lease_expiry_s = bound_lease_expiry(now_s)
         is_ready = state.phase is TargetPhase.READY
-        return fx.RenewLease(
+        yield fx.RenewLease(
             target=state.entry,
             term=self.term,
             decided_s=now_s,
-            lease_s=LEASE_S if is_answering else 0.0,
+            lease_s=LEASE_S if is_granted else 0.0,
             acknowledged_end=state.acknowledged_end,
             wait_s=RENEWAL_WAIT_S if is_ready and not is_retry else 0.0,
             is_retry=is_retry,
@@ -257,7 +274,7 @@
             state.last_request_s = report.sent_s
             yield from self._reconcile_runs(state, report, now_s)
         if report.is_renewal:
-            yield self._renew(state, now_s)
+            yield from self._renew(state, now_s)
         if was_unusable:
             yield TargetUsable()
         if is_first:
@@ -331,7 +348,7 @@
         state = self.targets.get(missed.target)
         if state is not None:
             yield self._log_decision("renewal missed", state.name, reason=missed.reason)
-            yield self._renew(state, now_s, is_retry=True)
+            yield from self._renew(state, now_s, is_retry=True)
 
     def _handle_silence(self, event: ev.TargetSilent, now_s: float) -> Iterator:
         state = self.targets.get(event.target)
@@ -346,7 +363,7 @@
                 **_describe_runs(state),
             )
         state.phase = TargetPhase.SILENT
-        yield self._renew(state, now_s)
+        yield from self._renew(state, now_s)
         if event.is_refused:
             yield TargetRefuses(target=state)
 
@@ -388,6 +405,9 @@
         if not answer.is_confirmed:
             yield from self._retry_stop(state, answer, now_s)
             return
+        stop = state.stops.get(answer.key)
+        if stop is not None and stop.run == answer.run:
+            stop.is_confirmed = True
         run = state.runs.get(answer.key)
         if run is None or run.number != answer.run:
             return
@@ -444,8 +464,21 @@
                     yield self._send_stop(state, key, stop.run, now_s)
             if state.phase is TargetPhase.READY:
                 yield from self._check_runs(state, now_s)
+                yield from self._end_expired_runs(state, now_s)
             yield from self._remove_target(state, now_s)
 
+    def _end_expired_runs(self, state: TargetState, now_s: float) -> Iterator:
+        """End the runs that have outlasted the last lease without a confirmed stop.
+
+        The target may not list them, since it may never have started them.
+        """
+        if now_s <= state.lease_expiry_s:
+            return
+        for key in state.find_overdue_stops(now_s):
+            if key in state.runs:
+                run = state.runs[key]
+                yield self._mark_run_lost(state, run, LossCause.LEASE_EXPIRED)
+
     def _check_runs(self, state: TargetState, now_s: float) -> Iterator:
         for run in list(state.runs.values()):
             match run.phase:
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -8,6 +8,7 @@
 from gentianhub.capacity.events import RunEnd
 from gentianhub.capacity.health import TargetHealth
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
+from gentianhub.capacity.leases import STOP_CONFIRMATION_S
 from gentianhub.capacity.resources import Resources
 
 
@@ -55,11 +56,17 @@
 class Stop:
     """The stop of a run that has not ended; times are monotonic and in seconds.
 
-    `sent_s` is when the stop was last sent.
+    `decided_s` is when the stop was first sent, and `sent_s` when it was last.
     """
 
     run: int
+    decided_s: float
     sent_s: float
+    is_confirmed: bool = False
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Whether the target has left the stop unconfirmed for too long."""
+        return not self.is_confirmed and now_s > self.decided_s + STOP_CONFIRMATION_S
 
 
 @define(kw_only=True, eq=False)
@@ -111,9 +118,14 @@
             and not self.orphans
             and self.exclusive_task is None
             and not self.health.is_ejected(now_s)
+            and not self.find_overdue_stops(now_s)
             and not (self.health.is_suspect and self.runs)
         )
 
+    def find_overdue_stops(self, now_s: float) -> list[TaskKey]:
+        """Return the tasks because of which the target may be granted no lease."""
+        return [key for key, stop in self.stops.items() if stop.is_overdue(now_s)]
+
     def predict_idle_s(self) -> float:
         """Return the monotonic time at which all present runs should have ended, s."""
         return max(run.sent_s + run.expected_s for run in self.runs.values())
--- a/gentianhub/capacity/tests/leased_targets.py
+++ b/gentianhub/capacity/tests/leased_targets.py
@@ -26,11 +26,14 @@
 
     `overtimes_s` has the time for which each run of a job whose caller has left went on
     after its stop was decided. `lapsed` are the runs of other jobs that ended with
-    their lease.
+    their lease. Without `answers_stops`, no stop is answered.
     """
 
-    def __init__(self, seed: int, unanswered_probability: float):
+    def __init__(
+        self, seed: int, unanswered_probability: float, answers_stops: bool = True
+    ):
         super().__init__(seed, TARGET_COUNT, unanswered_probability)
+        self.answers_stops = answers_stops
         self.left: set[str] = set()
         self.stop_decided_s: dict = {}
         self.overtimes_s: list[float] = []
@@ -46,6 +49,21 @@
     def add_target(self, entry) -> None:
         super().add_target(build_target(entry.name, port=entry.port, cores=128))
 
+    def submit_jobs_that_are_left(
+        self, start_s: float, end_s: float, per_s: float, tasks: int
+    ) -> None:
+        """Schedule jobs of long tasks whose callers leave after up to 1 s."""
+        for number in range(round((end_s - start_s) * per_s)):
+            after_s = self.random.uniform(0.05, 1.0)
+            job = f"left-{number}"
+            self.schedule(
+                start_s + number / per_s,
+                self.submit_job_that_is_left,
+                job,
+                tasks,
+                after_s,
+            )
+
     def submit_job_that_is_left(self, job: str, tasks: int, after_s: float) -> None:
         step = build_step(count=tasks, estimate_s=LONG_RUN_S)
         self.unfinished[job] = tasks
@@ -72,7 +90,8 @@
                     self.stop_decided_s.setdefault(
                         (key, command.run), self.driver.now_s
                     )
-        if self.random.random() < self.unanswered_probability:
+        is_lost = self.random.random() < self.unanswered_probability
+        if is_lost or (isinstance(command, fx.StopRun) and not self.answers_stops):
             self.schedule(times.timeout_s, self.time_out, command, attempt)
             self.schedule(self.random.uniform(*LATE_S), self.execute, command, False)
         else:
--- a/gentianhub/capacity/tests/test_unanswered_stops.py
+++ b/gentianhub/capacity/tests/test_unanswered_stops.py
@@ -6,17 +6,32 @@
 
 import unittest
 
+from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import MIN_TIMEOUT_S
+from gentianhub.capacity.leases import (
+    LEASE_S,
+    RENEWAL_WAIT_S,
+    STOP_CONFIRMATION_S,
+    bound_lease_expiry,
+)
 from gentianhub.capacity.target_tracker import STOP_RETRY_S
 from gentianhub.capacity.tests.builders import (
     CELL,
     SchedulerDriver,
+    build_key,
     build_request,
+    build_step,
     build_target,
+    find_renewals,
     find_starts,
     find_stops,
 )
+from gentianhub.capacity.tests.leased_targets import LeasedTargets
+
+# Time after which a caller that has left submits its job again, less 0.1 s for the
+# message of its front host to the owner.
+RUN_END_BOUND_S = 1.2
 
 
 class TestRetries(unittest.TestCase):
@@ -71,5 +86,110 @@
         self.assertEqual([], find_stops(self.driver.feed(ev.Tick())))
 
 
+class TestWithheldLeases(unittest.TestCase):
+    """Guards against a run whose lease is renewed for the other runs of its target.
+
+    The target runs the first task of job a and lists it. The start of the second one is
+    neither answered nor carried out.
+    """
+
+    def setUp(self):
+        self.driver = SchedulerDriver([build_target("t1", cores=90)])
+        step = build_step(count=2)
+        (self.start, _) = find_starts(self.driver.feed(build_request("a", step)))
+        self.driver.answer(self.start)
+        self.driver.feed(build_request("b"))
+        self.driver.feed(ev.CancelTasks(cell=CELL, job="a"))
+        self.stop_decided_s = self.driver.now_s
+
+    def report(self, *ended) -> list:
+        ended_keys = {end.key for end in ended}
+        running = [
+            ev.RunReport(key=key, run=1, percent=10)
+            for key in (build_key("a"), build_key("b"))
+            if key not in ended_keys
+        ]
+        return self.driver.report("t1", running, ended)
+
+    def renew(self, *ended) -> fx.RenewLease:
+        (renewal,) = find_renewals(self.report(*ended))
+        return renewal
+
+    def wait_for_confirmation(self) -> None:
+        self.driver.now_s = self.stop_decided_s + STOP_CONFIRMATION_S + 0.01
+
+    def confirm(self, index: int) -> None:
+        key = build_key("a", index)
+        self.driver.feed(
+            ev.StopAnswered(target="t1", key=key, run=1, is_confirmed=True)
+        )
+
+    def test_the_lease_is_renewed_while_the_answer_to_a_stop_may_come(self):
+        self.driver.now_s += STOP_CONFIRMATION_S
+        self.assertEqual(LEASE_S, self.renew().lease_s)
+
+    def test_no_lease_is_granted_while_a_stop_is_overdue(self):
+        """The run went on with the leases of its neighbours until a stop arrived."""
+        self.wait_for_confirmation()
+        renewal = self.renew()
+        self.assertEqual((0.0, RENEWAL_WAIT_S), (renewal.lease_s, renewal.wait_s))
+        missed = ev.RenewalMissed(target="t1", reason="time-out")
+        (retry,) = find_renewals(self.driver.feed(missed))
+        self.assertEqual(0.0, retry.lease_s)
+
+    def test_no_task_starts_while_a_stop_is_overdue(self):
+        """The lease of a start is one of all runs of its target."""
+        end = ev.EndReport(number=1, key=build_key("b"), run=1, end=ev.RunEnd.DONE)
+        self.wait_for_confirmation()
+        self.report(end)
+        self.assertEqual([], find_starts(self.driver.feed(build_request("c"))))
+
+    def test_the_lease_is_renewed_again_once_the_stops_are_confirmed(self):
+        self.wait_for_confirmation()
+        self.confirm(0)
+        self.assertEqual(0.0, self.renew().lease_s)
+        self.confirm(1)
+        self.assertEqual(LEASE_S, self.renew().lease_s)
+
+    def test_the_lease_is_renewed_again_once_the_runs_have_ended(self):
+        self.wait_for_confirmation()
+        self.confirm(1)
+        end = ev.EndReport(number=1, key=build_key("a"), run=1, end=ev.RunEnd.STOPPED)
+        self.assertEqual(LEASE_S, self.renew(end).lease_s)
+
+    def test_a_target_that_answers_no_stop_is_used_again_after_its_last_lease(self):
+        """A start that was never carried out is listed neither as running nor ended."""
+        self.wait_for_confirmation()
+        self.report()
+        self.driver.now_s = bound_lease_expiry(self.stop_decided_s) + 0.01
+        self.driver.report(
+            "t1",
+            ended=[
+                ev.EndReport(
+                    number=number,
+                    key=build_key(job),
+                    run=1,
+                    end=ev.RunEnd.LEASE_EXPIRED,
+                )
+                for number, job in ((1, "a"), (2, "b"))
+            ],
+        )
+        self.driver.feed(ev.Tick())
+        (renewal,) = find_renewals(self.driver.report("t1"))
+        self.assertEqual(LEASE_S, renewal.lease_s)
+        self.assertEqual(1, len(find_starts(self.driver.feed(build_request("c")))))
+
+    def test_each_run_ends_before_its_caller_comes_again(self):
+        """No stop is answered, and some other orders are not."""
+        for seed in range(1, 11):
+            with self.subTest(seed=seed):
+                targets = LeasedTargets(seed, 0.055, answers_stops=False)
+                targets.submit_jobs(0.0, 6.0, per_s=40, tasks=2)
+                targets.submit_jobs_that_are_left(0.0, 6.0, per_s=7, tasks=2)
+                targets.run(until_s=10.0)
+                self.assertTrue(targets.overtimes_s)
+                self.assertLessEqual(max(targets.overtimes_s), RUN_END_BOUND_S)
+
+
 if __name__ == "__main__":
     unittest.main()
