Stop unclaimed runs by the timer, and end those whose stop is not answered

Cause: the stop of a run that no front host has claimed was sent with each report that lists it, and only then. It waited up to 0.35 s for the report that follows the grace period, was repeated with each end of another run (five reports sent five stops), and was not repeated between reports when its answer was overdue. Its number and its time had no bound: a target that answers no stop had its lease renewed for as long as it listed the run.

Change: an unclaimed run is stopped like any other: by the timer once the grace period is over, again when the answer is overdue, and without a lease for its target after STOP_CONFIRMATION_S.

Ruled out: runs that the next owner does not know. It lists the runs of a target before it grants the first lease, as it has no reading of the target's clock before.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -287,7 +287,7 @@
             if ended.number <= state.acknowledged_end:
                 continue
             state.acknowledged_end = ended.number
-            was_orphan = state.orphans.pop(ended.key, None) == ended.run
+            was_orphan = state.remove_orphan(ended.key) == ended.run
             run = state.runs.get(ended.key)
             if run is None or run.number != ended.run:
                 if run is None and (is_first or was_orphan):
@@ -301,7 +301,7 @@
     ) -> Iterator:
         listed = {row.key: row for row in report.running}
         for key in [key for key in state.orphans if key not in listed]:
-            del state.orphans[key]
+            state.remove_orphan(key)
         for key, row in listed.items():
             run = state.runs.get(key)
             if run is None:
@@ -336,8 +336,8 @@
         state.orphans[row.key] = row.run
         if now_s < self.owner_since_s + ORPHAN_GRACE_S and not is_assigned:
             yield OrphanFound(target=state, key=row.key)
-            return
-        yield fx.StopRun(target=state.entry, key=row.key, run=row.run, term=self.term)
+        elif row.key not in state.stops:
+            yield self._send_stop(state, row.key, row.run, now_s)
 
     def _retry_renewal(self, missed: ev.RenewalMissed, now_s: float) -> Iterator:
         """Retry a renewal immediately, since a single answer may be lost or late.
@@ -441,7 +441,8 @@
                 cause=cause,
             )
         state.is_lost = True
-        state.orphans.clear()
+        for key in list(state.orphans):
+            state.remove_orphan(key)
         for run in list(state.runs.values()):
             yield self._mark_run_lost(state, run, cause)
 
@@ -459,14 +460,22 @@
                         "leases lapsed", state.name, **_describe_runs(state)
                     )
                 yield from self._mark_target_lost(state, LossCause.LEASE_EXPIRED)
-            for key, stop in list(state.stops.items()):
-                if now_s > stop.sent_s + STOP_RETRY_S:
-                    yield self._send_stop(state, key, stop.run, now_s)
+            yield from self._check_stops(state, now_s)
             if state.phase is TargetPhase.READY:
                 yield from self._check_runs(state, now_s)
                 yield from self._end_expired_runs(state, now_s)
             yield from self._remove_target(state, now_s)
 
+    def _check_stops(self, state: TargetState, now_s: float) -> Iterator:
+        """Stop the runs that no front host has claimed; repeat stops without effect."""
+        if now_s >= self.owner_since_s + ORPHAN_GRACE_S:
+            for key, run in state.orphans.items():
+                if key not in state.stops:
+                    yield self._send_stop(state, key, run, now_s)
+        for key, stop in list(state.stops.items()):
+            if now_s > stop.sent_s + STOP_RETRY_S:
+                yield self._send_stop(state, key, stop.run, now_s)
+
     def _end_expired_runs(self, state: TargetState, now_s: float) -> Iterator:
         """End the runs that have outlasted the last lease without a confirmed stop.
 
@@ -475,8 +484,9 @@
         if now_s <= state.lease_expiry_s:
             return
         for key in state.find_overdue_stops(now_s):
-            if key in state.runs:
-                run = state.runs[key]
+            state.remove_orphan(key)
+            run = state.runs.get(key)
+            if run is not None:
                 yield self._mark_run_lost(state, run, LossCause.LEASE_EXPIRED)
 
     def _check_runs(self, state: TargetState, now_s: float) -> Iterator:
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -144,6 +144,15 @@
         self.used = self.used + run.demand
         self.available = self.entry.capacity - self.used
 
+    def remove_orphan(self, key: TaskKey) -> int | None:
+        """Remove and return an orphan's number; None if there is none.
+
+        The stop of a run that has been adopted stays.
+        """
+        if key in self.orphans:
+            self.stops.pop(key, None)
+        return self.orphans.pop(key, None)
+
     def remove_run(self, key: TaskKey) -> Run | None:
         """Remove and return a run and free its capacity; None if there is none."""
         run = self.runs.pop(key, None)
--- a/gentianhub/capacity/tests/test_unanswered_stops.py
+++ b/gentianhub/capacity/tests/test_unanswered_stops.py
@@ -15,7 +15,7 @@
     STOP_CONFIRMATION_S,
     bound_lease_expiry,
 )
-from gentianhub.capacity.target_tracker import STOP_RETRY_S
+from gentianhub.capacity.target_tracker import ORPHAN_GRACE_S, STOP_RETRY_S
 from gentianhub.capacity.tests.builders import (
     CELL,
     SchedulerDriver,
@@ -28,6 +28,7 @@
     find_stops,
 )
 from gentianhub.capacity.tests.leased_targets import LeasedTargets
+from gentianhub.capacity.tests.lossy_targets import TICK_S
 
 # Time after which a caller that has left submits its job again, less 0.1 s for the
 # message of its front host to the owner.
@@ -191,5 +192,72 @@
                 self.assertLessEqual(max(targets.overtimes_s), RUN_END_BOUND_S)
 
 
+class TestOrphans(unittest.TestCase):
+    """Guards against runs of a lost owner that outlive the lease which it granted.
+
+    The host that owned the cell was the front host of the run, too. Its successor has
+    claimed the cell at 0 s, and renews the lease, because front hosts may claim the
+    other runs.
+    """
+
+    ORPHAN = build_key("z")
+
+    def setUp(self):
+        self.driver = SchedulerDriver()
+        self.driver.list_targets(build_target("t1"))
+        self.report()
+
+    def report(self) -> list:
+        row = ev.RunReport(key=self.ORPHAN, run=1, percent=10)
+        return self.driver.report("t1", running=(row,))
+
+    def tick_until(self, until_s: float) -> list:
+        """Return what ticks cause, without a report."""
+        effects = []
+        while self.driver.now_s + TICK_S <= until_s:
+            self.driver.now_s += TICK_S
+            effects += self.driver.feed(ev.Tick())
+        return effects
+
+    def miss_answer(self) -> list:
+        return self.driver.feed(
+            ev.StopAnswered(target="t1", key=self.ORPHAN, run=1, is_confirmed=False)
+        )
+
+    def test_an_unclaimed_run_is_stopped_without_a_report(self):
+        """Its stop waited for the next report, for up to 0.35 s."""
+        stops = find_stops(self.tick_until(ORPHAN_GRACE_S + 2 * TICK_S))
+        self.assertEqual([self.ORPHAN], [stop.key for stop in stops])
+
+    def test_a_report_does_not_repeat_a_stop_that_may_be_answered(self):
+        """The end of each other run of the target brings a report."""
+        self.driver.now_s += ORPHAN_GRACE_S
+        stops = [stop for _ in range(5) for stop in find_stops(self.report())]
+        self.assertEqual(1, len(stops))
+
+    def test_a_stop_whose_answer_is_overdue_is_sent_again_at_once(self):
+        self.driver.now_s += ORPHAN_GRACE_S
+        (stop,) = find_stops(self.report())
+        self.driver.now_s += MIN_TIMEOUT_S
+        self.assertEqual([stop], find_stops(self.miss_answer()))
+
+    def test_no_lease_is_granted_while_a_stop_is_overdue(self):
+        """A target that answered no stop had its lease renewed as long as it listed the
+        run."""
+        self.driver.now_s += ORPHAN_GRACE_S
+        self.report()
+        self.driver.now_s += STOP_CONFIRMATION_S + 0.01
+        (renewal,) = find_renewals(self.report())
+        self.assertEqual(0.0, renewal.lease_s)
+
+    def test_a_target_is_used_again_after_the_last_lease_of_an_unclaimed_run(self):
+        self.driver.now_s += ORPHAN_GRACE_S
+        self.report()
+        self.driver.now_s = bound_lease_expiry(self.driver.now_s) + 0.01
+        self.driver.report("t1")
+        self.assertEqual(1, len(find_starts(self.driver.feed(build_request("c")))))
+        self.assertEqual([], find_stops(self.tick_until(self.driver.now_s + 1.0)))
+
+
 if __name__ == "__main__":
     unittest.main()
