Stop unclaimed runs before their callers come again

Cause: the arithmetic of leases said that a run ends 0.85 s after the last renewal if its owner and its front host, often one process, are both lost. The next owner claims the cell before, 0.6 s after the loss, and renews the lease of each target for the runs that front hosts will claim. A run without a front host then went on until its grace of 0.5 s had passed. If the claim comes as late as the lease allows, that is later than the caller's next submission, which may reach another cell.

Considered: no lease before all runs of a target are claimed. The runs of live front hosts would lapse with those of the lost one.

Change: the grace period is 0.3 s. Front hosts repeat their requests when they receive the claim, which is sent at once. A run that is claimed later is stopped and started again.

The new test failed before: no stop within 1.3 - 0.85 - 0.05 s of the claim. If the target leaves the stop unanswered as well, only the retries and STOP_CONFIRMATION_S end the run, which may be later than 1.3 s.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -43,7 +43,9 @@
 )
 
 # A new owner keeps runs of an earlier one that no front host has claimed for this long.
-ORPHAN_GRACE_S = 0.5
+# If both hosts are lost, the caller submits again 1.3 s later; the claim may come up to
+# 0.85 s after the loss, and still renew the leases.
+ORPHAN_GRACE_S = 0.3
 # A stop that has not taken effect is sent again after this time.
 STOP_RETRY_S = 0.15
 # A target that answers is used for this long after its entry is missing from the list.
--- a/gentianhub/capacity/tests/test_unanswered_stops.py
+++ b/gentianhub/capacity/tests/test_unanswered_stops.py
@@ -27,12 +27,13 @@
     find_starts,
     find_stops,
 )
-from gentianhub.capacity.tests.leased_targets import LeasedTargets
+from gentianhub.capacity.tests.leased_targets import STOP_S, LeasedTargets
 from gentianhub.capacity.tests.lossy_targets import TICK_S
 
-# Time after which a caller that has left submits its job again, less 0.1 s for the
-# message of its front host to the owner.
-RUN_END_BOUND_S = 1.2
+# Time after which a caller that has left submits its job again.
+CALLER_RETURN_S = 1.3
+# The same less the time of the message of its front host to the owner.
+RUN_END_BOUND_S = CALLER_RETURN_S - 0.1
 
 
 class TestRetries(unittest.TestCase):
@@ -196,8 +197,8 @@
     """Guards against runs of a lost owner that outlive the lease which it granted.
 
     The host that owned the cell was the front host of the run, too. Its successor has
-    claimed the cell at 0 s, and renews the lease, because front hosts may claim the
-    other runs.
+    claimed the cell at 0 s, when the run would soon have ended with its lease, and
+    renews the lease, because front hosts may claim the other runs.
     """
 
     ORPHAN = build_key("z")
@@ -224,6 +225,12 @@
             ev.StopAnswered(target="t1", key=self.ORPHAN, run=1, is_confirmed=False)
         )
 
+    def test_an_unclaimed_run_is_stopped_before_its_caller_comes_again(self):
+        """A longer grace period let it go on until after its caller had come again."""
+        last_claim_s = bound_lease_expiry(0.0)
+        effects = self.tick_until(CALLER_RETURN_S - last_claim_s - STOP_S)
+        self.assertEqual([self.ORPHAN], [stop.key for stop in find_stops(effects)][:1])
+
     def test_an_unclaimed_run_is_stopped_without_a_report(self):
         """Its stop waited for the next report, for up to 0.35 s."""
         stops = find_stops(self.tick_until(ORPHAN_GRACE_S + 2 * TICK_S))
