--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -19,8 +19,7 @@
 # of its lease covers the next renewal and one retry.
 START_WAIT_LIMIT_S = 0.35
 # A target that has not confirmed a stop for this long is granted no lease until it has,
-# so that the run ends with the last lease at the latest. Its caller, who may have left
-# `HOST_SILENCE_TIMEOUT_S` before, submits again after 1.3 s.
+# so that the run ends with the last lease before a caller that has left submits again.
 STOP_CONFIRMATION_S = 0.3
 # A host that has sent no message for this long is considered lost.
 HOST_SILENCE_TIMEOUT_S = 0.6
