Log what is lost with a link, who asked for a start, and a mailbox that is behind

'link lost' has the number of unsent messages, 'start' the front host, 'tasks withdrawn' is logged by the owner, and 'mailbox behind' (once a second, above 0.2 s) and the metric gentianhub_host_longest_mailbox_lag_s tell the lag of the coordinator.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -110,8 +110,9 @@
                 yield from self._handle_run_tasks(event, front_host, now_s)
             case ev.CancelTasks(job=job_id):
                 job = self.jobs.get((front_host, job_id))
-                yield from self._cancel_job(job, now_s)
                 if job is not None:
+                    yield self._log_withdrawal(job)
+                    yield from self._cancel_job(job, now_s)
                     job.is_withdrawn = True
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
             case ev.FrontLost(front_host=lost):
@@ -284,6 +285,17 @@
             for tasks in steps.values():
                 yield self.reporter.build_end_report(tasks, ev.TaskEnd.EXPIRED)
 
+    def _log_withdrawal(self, job: CellJob) -> fx.LogDecision:
+        inputs = {
+            "cell": str(self.cell),
+            "front_host": str(job.front_host),
+            "waiting": sum(task.is_waiting for task in job.tasks.values()),
+            "running": sum(task.target is not None for task in job.tasks.values()),
+        }
+        return fx.LogDecision(
+            decision="tasks withdrawn", subject=job.name, inputs=inputs
+        )
+
     # Runs
 
     def _apply_tracker_events(self, items: Iterable, now_s: float) -> Iterator:
@@ -480,6 +492,7 @@
         )
         inputs = {
             "term": self.term,
+            "front_host": str(task.job.front_host),
             "slack_s": round(task.objective_start_s - now_s, 4),
             "expected_s": round(run.expected_s, 4),
             "pace": round(state.pace.value, 2),
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -43,6 +43,8 @@
 # Time after the start of a drain during which jobs on open connections are still
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
+# Messages that wait longer than this in the mailbox are logged, once a second, s.
+LOGGED_MAILBOX_LAG_S = 0.2
 
 
 @define(kw_only=True, eq=False)
@@ -79,6 +81,7 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
+    _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
 
@@ -140,13 +143,19 @@
             case MessageReceived(link=link, message=content):
                 if self.links.record_received(link, now_s):
                     self._handle_host_message(link.incarnation, content, now_s)
-            case ms.TimerTick(count=count):
+            case ms.TimerTick(count=count, sent_s=sent_s):
+                self._record_mailbox_lag(now_s - sent_s, now_s)
                 self._handle_tick(count, now_s)
             case LinkOpened(link=link):
                 self._open_link(link, now_s)
             case LinkClosed(link=link, reason=reason):
                 if self.links.close(link):
-                    log_decision("link lost", str(link.incarnation), reason=reason)
+                    log_decision(
+                        "link lost",
+                        str(link.incarnation),
+                        reason=reason,
+                        unsent=len(link.outgoing_queue),
+                    )
             case DialFailed(dial_address=dial_address):
                 self.links.dial_backoff.record_failure(dial_address, now_s)
             case ms.ConfigurationRead(content=content):
@@ -364,6 +373,18 @@
 
     # Timer and drain
 
+    def _record_mailbox_lag(self, lag_s: float, now_s: float) -> None:
+        """Record how long a tick has waited in the mailbox; log long waits."""
+        self.metrics.record_mailbox_lag(lag_s)
+        if lag_s > LOGGED_MAILBOX_LAG_S and now_s > self._lag_logged_s + 1.0:
+            self._lag_logged_s = now_s
+            log_decision(
+                "mailbox behind",
+                str(self.local_host),
+                lag_s=round(lag_s, 3),
+                waiting=len(self.mailbox),
+            )
+
     @property
     def timer_period_ticks(self) -> int:
         """Period of the timer, in ticks."""
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -37,9 +37,13 @@
 
 @frozen(kw_only=True)
 class TimerTick:
-    """The timer has reached a multiple of its period; `count` is that multiple."""
+    """The timer has reached a multiple of its period; `count` is that multiple.
+
+    `sent_s` is the monotonic time at which the tick was put into the mailbox.
+    """
 
     count: int
+    sent_s: float
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -22,6 +22,7 @@
     answers: Counter = field(factory=Counter)
     ends: Counter = field(factory=Counter)
     losses: Counter = field(factory=Counter)
+    longest_mailbox_lag_s: float = 0.0
     response_ms: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(create_response_histogram)
     )
@@ -39,6 +40,10 @@
         """Count a report of ended tasks."""
         self.ends[end.value] += 1
 
+    def record_mailbox_lag(self, lag_s: float) -> None:
+        """Record how long a message has waited in the coordinator's mailbox, s."""
+        self.longest_mailbox_lag_s = max(self.longest_mailbox_lag_s, lag_s)
+
     def collect(self):
         """Yield metric families in the form that prometheus_client renders."""
         yield _build_family("starts", "Runs started", "kind", {"start": self.starts})
@@ -49,6 +54,11 @@
         yield _build_family(
             "target_losses", "Losses of targets", "outcome", self.losses
         )
+        yield GaugeMetricFamily(
+            "gentianhub_host_longest_mailbox_lag_s",
+            "Longest wait of a message in the coordinator's mailbox",
+            value=self.longest_mailbox_lag_s,
+        )
         yield self._collect_responses()
 
     def _collect_responses(self) -> GaugeMetricFamily:
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -15,6 +15,7 @@
     Mailbox,
     MailboxTimeout,
     create_incarnation,
+    read_monotonic_s,
     spawn_greenlet,
 )
 from gentianhub.host import followers
@@ -227,4 +228,4 @@
         steps = period - count % period
         gevent.sleep(steps * TICK_S)
         count += steps
-        mailbox.try_put(ms.TimerTick(count=count))
+        mailbox.try_put(ms.TimerTick(count=count, sent_s=read_monotonic_s()))
--- /dev/null
+++ b/gentianhub/host/tests/test_departures.py
@@ -0,0 +1,83 @@
+"""Callers that leave while the owner of a cell cannot hear of it.
+
+A caller whose connection breaks submits its job again after 1.3 s through another host.
+By then no run of the first submission may exist, and none may start any more.
+"""
+
+import unittest
+
+from gentianhub.host.tests.simulated_hosts import SimulatedDeployment
+
+RESUBMISSION_S = 1.3
+OCCUPANTS = ("00000000000000a1", "00000000000000a2")
+JOB = "00000000000000b1"
+
+
+class DepartureTest(unittest.TestCase):
+    """Both targets are occupied at first, so that the job waits in a queue."""
+
+    def setUp(self):
+        self.deployment = SimulatedDeployment()
+        self.enterContext(self.deployment)
+        self.owner = self.deployment.owners[0]
+        self.front, self.other_front = self.deployment.fronts
+        self.occupants = [self.other_front.submit(job) for job in OCCUPANTS]
+        self.deployment.run(0.1)
+        for job in OCCUPANTS:
+            self.assertEqual(1, self.deployment.count_running(job))
+
+    def submit_to_owner(self) -> tuple:
+        """Submit the job, and return its caller and the owner of its cell."""
+        caller = self.front.submit(JOB)
+        self.deployment.run(0.05)
+        for owner in self.deployment.owners:
+            for scheduler in owner.coordinator.cells._schedulers.values():
+                job = scheduler.jobs.get((self.front.incarnation, JOB))
+                if job is not None and job.tasks:
+                    return caller, owner
+        self.fail("no owner has the job")
+
+    def assert_ended_before_resubmission(self, left_s: float) -> None:
+        self.deployment.run(left_s + RESUBMISSION_S - self.deployment.now_s)
+        self.assertEqual(0, self.deployment.count_running(JOB))
+        for job in OCCUPANTS:
+            self.deployment.end_job(job)
+        resubmitted_s = self.deployment.now_s
+        self.deployment.run(6.0)
+        starts = self.deployment.list_starts(JOB)
+        late = [at - left_s for at in starts if at > resubmitted_s - 1e-9]
+        self.assertEqual([], [f"{s:.2f} s after the caller left" for s in late])
+
+    def assert_occupants_answered(self) -> None:
+        """The jobs whose callers stayed have run once and are answered."""
+        for job, caller in zip(OCCUPANTS, self.occupants, strict=True):
+            self.assertEqual(1, len(self.deployment.list_starts(job)))
+            self.assertEqual(1, len(caller), f"answers to the caller of {job}")
+            self.assertEqual(200, caller.get().status)
+
+
+class TestLogLines(DepartureTest):
+    def test_messages_lost_with_a_link_are_counted_in_its_log_line(self):
+        """A withdrawal that was queued on a link which then closed left no line."""
+        caller, owner = self.submit_to_owner()
+        link = self.deployment.find_link(self.front, owner)
+        link.is_held = True
+        self.front.leave(caller)
+        with self.assertLogs("gentianhub.host") as logs:
+            self.deployment.run(0.02)
+            link.close(self.front)
+            self.deployment.run(0.02)
+        lost = [r for r in logs.records if r.getMessage() == "link lost"]
+        self.assertGreaterEqual(lost[0].unsent, 1)
+
+    def test_the_lag_of_a_mailbox_is_logged(self):
+        """A host that was seconds behind looked like any other in its log."""
+        self.front.slow_down(0.5)
+        with self.assertLogs("gentianhub.host") as logs:
+            self.deployment.run(2.0)
+        lags = [r.lag_s for r in logs.records if r.getMessage() == "mailbox behind"]
+        self.assertGreater(max(lags), 0.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
