Reproduce tasks that outlive the interest of their callers, as known red

Five tests with real coordinators in simulated time fail on the present code: a withdrawal lost with its link or sent without one, an order that arrives late, and a departure in the mailbox of a slow front host or a slow owner. Two more guard callers that stay: their tasks wait for 3 s, and over a replaced link, and are run.

--- a/gentianhub/host/tests/test_departures.py
+++ b/gentianhub/host/tests/test_departures.py
@@ -56,6 +56,38 @@
             self.assertEqual(200, caller.get().status)
 
 
+class TestLostWithdrawal(DepartureTest):
+    def test_a_withdrawal_lost_with_its_link_ends_the_task_all_the_same(self):
+        """The owner kept the task and started it after its caller had come again."""
+        caller, owner = self.submit_to_owner()
+        link = self.deployment.find_link(self.front, owner)
+        link.is_held = True
+        left_s = self.deployment.now_s
+        self.front.leave(caller)
+        self.deployment.run(0.02)
+        link.drop_messages()
+        link.close(self.front)
+        link.close(owner)
+        self.deployment.run(0.2)
+        self.deployment.open_link(self.front, owner)
+        self.assert_ended_before_resubmission(left_s)
+        self.assert_occupants_answered()
+
+    def test_a_withdrawal_without_a_link_ends_the_task_all_the_same(self):
+        """It was not sent at all, and the next link repeats open jobs only."""
+        caller, owner = self.submit_to_owner()
+        link = self.deployment.find_link(self.front, owner)
+        link.is_held = True
+        link.close(self.front)
+        self.deployment.run(0.02)
+        left_s = self.deployment.now_s
+        self.front.leave(caller)
+        self.deployment.run(0.2)
+        self.deployment.open_link(self.front, owner)
+        self.assert_ended_before_resubmission(left_s)
+        self.assert_occupants_answered()
+
+
 class TestLogLines(DepartureTest):
     def test_messages_lost_with_a_link_are_counted_in_its_log_line(self):
         """A withdrawal that was queued on a link which then closed left no line."""
@@ -79,5 +111,91 @@
         self.assertGreater(max(lags), 0.5)
 
 
+class TestLateOrder(DepartureTest):
+    def test_an_order_that_arrives_after_its_caller_came_again_is_not_run(self):
+        """The owner took an order that had stood in a socket for 1.4 s as new."""
+        links = [
+            self.deployment.find_link(self.front, owner)
+            for owner in self.deployment.owners
+        ]
+        for link in links:
+            link.is_held = True
+        caller = self.front.submit(JOB)
+        self.deployment.run(0.05)
+        left_s = self.deployment.now_s
+        for link in links:
+            link.close(self.front)
+        self.deployment.run(0.01)
+        self.front.leave(caller)
+        for job in OCCUPANTS:
+            self.deployment.end_job(job)
+        self.deployment.run(RESUBMISSION_S + 0.1)
+        for link, owner in zip(links, self.deployment.owners, strict=True):
+            link.is_held = False
+            link.transfer()
+            link.close(owner)
+        self.deployment.run(2.0)
+        late = [at - left_s for at in self.deployment.list_starts(JOB)]
+        self.assertEqual([], [f"{s:.2f} s after the caller left" for s in late])
+        self.assert_occupants_answered()
+
+
+class TestSlowFrontHost(DepartureTest):
+    def test_a_departure_in_the_mailbox_of_a_slow_host_ends_the_task(self):
+        """Heartbeats kept a front host live that was seconds behind its callers."""
+        caller, _ = self.submit_to_owner()
+        self.front.slow_down(0.5)
+        self.deployment.run(2.0)
+        left_s = self.deployment.now_s
+        self.front.leave(caller)
+        self.assert_ended_before_resubmission(left_s)
+        self.assert_occupants_answered()
+
+
+class TestSlowOwner(DepartureTest):
+    def test_a_departure_in_the_mailbox_of_a_slow_owner_ends_the_task(self):
+        """An owner that was seconds behind started what was withdrawn long before."""
+        caller, owner = self.submit_to_owner()
+        owner.slow_down(0.5)
+        self.deployment.run(2.0)
+        for job in OCCUPANTS:
+            self.deployment.end_job(job)
+        while not owner.has_waiting_end():
+            self.deployment.run(0.01)
+        left_s = self.deployment.now_s
+        self.front.leave(caller)
+        self.assert_ended_before_resubmission(left_s)
+
+
+class TestSteadyCallers(DepartureTest):
+    def test_a_task_of_a_caller_that_stays_is_run_when_a_target_is_free(self):
+        """Ending withdrawn tasks must not end those that wait for long."""
+        caller, _ = self.submit_to_owner()
+        self.deployment.run(3.0)
+        for job in OCCUPANTS:
+            self.deployment.end_job(job)
+        self.deployment.run(0.2)
+        self.assertEqual(1, len(self.deployment.list_starts(JOB)))
+        self.deployment.end_job(JOB)
+        self.deployment.run(0.2)
+        self.assertEqual(200, caller.get(0.0).status)
+        self.assert_occupants_answered()
+
+    def test_a_replaced_link_does_not_end_a_task_whose_caller_stays(self):
+        caller, owner = self.submit_to_owner()
+        link = self.deployment.find_link(self.front, owner)
+        link.is_held = True
+        self.deployment.run(0.1)
+        link.close(self.front)
+        link.close(owner)
+        self.deployment.run(0.2)
+        self.deployment.open_link(self.front, owner)
+        self.deployment.run(1.0)
+        for job in OCCUPANTS:
+            self.deployment.end_job(job)
+        self.deployment.run(0.2)
+        self.assertEqual(1, len(self.deployment.list_starts(JOB)))
+
+
 if __name__ == "__main__":
     unittest.main()
