Run tasks only while their front hosts confirm the job

Cause: an order ended only if one message arrived. A withdrawal that is lost with its link, sent without one, or stands in the mailbox of a slow host left the task with its owner until the caller's deadline, and an order that had stood in a socket was run as if it were new.

The end no longer depends on a message. Orders and lists of open jobs name the owner's last heartbeat that their sender had handled, so that the owner knows by its own clock how old they may be; the departures that the sender had handled before are known. An owner starts a task only if the last confirmation is at most 0.4 s old (0.4 s and one lease are shorter than the 1.3 s after which callers come again), asks at once otherwise, stops runs that were not confirmed for 0.8 s, and ends every job that a list does not name. It asks in its heartbeats, and only the front hosts with jobs that have been open for 0.15 s, so that short jobs cost no message.

Ruled out: the replacement of a withdrawn job, since it needs both submissions at one front host, and the record has two.

The driver of the scheduler's tests confirms jobs as front hosts do; three tests that wait for longer than 0.4 s relied on owners that never ask.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -88,6 +88,13 @@
     loss: TargetLoss
 
 
+@frozen(kw_only=True)
+class RequestOpenJobs:
+    """Ask a front host at once which of its jobs are open."""
+
+    front_host: Incarnation
+
+
 @frozen(kw_only=True)
 class SendToFront:
     """Send a report about tasks to a front host."""
@@ -146,6 +153,7 @@
     | CloseTarget
     | AnnounceTargets
     | AnnounceLoss
+    | RequestOpenJobs
     | SendToFront
     | LogDecision
 )
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -20,7 +20,8 @@
     counted from the acceptance of the job, which was `age_s` before the sending of this
     message. `deadline_in_s` is counted from the sending. `may_decline` allows the owner
     to decline tasks for which it has no capacity at once. `is_repeat` marks tasks that
-    an earlier owner may have started.
+    an earlier owner may have started. `heard_heartbeat` is the number of the owner's
+    last heartbeat that the front host had handled; 0 if it tells none.
     """
 
     cell: Cell
@@ -39,6 +40,7 @@
     deadline_in_s: float
     may_decline: bool = False
     is_repeat: bool = False
+    heard_heartbeat: int = 0
 
 
 @frozen(kw_only=True)
@@ -49,6 +51,19 @@
     job: str
 
 
+@frozen(kw_only=True)
+class OpenJobs:
+    """All open jobs of a front host that have tasks in a cell.
+
+    Tasks of other jobs are no longer needed. `heard_heartbeat` is the number of the
+    owner's heartbeat that this message answers.
+    """
+
+    cell: Cell
+    jobs: tuple[str, ...]
+    heard_heartbeat: int = 0
+
+
 class TaskEnd(enum.Enum):
     """Outcome of a task, as reported to its front host.
 
@@ -105,7 +120,8 @@
     `number` counts the heartbeats of a process. `lacks_targets` requests the list of
     targets, which the sender could not read. `can_own` is set if the sender has the
     data that it needs to claim a cell. `is_idle` announces that the next heartbeat to
-    the receiver follows after a longer interval.
+    the receiver follows after a longer interval. `requests_open_jobs` requests the open
+    jobs of the receiver in the claimed cells.
     """
 
     number: int
@@ -115,6 +131,7 @@
     lacks_targets: bool = False
     can_own: bool = True
     is_idle: bool = False
+    requests_open_jobs: bool = False
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -117,6 +117,14 @@
             for job in self.jobs.values()
         )
 
+    def list_open_jobs(self, cell: Cell) -> tuple[str, ...]:
+        """Return the jobs that need their tasks in a cell."""
+        return tuple(
+            job.job_id
+            for job in self.jobs.values()
+            if cell in job.requested_cells and job.unconfirmed_cells is None
+        )
+
     def _submit(self, event: SubmitCapacityJob, now_s: float) -> Iterator:
         known = self.jobs.get(event.job_id)
         if known is not None:
--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -23,6 +23,14 @@
 # Time after a claim until the previous owner, if it lives, has received the claim and
 # has sent its last renewal.
 HANDOVER_NOTICE_S = 0.1
+# A task starts only if its front host has confirmed the job within this time, so that a
+# lease that is granted at the last moment expires before a caller that has left submits
+# its job again, 1.3 s later.
+START_CONFIRMATION_S = 0.4
+# Runs of a job that its front host has not confirmed for this long are stopped. It is
+# longer than the silence time-out of a host by the interval of heartbeats, which the
+# front host answers; detection and stop take another 0.1 s.
+JOB_CONFIRMATION_TIMEOUT_S = 0.8
 
 
 def bound_lease_expiry(sent_s: float) -> float:
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -11,6 +11,12 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import tracker_events as te
+from gentianhub.capacity.confirmations import (
+    CellConfirmations,
+    is_confirmation_due,
+    is_given_up,
+    is_recent,
+)
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.leases import LEASE_S, bound_lease_expiry
@@ -78,6 +84,7 @@
     reporter: Reporter = field(init=False)
     load: CellLoad = field(init=False)
     suspects: Suspects = field(init=False)
+    confirmations: CellConfirmations = field(init=False)
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
     waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
@@ -89,6 +96,7 @@
         self.reporter = Reporter(cell=self.cell, term=self.term)
         self.load = CellLoad(cell=self.cell, term=self.term)
         self.suspects = Suspects(cell=self.cell, term=self.term, losses=self.losses)
+        self.confirmations = CellConfirmations(cell=self.cell)
         self.tracker = TargetTracker(
             cell=self.cell,
             term=self.term,
@@ -102,13 +110,27 @@
         return self.tracker.targets
 
     def handle(
-        self, event, now_s: float, front_host: Incarnation | None = None
+        self,
+        event,
+        now_s: float,
+        front_host: Incarnation | None = None,
+        confirmed_s: float | None = None,
     ) -> Iterator:
-        """Yield the effects of one event, which `front_host` has sent, if any."""
+        """Yield the effects of one event.
+
+        `front_host` has sent it, if any. It had the jobs that the event names open at
+        `confirmed_s`, a monotonic time of this host; None stands for `now_s`.
+        """
+        confirmed_s = now_s if confirmed_s is None else confirmed_s
         match event:
+            case ev.RunTasks() if not is_recent(confirmed_s, now_s):
+                yield from self.confirmations.hold_request(event, front_host, now_s)
             case ev.RunTasks():
-                yield from self._handle_run_tasks(event, front_host, now_s)
+                yield from self._handle_run_tasks(event, front_host, confirmed_s, now_s)
+            case ev.OpenJobs(jobs=names):
+                yield from self._handle_open_jobs(names, front_host, confirmed_s, now_s)
             case ev.CancelTasks(job=job_id):
+                self.confirmations.drop_job(front_host, job_id)
                 job = self.jobs.get((front_host, job_id))
                 if job is not None:
                     yield self._log_withdrawal(job)
@@ -123,6 +145,7 @@
                 yield from self._apply_tracker_events(
                     self.tracker.handle(event, now_s), now_s
                 )
+                yield from self._give_up_unconfirmed(now_s)
                 self._prune_jobs(now_s)
                 yield from self._release_after_discovery(now_s)
             case _:
@@ -137,17 +160,27 @@
 
     def has_work(self) -> bool:
         """Whether a task of a job that was not cancelled waits or runs."""
-        return any(
-            task.end is None
+        return bool(self.confirmations) or any(
+            job.has_open_tasks() for job in self.jobs.values() if not job.is_cancelled
+        )
+
+    def find_unconfirmed_hosts(self, now_s: float) -> Iterator[Incarnation]:
+        """Yield the front hosts that should confirm their open jobs."""
+        yield from self.confirmations.find_waiting_hosts()
+        yield from (
+            job.front_host
             for job in self.jobs.values()
-            if not job.is_cancelled
-            for task in job.tasks.values()
+            if is_confirmation_due(job, now_s)
         )
 
     # Requests of front hosts
 
     def _handle_run_tasks(
-        self, request: ev.RunTasks, front_host: Incarnation, now_s: float
+        self,
+        request: ev.RunTasks,
+        front_host: Incarnation,
+        confirmed_s: float,
+        now_s: float,
     ) -> Iterator:
         job = self.jobs.get((front_host, request.job))
         keys = [
@@ -163,6 +196,7 @@
         if job is None or job.is_withdrawn:
             job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
             self.jobs[(front_host, request.job)] = job
+        job.confirmed_s = max(job.confirmed_s, confirmed_s)
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
             yield self.reporter.build_refusal(
@@ -274,16 +308,63 @@
 
         A host that is only slow would wait for its tasks until its callers' deadline.
         """
+        self.confirmations.release_requests(lost)
         for job in [job for job in self.jobs.values() if job.front_host == lost]:
-            open_tasks = [task for task in job.tasks.values() if task.end is None]
-            if job.is_cancelled or not open_tasks:
+            if not job.is_cancelled and job.has_open_tasks():
+                yield from self._give_up_job(job, now_s)
+
+    def _give_up_job(self, job: CellJob, now_s: float) -> Iterator:
+        open_tasks = [task for task in job.tasks.values() if task.end is None]
+        yield from self._cancel_job(job, now_s)
+        steps: dict[int, list[CellTask]] = {}
+        for task in open_tasks:
+            steps.setdefault(task.key.step, []).append(task)
+        for tasks in steps.values():
+            yield self.reporter.build_end_report(tasks, ev.TaskEnd.EXPIRED)
+
+    # Confirmations of front hosts
+
+    def _handle_open_jobs(
+        self,
+        names: tuple[str, ...],
+        front_host: Incarnation,
+        confirmed_s: float,
+        now_s: float,
+    ) -> Iterator:
+        """Confirm the listed jobs of a front host; end its other ones."""
+        listed = set(names)
+        for job in [job for job in self.jobs.values() if job.front_host == front_host]:
+            if job.name in listed:
+                job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
-            yield from self._cancel_job(job, now_s)
-            steps: dict[int, list[CellTask]] = {}
-            for task in open_tasks:
-                steps.setdefault(task.key.step, []).append(task)
-            for tasks in steps.values():
-                yield self.reporter.build_end_report(tasks, ev.TaskEnd.EXPIRED)
+            if not job.is_cancelled and job.has_open_tasks():
+                yield self._log_withdrawal(job)
+                yield from self._cancel_job(job, now_s)
+            job.is_withdrawn = True
+        for task in self.confirmations.release_tasks(now_s):
+            self._push_waiting(task, now_s)
+        for held in self.confirmations.release_requests(front_host):
+            if held.request.job in listed:
+                yield from self.handle(held.request, now_s, front_host, confirmed_s)
+
+    def _give_up_unconfirmed(self, now_s: float) -> Iterator:
+        """End what no front host has confirmed in time, and report it."""
+        self.confirmations.forget_requests(now_s)
+        for job in [job for job in self.jobs.values() if is_given_up(job, now_s)]:
+            yield fx.LogDecision(
+                decision="job not confirmed",
+                subject=job.name,
+                inputs={
+                    "cell": str(self.cell),
+                    "front_host": str(job.front_host),
+                    "age_s": round(now_s - job.confirmed_s, 3),
+                },
+            )
+            yield from self._give_up_job(job, now_s)
+        for held in self.confirmations.release_expired(now_s):
+            yield self.reporter.build_refusal(
+                held.request, held.front_host, ev.TaskEnd.EXPIRED, False
+            )
 
     def _log_withdrawal(self, job: CellJob) -> fx.LogDecision:
         inputs = {
@@ -453,6 +534,9 @@
                 yield from self._end_task(task, end, now_s)
                 yield from self._cancel_job(task.job, now_s)
                 continue
+            if not is_recent(task.job.confirmed_s, now_s):
+                yield from self.confirmations.hold_task(task, now_s)
+                continue
             is_suspect = self.suspects.has_to_run_alone(task.key)
             choose_target = (
                 placement.choose_exclusive_target
@@ -493,6 +577,7 @@
         inputs = {
             "term": self.term,
             "front_host": str(task.job.front_host),
+            "confirmed_age_s": round(now_s - task.job.confirmed_s, 4),
             "slack_s": round(task.objective_start_s - now_s, 4),
             "expected_s": round(run.expected_s, 4),
             "pace": round(state.pace.value, 2),
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -13,7 +13,9 @@
 
     `possible_runs` counts the runs that have started or may have started; a start that
     a target has provably not executed is none. `is_withdrawn` is set if the front host
-    has cancelled the job, so that a later request is a new submission.
+    has cancelled the job, so that a later request is a new submission. `confirmed_s` is
+    the last time, on this host's clock, at which the front host is known to have had
+    the job open.
     """
 
     front_host: Incarnation
@@ -23,6 +25,7 @@
     is_cancelled: bool = False
     is_withdrawn: bool = False
     changed_s: float = 0.0
+    confirmed_s: float = float("-inf")
     tasks: dict[TaskKey, "CellTask"] = field(factory=dict)
 
     @property
@@ -30,6 +33,10 @@
         """Whether a task of the job may have run."""
         return self.possible_runs > 0
 
+    def has_open_tasks(self) -> bool:
+        """Whether a task of the job has not ended."""
+        return any(task.end is None for task in self.tasks.values())
+
     def is_finished(self) -> bool:
         """Whether no task of the job waits or runs any more."""
         tasks = self.tasks.values()
--- a/gentianhub/capacity/tests/builders.py
+++ b/gentianhub/capacity/tests/builders.py
@@ -59,9 +59,14 @@
 
 
 class SchedulerDriver:
-    """Feeds events to a cell's scheduler and records the effects."""
+    """Feeds events to a cell's scheduler and records the effects.
+
+    Unless `confirms_jobs` is cleared, the front hosts confirm their open jobs before
+    each event, as hosts do that answer the owner's heartbeats.
+    """
 
     def __init__(self, targets=(), owner_since_s: float = 0.0, **options):
+        self.confirms_jobs = True
         self.scheduler = CellScheduler(
             cell=CELL, term=TERM, owner_since_s=owner_since_s, **options
         )
@@ -73,10 +78,19 @@
                 self.report(target.name)
 
     def feed(self, event, front_host: Incarnation | None = FRONT_HOST) -> list:
-        effects = list(self.scheduler.handle(event, self.now_s, front_host))
+        effects = list(self._confirm_jobs()) if self.confirms_jobs else []
+        effects += self.scheduler.handle(event, self.now_s, front_host)
         self.effects += effects
         return effects
 
+    def _confirm_jobs(self):
+        jobs: dict[Incarnation, list[str]] = {}
+        for front_host, job in self.scheduler.jobs:
+            jobs.setdefault(front_host, []).append(job)
+        for front_host, names in jobs.items():
+            message = ev.OpenJobs(cell=CELL, jobs=tuple(names))
+            yield from self.scheduler.handle(message, self.now_s, front_host)
+
     def list_targets(self, *targets, read_s: float | None = None) -> list:
         return self.feed(ev.TargetsListed(targets=targets, read_s=read_s))
 
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -52,6 +52,7 @@
     losses: LossLedger = field(init=False, factory=lambda: LossLedger())
     _new_losses: list[ev.TargetLoss] = field(init=False, factory=list)
     _requesters: set[Incarnation] = field(init=False, factory=set)
+    _awaited_hosts: set[Incarnation] = field(init=False, factory=set)
 
     def __attrs_post_init__(self):
         self.connections = TargetConnectionMap(answers=self.answers)
@@ -146,13 +147,39 @@
                 self.outbox.send(peer, message)
 
     def handle_task_request(
-        self, request: ev.RunTasks | ev.CancelTasks, sender: Incarnation, now_s: float
+        self,
+        request: ev.RunTasks | ev.CancelTasks | ev.OpenJobs,
+        sender: Incarnation,
+        now_s: float,
+        confirmed_s: float | None = None,
     ) -> None:
-        """Handle a front host's request; ignore one for a cell that is not owned."""
-        self._requesters.add(sender)
+        """Handle a front host's request; ignore one for a cell that is not owned.
+
+        The front host had the named jobs open at `confirmed_s`; None for `now_s`.
+        """
+        match request:
+            case ev.RunTasks() | ev.CancelTasks():
+                self._requesters.add(sender)
         scheduler = self._schedulers.get(request.cell)
         if scheduler is not None:
-            self._dispatch_event(scheduler, request, now_s, sender)
+            self._dispatch_event(scheduler, request, now_s, sender, confirmed_s)
+
+    def list_cells(self) -> tuple[Cell, ...]:
+        """Return the owned cells."""
+        return tuple(self._schedulers)
+
+    def find_unconfirmed_hosts(self, now_s: float) -> frozenset[Incarnation]:
+        """Return the front hosts that should confirm their open jobs."""
+        return frozenset(
+            front_host
+            for scheduler in self._schedulers.values()
+            for front_host in scheduler.find_unconfirmed_hosts(now_s)
+        )
+
+    def pop_awaited_hosts(self) -> frozenset[Incarnation]:
+        """Return the front hosts to ask for their open jobs since the last call."""
+        awaited, self._awaited_hosts = self._awaited_hosts, set()
+        return frozenset(awaited)
 
     def handle_answer(self, target: str, event, now_s: float) -> None:
         """Pass a target's answer to the scheduler of its cell."""
@@ -220,8 +247,9 @@
         event,
         now_s: float,
         sender: Incarnation | None = None,
+        confirmed_s: float | None = None,
     ) -> None:
-        for effect in scheduler.handle(event, now_s, sender):
+        for effect in scheduler.handle(event, now_s, sender, confirmed_s):
             self._execute_effect(effect, now_s)
         if self._new_losses:
             losses, self._new_losses = tuple(self._new_losses), []
@@ -260,6 +288,8 @@
                     self.outbox.send(successor, message)
             case fx.AnnounceLoss(loss=loss):
                 self._record_loss(loss)
+            case fx.RequestOpenJobs(front_host=front_host):
+                self._awaited_hosts.add(front_host)
             case fx.SendToFront(front_host=front_host, message=message):
                 self._record_end(message)
                 self.outbox.send(front_host, message)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -1,6 +1,6 @@
 """The greenlet that owns a host's state: its jobs, its cells and its claims."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from attrs import define, field
@@ -8,6 +8,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.front import FrontJobRegistry
+from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.submissions import InterruptJobs, LoadsReported, OwnersChanged
 from gentianhub.capacity.succession import TargetAnnouncements
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
@@ -81,6 +82,7 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
+    _handled_until_s: float = field(init=False, default=float("-inf"))
     _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
@@ -95,6 +97,9 @@
             outbox=self.outbox,
             configuration=self.configuration,
             metrics=self.metrics,
+            find_heard_heartbeat=lambda owner: self.membership.find_heard_heartbeat(
+                owner
+            ),
         )
         self.cells = OwnedCells(
             answers=self.mailbox,
@@ -126,6 +131,9 @@
             self._handle_message(message, now_s)
             for own_message in self.outbox.pop_own_messages():
                 self._handle_host_message(self.local_host, own_message, now_s)
+            awaited = self.cells.pop_awaited_hosts() - {self.local_host}
+            if awaited:
+                self._send_heartbeats_now(tuple(awaited), now_s)
 
     def _handle_message(self, message, now_s: float) -> None:
         match message:
@@ -145,6 +153,7 @@
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
                 self._record_mailbox_lag(now_s - sent_s, now_s)
+                self._handled_until_s = sent_s
                 self._handle_tick(count, now_s)
             case LinkOpened(link=link):
                 self._open_link(link, now_s)
@@ -257,8 +266,17 @@
             return
         claims = tuple(self.cells.build_claims(now_s))
         version = self.configuration.version
-        self.membership.send_heartbeats(recipients.active, claims, version)
-        self.membership.send_heartbeats(recipients.idle, claims, version, is_idle=True)
+        unconfirmed = self.cells.find_unconfirmed_hosts(now_s)
+        for peers, is_idle in ((recipients.active, False), (recipients.idle, True)):
+            for is_asked in (False, True):
+                self.membership.send_heartbeats(
+                    tuple(peer for peer in peers if (peer in unconfirmed) == is_asked),
+                    claims,
+                    version,
+                    now_s,
+                    is_idle=is_idle,
+                    requests_open_jobs=is_asked,
+                )
 
     def _send_due_heartbeats(self, now_s: float) -> None:
         owners = self.requests.job_registry.collect_working_owners()
@@ -279,7 +297,10 @@
                 self._handle_heartbeat(sender, message, now_s)
             case ev.RunTasks() | ev.CancelTasks():
                 self.membership.ownership.record_message(sender, now_s)
-                self.cells.handle_task_request(message, sender, now_s)
+                self._handle_task_request(message, sender, now_s)
+            case ev.OpenJobs():
+                # It does not announce frequent heartbeats, unlike a request for tasks.
+                self._handle_task_request(message, sender, now_s)
             case ev.TasksEnded():
                 self.requests.handle_event(message, now_s)
             case ev.ConfigurationOffer(content=content):
@@ -298,6 +319,44 @@
                 kind = type(message).__name__
                 log_decision("message not used", str(sender), kind=kind)
 
+    def _handle_task_request(
+        self,
+        request: ev.RunTasks | ev.CancelTasks | ev.OpenJobs,
+        sender: Incarnation,
+        now_s: float,
+    ) -> None:
+        match request:
+            case ev.CancelTasks():
+                confirmed_s = now_s
+            case (
+                ev.RunTasks(heard_heartbeat=heard) | ev.OpenJobs(heard_heartbeat=heard)
+            ):
+                confirmed_s = self._find_confirmed_s(sender, heard)
+        self.cells.handle_task_request(request, sender, now_s, confirmed_s)
+
+    def _find_confirmed_s(self, front_host: Incarnation, heard_heartbeat: int) -> float:
+        """Return when a front host is known to have had the jobs of a message open.
+
+        This host's own departures of callers wait in its mailbox like any message.
+        """
+        if front_host == self.local_host:
+            return self._handled_until_s
+        return self.membership.sent_heartbeats.find_confirmed_s(heard_heartbeat)
+
+    def _send_open_jobs(
+        self, owner: Incarnation, cells: Iterable[Cell], heard_heartbeat: int
+    ) -> None:
+        """Tell an owner which jobs are open in the cells that it owns."""
+        job_registry = self.requests.job_registry
+        for cell in cells:
+            known = job_registry.owners.get(cell)
+            if known is not None and known.owner == owner:
+                jobs = job_registry.list_open_jobs(cell)
+                message = ev.OpenJobs(
+                    cell=cell, jobs=jobs, heard_heartbeat=heard_heartbeat
+                )
+                self.outbox.send(owner, message)
+
     def _handle_heartbeat(
         self, sender: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
     ) -> None:
@@ -311,6 +370,9 @@
             )
         if heartbeat.lacks_targets and self._target_list.rows:
             self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
+        if heartbeat.requests_open_jobs:
+            cells = (claim.cell for claim in heartbeat.claims)
+            self._send_open_jobs(sender, cells, heartbeat.number)
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
@@ -399,6 +461,7 @@
         is_owner = bool(self.cells)
         for peer in self.membership.find_silent(now_s):
             self.cells.remove_front_host(peer, now_s)
+        self._send_open_jobs(self.local_host, self.cells.list_cells(), 0)
         self.cells.handle_tick(now_s)
         if self._tick_count % OWNERSHIP_TICKS == 0:
             self.membership.maintain_links(
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -67,6 +67,8 @@
             return {"runTasks": _build_task_request(message)}
         case ev.CancelTasks(cell=cell, job=job):
             return {"cancelTasks": {"cell": _build_cell(cell), "job": job}}
+        case ev.OpenJobs():
+            return {"openJobs": _build_open_jobs(message)}
         case ev.TasksEnded():
             return {"tasksEnded": _build_tasks_ended(message)}
         case ev.ConfigurationRequest(known_version=version):
@@ -104,6 +106,7 @@
         "lacksTargets": heartbeat.lacks_targets,
         "canOwn": heartbeat.can_own,
         "isIdle": heartbeat.is_idle,
+        "requestsOpenJobs": heartbeat.requests_open_jobs,
     }
 
 
@@ -135,6 +138,7 @@
         "deadlineInS": request.deadline_in_s,
         "mayDecline": request.may_decline,
         "isRepeat": request.is_repeat,
+        "heardHeartbeat": request.heard_heartbeat,
     }
 
 
@@ -200,6 +204,14 @@
     }
 
 
+def _build_open_jobs(message: ev.OpenJobs) -> dict:
+    return {
+        "cell": _build_cell(message.cell),
+        "jobs": list(message.jobs),
+        "heardHeartbeat": message.heard_heartbeat,
+    }
+
+
 def _build_tasks_ended(ended: ev.TasksEnded) -> dict:
     return {
         "cell": _build_cell(ended.cell),
@@ -227,6 +239,7 @@
         lacks_targets=content.lacksTargets,
         can_own=content.canOwn,
         is_idle=content.isIdle,
+        requests_open_jobs=content.requestsOpenJobs,
     )
 
 
@@ -258,6 +271,7 @@
         deadline_in_s=content.deadlineInS,
         may_decline=content.mayDecline,
         is_repeat=content.isRepeat,
+        heard_heartbeat=content.heardHeartbeat,
     )
 
 
@@ -334,6 +348,14 @@
     return ev.CancelTasks(cell=_read_cell(content.cell), job=content.job)
 
 
+def _read_open_jobs(content) -> ev.OpenJobs:
+    return ev.OpenJobs(
+        cell=_read_cell(content.cell),
+        jobs=tuple(content.jobs),
+        heard_heartbeat=content.heardHeartbeat,
+    )
+
+
 def _read_tasks_ended(content) -> ev.TasksEnded:
     return ev.TasksEnded(
         cell=_read_cell(content.cell),
@@ -378,6 +400,7 @@
     "hostBeat": _read_heartbeat,
     "runTasks": _read_task_request,
     "cancelTasks": _read_cancel_tasks,
+    "openJobs": _read_open_jobs,
     "tasksEnded": _read_tasks_ended,
     "configurationOffer": _read_configuration_offer,
     "configurationRequest": _read_configuration_request,
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -42,6 +42,7 @@
   deadlineInS @13 :Float64;
   mayDecline @14 :Bool;
   isRepeat @15 :Bool;
+  heardHeartbeat @16 :UInt64;
 }
 
 struct CancelTasks {
@@ -49,6 +50,12 @@
   job @1 :Text;
 }
 
+struct OpenJobs {
+  cell @0 :Cell;
+  jobs @1 :List(Text);
+  heardHeartbeat @2 :UInt64;
+}
+
 struct TasksEnded {
   cell @0 :Cell;
   job @1 :Text;
@@ -75,6 +82,7 @@
   lacksTargets @4 :Bool;
   canOwn @5 :Bool;
   isIdle @6 :Bool;
+  requestsOpenJobs @7 :Bool;
 }
 
 struct StoredRow {
@@ -157,5 +165,6 @@
     configurationRequest @8 :ConfigurationRequest;
     targetLosses @9 :TargetLosses;
     targetsRequest @10 :TargetsRequest;
+    openJobs @11 :OpenJobs;
   }
 }
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -6,6 +6,7 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
+from gentianhub.capacity.confirmations import SentHeartbeats
 from gentianhub.capacity.heartbeat_peers import (
     choose_candidates,
     choose_heartbeat_peers,
@@ -89,6 +90,9 @@
     ownership: ow.Ownership = field(init=False)
     heartbeat_peers: frozenset[ProcessName] = field(init=False, default=frozenset())
     _heartbeat_peer_inputs: HeartbeatPeerInputs | None = field(init=False, default=None)
+    sent_heartbeats: SentHeartbeats = field(
+        init=False, factory=lambda: SentHeartbeats()
+    )
     _heartbeat_count: int = field(init=False, default=0)
     _working_until: dict[Incarnation, int] = field(init=False, factory=dict)
     _active_peers: set[Incarnation] = field(init=False, factory=set)
@@ -132,12 +136,15 @@
         peers: tuple[Incarnation, ...],
         claims: tuple[ev.CellClaim, ...],
         version: int,
+        now_s: float,
         is_idle: bool = False,
+        requests_open_jobs: bool = False,
     ) -> None:
         """Send a heartbeat with the claims and the configuration's version."""
         if not peers:
             return
         self._heartbeat_count += 1
+        self.sent_heartbeats.record(self._heartbeat_count, now_s)
         heartbeat = ev.HostHeartbeat(
             number=self._heartbeat_count,
             claims=claims,
@@ -146,6 +153,7 @@
             lacks_targets=not self.ownership.has_targets,
             can_own=self.ownership.can_own,
             is_idle=is_idle,
+            requests_open_jobs=requests_open_jobs,
         )
         body = encode_message(heartbeat)
         for peer in peers:
@@ -283,6 +291,11 @@
                 log_decision("host silent", str(peer))
             yield peer
 
+    def find_heard_heartbeat(self, peer: Incarnation) -> int:
+        """Return the number of the last heartbeat of a host; 0 without one."""
+        known = self.ownership.peers.get(peer)
+        return known.heartbeat.number if known else 0
+
     def remove_replaced(self, peer: Incarnation) -> Iterator[Incarnation]:
         """Drop and yield the earlier incarnations of a host that has a new link."""
         for other in list(self.ownership.peers):
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -1,8 +1,9 @@
 """Handling of callers' requests: decoding, submission of jobs, and answers."""
 
+from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -14,7 +15,7 @@
     CancelCapacityJob,
     SubmitCapacityJob,
 )
-from gentianhub.core import Mailbox
+from gentianhub.core import Incarnation, Mailbox
 from gentianhub.host import messages as ms
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.decision_log import log_decision
@@ -40,6 +41,7 @@
 class RequestHandler:
     """Turns callers' requests into events of the job registry, and answers them.
 
+    `find_heard_heartbeat` returns the number of an owner's last heartbeat.
     `rejects_jobs` is set when the host is about to exit.
     """
 
@@ -47,6 +49,7 @@
     outbox: Outbox
     configuration: ConfigurationCache
     metrics: HostMetrics
+    find_heard_heartbeat: Callable[[Incarnation], int] = lambda owner: 0
     rejects_jobs: bool = False
     _pending_requests: dict[Any, PendingRequest] = field(init=False, factory=dict)
 
@@ -97,17 +100,23 @@
             case fx.SendToOwner(cell=cell, message=message):
                 cell_owner = self.job_registry.owners.get(cell)
                 _log_task_request(message, cell_owner)
-                if cell_owner is not None and not self.outbox.send(
-                    cell_owner.owner, message
-                ):
-                    log_decision(
-                        "order not sent", message.job, owner=str(cell_owner.owner)
-                    )
+                if cell_owner is not None:
+                    self._send_to_owner(cell_owner.owner, message)
             case fx.AnswerCaller():
                 self._answer(effect, now_s)
             case fx.LogDecision():
                 log_decision(effect.decision, effect.subject, **effect.inputs)
 
+    def _send_to_owner(
+        self, owner: Incarnation, message: ev.RunTasks | ev.CancelTasks
+    ) -> None:
+        match message:
+            case ev.RunTasks():
+                heard = self.find_heard_heartbeat(owner)
+                message = evolve(message, heard_heartbeat=heard)
+        if not self.outbox.send(owner, message):
+            log_decision("order not sent", message.job, owner=str(owner))
+
     def _submit(
         self, request: ms.CallerRequest, route: Route, job_id: str, now_s: float
     ) -> None:
--- a/gentianhub/host/tests/test_membership.py
+++ b/gentianhub/host/tests/test_membership.py
@@ -159,8 +159,8 @@
         working, told = frozenset({self.remote}), []
         for tick in range(1, IDLE_HEARTBEAT_TICKS * 6):
             recipients = self.membership.find_heartbeat_recipients(tick, True, working)
-            self.membership.send_heartbeats(recipients.active, (), 1)
-            self.membership.send_heartbeats(recipients.idle, (), 1, is_idle=True)
+            self.membership.send_heartbeats(recipients.active, (), 1, 0.0)
+            self.membership.send_heartbeats(recipients.idle, (), 1, 0.0, is_idle=True)
             working = frozenset()
             if recipients.idle and tick % IDLE_HEARTBEAT_TICKS:
                 told.append(tick)
@@ -223,8 +223,8 @@
         return membership
 
     def send(self, membership: Membership, recipients) -> None:
-        membership.send_heartbeats(recipients.active, (), 1)
-        membership.send_heartbeats(recipients.idle, (), 1, is_idle=True)
+        membership.send_heartbeats(recipients.active, (), 1, 0.0)
+        membership.send_heartbeats(recipients.idle, (), 1, 0.0, is_idle=True)
 
     def find_silent_times(self, seed: int, seconds: float) -> list[float]:
         """Return when a host was taken as lost while tasks came and went at random."""
