Confirm jobs only after the departures that arrived together with the question

After a pause of a host, a heartbeat or a tick and the departure of a caller are read at once, and the departure may be behind it in the mailbox. The front host then confirmed a job whose caller had left, and an owner its own jobs, so that a confirmation was too new by the length of the pause. If the withdrawal was lost as well, runs could outlive the 1.3 s.

The answer to a heartbeat is now a message of the coordinator to itself, behind all that has arrived with it, and a tick confirms as of the tick before it, whose batch has been handled.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -82,6 +82,7 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
+    _last_tick_s: float = field(init=False, default=float("-inf"))
     _handled_until_s: float = field(init=False, default=float("-inf"))
     _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
@@ -153,8 +154,11 @@
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
                 self._record_mailbox_lag(now_s - sent_s, now_s)
-                self._handled_until_s = sent_s
+                # A departure that is read together with this tick may be behind it.
+                self._handled_until_s, self._last_tick_s = self._last_tick_s, sent_s
                 self._handle_tick(count, now_s)
+            case ms.AnswerHeartbeat(owner=owner, cells=cells, heartbeat=number):
+                self._send_open_jobs(owner, cells, number)
             case LinkOpened(link=link):
                 self._open_link(link, now_s)
             case LinkClosed(link=link, reason=reason):
@@ -371,8 +375,12 @@
         if heartbeat.lacks_targets and self._target_list.rows:
             self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
         if heartbeat.requests_open_jobs:
-            cells = (claim.cell for claim in heartbeat.claims)
-            self._send_open_jobs(sender, cells, heartbeat.number)
+            answer = ms.AnswerHeartbeat(
+                owner=sender,
+                cells=tuple(claim.cell for claim in heartbeat.claims),
+                heartbeat=heartbeat.number,
+            )
+            self.mailbox.try_put(answer)
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -4,7 +4,8 @@
 
 from attrs import frozen
 
-from gentianhub.capacity.jobs import ListedTarget
+from gentianhub.capacity.jobs import Cell, ListedTarget
+from gentianhub.core import Incarnation
 from gentianhub.host.registry import HostEntry
 
 
@@ -46,6 +47,18 @@
     sent_s: float
 
 
+@frozen(kw_only=True)
+class AnswerHeartbeat:
+    """The coordinator's message to itself to tell an owner which jobs are open.
+
+    It stands behind all departures of callers that arrived with the heartbeat.
+    """
+
+    owner: Incarnation
+    cells: tuple[Cell, ...]
+    heartbeat: int
+
+
 @frozen(kw_only=True)
 class PollTargets:
     """Read the list of targets now, because a cell has been taken over."""
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -176,10 +176,10 @@
         self.speed, self._slow_since_s = speed, self.world.now_s
 
     def handle_messages(self) -> None:
-        """Handle the messages whose turn has come."""
+        """Handle the messages whose turn has come, as one batch."""
         while self._arrived and self._compute_turn_s() <= self.world.now_s + 1e-9:
             self.mailbox.put(self._arrived.popleft()[1])
-            self.coordinator.run()
+        self.coordinator.run()
 
     def has_waiting_end(self) -> bool:
         """Whether the report of an ended run waits in the mailbox."""
--- a/gentianhub/host/tests/test_departures.py
+++ b/gentianhub/host/tests/test_departures.py
@@ -6,7 +6,10 @@
 
 import unittest
 
+from gentianhub.capacity import events as ev
+from gentianhub.host import messages as ms
 from gentianhub.host.tests.simulated_hosts import SimulatedDeployment
+from gentianhub.linking.link_events import MessageReceived
 
 RESUBMISSION_S = 1.3
 OCCUPANTS = ("00000000000000a1", "00000000000000a2")
@@ -152,6 +155,53 @@
         self.assert_occupants_answered()
 
 
+class TestDepartureInTheSameBatch(DepartureTest):
+    """After a pause of a host, everything that has arrived is read at once."""
+
+    def test_a_job_whose_caller_has_left_is_not_confirmed_to_its_owner(self):
+        """The departure was behind the heartbeat of the owner in the mailbox."""
+        caller, owner = self.submit_to_owner()
+        link = self.deployment.find_link(self.front, owner)
+        self.deployment.run(0.1)
+        link.is_held = True
+        (_, front_link) = next(end for end in link.ends if end[0] is self.front)
+        heartbeat = ev.HostHeartbeat(
+            number=1_000_000,
+            claims=tuple(owner.coordinator.cells.build_claims(self.deployment.now_s)),
+            configuration_version=1,
+            requests_open_jobs=True,
+        )
+        self.front.receive(MessageReceived(link=front_link, message=heartbeat))
+        self.front.leave(caller)
+        self.front.handle_messages()
+        sent = [
+            owner.codec.decode(front_link.outgoing_queue.get())
+            for _ in range(len(front_link.outgoing_queue))
+        ]
+        (answer,) = (m for m in sent if isinstance(m, ev.OpenJobs))
+        self.assertNotIn(JOB, answer.jobs)
+
+    def test_an_owner_does_not_start_its_own_job_after_a_pause(self):
+        """A tick was ahead of the departure and confirmed the job."""
+        caller = self.owner.submit(JOB)
+        self.deployment.run(0.3)
+        (scheduler,) = (
+            host.coordinator.cells.find_scheduler(name)
+            for host, name in zip(self.deployment.owners, ("t1", "t2"), strict=True)
+            if (self.owner.incarnation, JOB)
+            in host.coordinator.cells.find_scheduler(name).jobs
+            and host is self.owner
+        )
+        paused_s = 1.4
+        self.deployment.now_s += paused_s
+        now_s = self.deployment.now_s
+        self.owner.receive(ms.TimerTick(count=4, sent_s=now_s))
+        self.owner.leave(caller)
+        self.owner.handle_messages()
+        confirmed_s = scheduler.jobs[self.owner.incarnation, JOB].confirmed_s
+        self.assertLessEqual(confirmed_s, now_s - paused_s)
+
+
 class TestSlowOwner(DepartureTest):
     def test_a_departure_in_the_mailbox_of_a_slow_owner_ends_the_task(self):
         """An owner that was seconds behind started what was withdrawn long before."""
