End a job that its caller has submitted again through another host

If a connection breaks without its front host noticing, the job is open at two front hosts. Two submissions that waited in one cell were both started when capacity became free: only a task that was running already was compared with the new one.

The owner ends the earlier submission when the later one arrives, since a caller comes again only after its connection has broken. A run of it is stopped and has ended before the task starts again, as before. Two submissions in different cells are bounded by the confirmations only as far as the front hosts know that the caller has left.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -88,6 +88,7 @@
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
     waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
+    _front_hosts: dict[str, Incarnation] = field(init=False, factory=dict)
     _started_tasks: dict[TaskKey, CellTask] = field(init=False, factory=dict)
     _blocked: list[CellTask] = field(init=False, factory=list)
     _may_start: bool = field(init=False, default=False)
@@ -133,7 +134,7 @@
                 self.confirmations.drop_job(front_host, job_id)
                 job = self.jobs.get((front_host, job_id))
                 if job is not None:
-                    yield self._log_withdrawal(job)
+                    yield self._log_withdrawal(job, "cancelled")
                     yield from self._cancel_job(job, now_s)
                     job.is_withdrawn = True
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
@@ -194,8 +195,10 @@
             yield from self._cancel_job(job, now_s)
             return
         if job is None or job.is_withdrawn:
+            yield from self._end_earlier_submission(request.job, front_host, now_s)
             job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
             self.jobs[(front_host, request.job)] = job
+            self._front_hosts[request.job] = front_host
         job.confirmed_s = max(job.confirmed_s, confirmed_s)
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
@@ -213,6 +216,20 @@
             yield from self._start_tasks(now_s)
             yield from self._decline_waiting(job, new_keys)
 
+    def _end_earlier_submission(
+        self, name: str, front_host: Incarnation, now_s: float
+    ) -> Iterator:
+        """End a job that its caller has submitted again through another host.
+
+        The earlier front host may not have noticed that the connection is broken.
+        """
+        earlier = self.jobs.get((self._front_hosts.get(name), name))
+        if earlier is None or earlier.front_host == front_host:
+            return
+        if not earlier.is_cancelled and earlier.has_open_tasks():
+            yield self._log_withdrawal(earlier, "submitted again")
+            yield from self._give_up_job(earlier, now_s)
+
     def _build_tasks(
         self, request: ev.RunTasks, job: CellJob, keys: list[TaskKey], now_s: float
     ) -> Iterator[CellTask]:
@@ -338,7 +355,7 @@
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
-                yield self._log_withdrawal(job)
+                yield self._log_withdrawal(job, "not open")
                 yield from self._cancel_job(job, now_s)
             job.is_withdrawn = True
         for task in self.confirmations.release_tasks(now_s):
@@ -366,10 +383,11 @@
                 held.request, held.front_host, ev.TaskEnd.EXPIRED, False
             )
 
-    def _log_withdrawal(self, job: CellJob) -> fx.LogDecision:
+    def _log_withdrawal(self, job: CellJob, reason: str) -> fx.LogDecision:
         inputs = {
             "cell": str(self.cell),
             "front_host": str(job.front_host),
+            "reason": reason,
             "waiting": sum(task.is_waiting for task in job.tasks.values()),
             "running": sum(task.target is not None for task in job.tasks.values()),
         }
@@ -605,3 +623,5 @@
         for key, job in list(self.jobs.items()):
             if now_s >= job.changed_s + END_RETENTION_S and job.is_finished():
                 del self.jobs[key]
+                if self._front_hosts.get(job.name) == job.front_host:
+                    del self._front_hosts[job.name]
--- a/gentianhub/capacity/tests/test_confirmations.py
+++ b/gentianhub/capacity/tests/test_confirmations.py
@@ -215,6 +215,48 @@
         self.assertEqual(LEASE_S, self.start.lease_s)
 
 
+class TestSecondSubmission(ConfirmationTest):
+    """A caller whose connection broke unnoticed comes again through another host."""
+
+    def setUp(self):
+        super().setUp()
+        self.driver.list_targets(
+            build_target("t1", cores=27), build_target("t2", cores=27)
+        )
+        self.driver.report("t2")
+        self.starts = find_starts(self.feed(build_request("a")))
+        self.starts += find_starts(self.feed(build_request("b")))
+
+    def submit(self, front_host) -> list:
+        request = build_request("c", objective_s=20.0, deadline_in_s=20.0)
+        return self.feed(request, front_host=front_host)
+
+    def test_two_submissions_that_wait_are_run_once(self):
+        """Both front hosts had the job open, and its task ran twice at once."""
+        self.submit(FRONT_HOST)
+        ends = find_ends(self.submit(OTHER_FRONT_HOST))
+        started = [
+            start
+            for earlier in self.starts
+            for start in find_starts(self.driver.end(earlier, number=1))
+        ]
+        self.assertEqual(["c"], [start.key.job for start in started])
+        expired = [(end.job, end.end) for end in ends]
+        self.assertEqual([("c", ev.TaskEnd.EXPIRED)], expired)
+
+    def test_the_run_of_the_first_submission_ends_before_the_second_starts(self):
+        self.driver.end(self.starts[0], number=1)
+        (first,) = find_starts(self.submit(FRONT_HOST))
+        self.driver.answer(first)
+        self.driver.end(self.starts[1], number=1)
+        effects = self.submit(OTHER_FRONT_HOST)
+        self.assertEqual([], find_starts(effects))
+        self.assertEqual(["c"], [stop.key.job for stop in find_stops(effects)])
+        ended = self.driver.end(first, number=2, end=ev.RunEnd.STOPPED)
+        (second,) = find_starts(ended)
+        self.assertGreater(second.run, first.run)
+
+
 def _describe(end: ev.TasksEnded) -> tuple[ev.TaskEnd, bool]:
     return end.end, end.has_started
 
