Send tasks elsewhere at once when the owner of their cell has no link

Callers waited, and a job of which no request had left the host was answered as interrupted, because no owner could confirm that it had not run.

The front host takes the tasks back at once, as the request has provably not been received, and leaves the cell out until its owner is heard again. A job without any request that was sent is refused as not run. Repeated requests stay with their cell, since an earlier owner may have started their tasks. The new tests fail without the change (no such event).

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -26,6 +26,7 @@
     KeptAnswer,
     LoadsReported,
     OwnersChanged,
+    RequestNotSent,
     SubmitCapacityJob,
     choose_retry_after_s,
 )
@@ -87,6 +88,8 @@
                 yield from self._update_owners(owners, now_s)
             case LoadsReported(owner=owner, claims=claims):
                 self._update_loads(owner, claims)
+            case RequestNotSent(request=request):
+                yield from self._handle_unsent_request(request, now_s)
             case InterruptJobs(reason=reason):
                 for job in list(self.jobs.values()):
                     yield from self._close_job(job, fx.JobVerdict.INTERRUPTED, reason)
@@ -220,6 +223,7 @@
             job.binding_keys.difference_update(keys)
         else:
             job.binding_keys.update(keys)
+        job.request_counts[cell] += 1
         step = job.job.steps[number]
         earlier_s = sum(
             other.estimate_s * job.route.stretch
@@ -252,6 +256,27 @@
         self._addressed_cells.add(cell)
         return fx.SendToOwner(cell=cell, message=message)
 
+    def _handle_unsent_request(self, request: ev.RunTasks, now_s: float) -> Iterator:
+        """Send tasks to another cell whose owner cannot be reached.
+
+        A repeated request stays with its cell: an earlier owner may have started it.
+        """
+        job = self.jobs.get(request.job)
+        self.loads.mark_unreachable(request.cell)
+        if job is None or request.is_repeat:
+            return
+        keys = [
+            TaskKey(job=request.job, step=request.step_number, index=index)
+            for index in request.indexes
+        ]
+        for key in keys:
+            del job.assigned_cells[key]
+            job.offer_counts[key] -= 1
+        job.request_counts[request.cell] -= 1
+        if not job.request_counts[request.cell]:
+            job.requested_cells.discard(request.cell)
+        yield from self._assign_tasks(job, request.step_number, keys, now_s)
+
     def _count_waves(self, step) -> int:
         wave_millicores = self.loads.count_total_millicores() * WAVE_CAPACITY_FRACTION
         needed = step.count * step.demand.cpu_millicores
@@ -315,6 +340,7 @@
             and declined.cell not in job.assigned_cells.values()
         ):
             job.requested_cells.discard(declined.cell)
+            del job.request_counts[declined.cell]
 
     def _is_current(self, event: ev.TasksEnded) -> bool:
         """Whether a report is still valid.
--- a/gentianhub/capacity/routing.py
+++ b/gentianhub/capacity/routing.py
@@ -35,6 +35,7 @@
     data_centre: str
     _claims: dict[Cell, CellClaim] = field(init=False, factory=dict)
     _sent_millicores: dict[Cell, int] = field(init=False, factory=dict)
+    _unreachable: set[Cell] = field(init=False, factory=set)
 
     def update(self, claims: Mapping[Cell, CellClaim]) -> None:
         """Replace the claims by those of all live owners."""
@@ -43,13 +44,17 @@
             self._sent_millicores.pop(cell, None)
         for cell, claim in claims.items():
             if self._claims.get(cell) is not claim:
-                self._claims[cell] = claim
-                self._sent_millicores[cell] = 0
+                self.update_claim(claim)
 
     def update_claim(self, claim: CellClaim) -> None:
         """Replace the claim of one cell by a newer one."""
         self._claims[claim.cell] = claim
         self._sent_millicores[claim.cell] = 0
+        self._unreachable.discard(claim.cell)
+
+    def mark_unreachable(self, cell: Cell) -> None:
+        """Send no tasks to a cell until its owner's next claim."""
+        self._unreachable.add(cell)
 
     def mark_full(self, cell: Cell) -> None:
         """Treat a cell as having no idle capacity until its next claim."""
@@ -118,7 +123,7 @@
 
     def _sort_by_free_capacity(self) -> list[Cell]:
         return sorted(
-            self._claims,
+            self._claims.keys() - self._unreachable,
             key=lambda cell: (
                 cell.data_centre != self.data_centre,
                 -self.estimate_free_millicores(cell),
@@ -127,7 +132,11 @@
 
     def _find_shortest_queue(self) -> Cell | None:
         return min(
-            (cell for cell in self._claims if self._claims[cell].total_millicores),
+            (
+                cell
+                for cell in self._claims.keys() - self._unreachable
+                if self._claims[cell].total_millicores
+            ),
             key=lambda cell: (
                 self.estimate_wait_s(cell)
                 + REMOTE_PENALTY_S * (cell.data_centre != self.data_centre),
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -1,6 +1,7 @@
 """Open jobs of a front host, and the events that change them."""
 
 import zlib
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
@@ -67,14 +68,22 @@
     claims: tuple[ev.CellClaim, ...]
 
 
+@frozen(kw_only=True)
+class RequestNotSent:
+    """There was no link to the owner, so that it has not received the request."""
+
+    request: ev.RunTasks
+
+
 @define(kw_only=True, eq=False)
 class FrontJob:
     """An open job; times are monotonic and in seconds.
 
     `assigned_cells` maps each open task to the cell that it was sent to, or to None
     while no owner is known. `requested_cells` are the cells that may have started a
-    task. `offer_counts` counts how often each task was sent. `done_counts` counts the
-    tasks done in each step. `released_steps` are the steps whose tasks have been sent.
+    task, and `request_counts` the requests sent to each. `offer_counts` counts how
+    often each task was sent. `done_counts` counts the tasks done in each step.
+    `released_steps` are the steps whose tasks have been sent.
     `binding_keys` are the tasks whose last request the owner may not decline.
     `unconfirmed_cells` are the cells that have yet to confirm a cancellation, or None
     if none has been requested.
@@ -88,6 +97,7 @@
     reply_to: list[Any]
     assigned_cells: dict[TaskKey, Cell | None] = field(factory=dict)
     requested_cells: set[Cell] = field(factory=set)
+    request_counts: Counter[Cell] = field(factory=Counter)
     offer_counts: dict[TaskKey, int] = field(factory=dict)
     done_counts: dict[int, int] = field(factory=dict)
     released_steps: set[int] = field(factory=set)
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -17,6 +17,7 @@
     InterruptJobs,
     LoadsReported,
     OwnersChanged,
+    RequestNotSent,
     SubmitCapacityJob,
 )
 from gentianhub.capacity.tests.builders import build_host, build_step
@@ -104,6 +105,52 @@
         )
 
 
+class TestUnsentRequests(FrontTest):
+    """An owner counts as live for a while after its link has closed."""
+
+    def setUp(self):
+        super().setUp()
+        self.owners = {
+            LOCAL_CELL: build_owner(LOCAL_CELL, 500),
+            REMOTE_CELL: build_owner(REMOTE_CELL, 300),
+        }
+        self.feed(OwnersChanged(owners=self.owners))
+
+    def test_tasks_that_could_not_be_sent_go_to_another_cell(self):
+        """They waited for a new link or another owner, up to a second."""
+        (request,) = find_requests(self.submit())
+        self.assertEqual(LOCAL_CELL, request.cell)
+        (other,) = find_requests(self.feed(RequestNotSent(request=request)))
+        self.assertEqual((REMOTE_CELL, request.indexes), (other.cell, other.indexes))
+
+    def test_a_cell_is_used_again_once_its_owner_is_heard(self):
+        (request,) = find_requests(self.submit())
+        self.feed(RequestNotSent(request=request))
+        claim = self.owners[LOCAL_CELL].claim
+        owner = self.owners[LOCAL_CELL].owner
+        self.feed(LoadsReported(owner=owner, claims=(claim,)))
+        (request,) = find_requests(self.submit(job_id="b"))
+        self.assertEqual(LOCAL_CELL, request.cell)
+
+    def test_a_job_that_was_not_sent_is_refused_without_a_confirmation(self):
+        """It was answered as interrupted, since no owner could confirm anything."""
+        (request,) = find_requests(self.submit())
+        (other,) = find_requests(self.feed(RequestNotSent(request=request)))
+        self.feed(RequestNotSent(request=other))
+        self.now_s += 2.1
+        self.assertEqual([fx.JobVerdict.NOT_RUN], find_verdicts(self.feed(ev.Tick())))
+
+    def test_a_repeated_request_stays_with_its_cell(self):
+        """An earlier owner may have started its tasks."""
+        self.submit()
+        self.owners[LOCAL_CELL] = build_owner(LOCAL_CELL, 500, term=2)
+        effects = self.feed(OwnersChanged(owners=self.owners))
+        (request,) = find_requests(effects)
+        self.assertTrue(request.is_repeat)
+        self.assertEqual([], find_requests(self.feed(RequestNotSent(request=request))))
+        self.assertEqual([], find_requests(self.feed(ev.Tick())))
+
+
 class TestJobAnswers(FrontTest):
     def test_a_job_is_answered_when_all_its_tasks_are_done(self):
         self.submit(build_step(count=2))
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -13,6 +13,7 @@
 from gentianhub.capacity.submissions import (
     CallerDisconnected,
     CancelCapacityJob,
+    RequestNotSent,
     SubmitCapacityJob,
 )
 from gentianhub.core import Incarnation, Mailbox
@@ -101,21 +102,25 @@
                 cell_owner = self.job_registry.owners.get(cell)
                 _log_task_request(message, cell_owner)
                 if cell_owner is not None:
-                    self._send_to_owner(cell_owner.owner, message)
+                    self._send_to_owner(cell_owner.owner, message, now_s)
             case fx.AnswerCaller():
                 self._answer(effect, now_s)
             case fx.LogDecision():
                 log_decision(effect.decision, effect.subject, **effect.inputs)
 
     def _send_to_owner(
-        self, owner: Incarnation, message: ev.RunTasks | ev.CancelTasks
+        self, owner: Incarnation, message: ev.RunTasks | ev.CancelTasks, now_s: float
     ) -> None:
         match message:
             case ev.RunTasks():
                 heard = self.find_heard_heartbeat(owner)
                 message = evolve(message, heard_heartbeat=heard)
-        if not self.outbox.send(owner, message):
-            log_decision("order not sent", message.job, owner=str(owner))
+        if self.outbox.send(owner, message):
+            return
+        log_decision("order not sent", message.job, owner=str(owner))
+        match message:
+            case ev.RunTasks():
+                self.handle_event(RequestNotSent(request=message), now_s)
 
     def _submit(
         self, request: ms.CallerRequest, route: Route, job_id: str, now_s: float
