--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -1,6 +1,6 @@
 """The greenlet that owns a host's state: its jobs, its cells and its claims."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from attrs import define, field
@@ -8,6 +8,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.front import FrontJobRegistry
+from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.submissions import InterruptJobs, LoadsReported, OwnersChanged
 from gentianhub.capacity.succession import TargetAnnouncements
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
@@ -43,6 +44,8 @@
 # Time after the start of a drain during which jobs on open connections are still
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
+# Messages that wait longer than this in the mailbox are logged, once a second, s.
+LOGGED_MAILBOX_LAG_S = 0.2
 
 
 @define(kw_only=True, eq=False)
@@ -79,6 +82,9 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
+    _last_tick_s: float = field(init=False, default=float("-inf"))
+    _handled_until_s: float = field(init=False, default=float("-inf"))
+    _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
 
@@ -92,6 +98,9 @@
             outbox=self.outbox,
             configuration=self.configuration,
             metrics=self.metrics,
+            find_heard_heartbeat=lambda owner: self.membership.find_heard_heartbeat(
+                owner
+            ),
         )
         self.cells = OwnedCells(
             answers=self.mailbox,
@@ -123,6 +132,9 @@
             self._handle_message(message, now_s)
             for own_message in self.outbox.pop_own_messages():
                 self._handle_host_message(self.local_host, own_message, now_s)
+            awaited = self.cells.pop_awaited_hosts() - {self.local_host}
+            if awaited:
+                self._send_heartbeats_now(tuple(awaited), now_s)
 
     def _handle_message(self, message, now_s: float) -> None:
         match message:
@@ -140,13 +152,23 @@
             case MessageReceived(link=link, message=content):
                 if self.links.record_received(link, now_s):
                     self._handle_host_message(link.incarnation, content, now_s)
-            case ms.TimerTick(count=count):
+            case ms.TimerTick(count=count, sent_s=sent_s):
+                self._record_mailbox_lag(now_s - sent_s, now_s)
+                # A departure that is read together with this tick may be behind it.
+                self._handled_until_s, self._last_tick_s = self._last_tick_s, sent_s
                 self._handle_tick(count, now_s)
+            case ms.AnswerHeartbeat(owner=owner, cells=cells, heartbeat=number):
+                self._send_open_jobs(owner, cells, number)
             case LinkOpened(link=link):
                 self._open_link(link, now_s)
             case LinkClosed(link=link, reason=reason):
                 if self.links.close(link):
-                    log_decision("link lost", str(link.incarnation), reason=reason)
+                    log_decision(
+                        "link lost",
+                        str(link.incarnation),
+                        reason=reason,
+                        unsent=len(link.outgoing_queue),
+                    )
             case DialFailed(dial_address=dial_address):
                 self.links.dial_backoff.record_failure(dial_address, now_s)
             case ms.ConfigurationRead(content=content):
@@ -248,8 +270,17 @@
             return
         claims = tuple(self.cells.build_claims(now_s))
         version = self.configuration.version
-        self.membership.send_heartbeats(recipients.active, claims, version)
-        self.membership.send_heartbeats(recipients.idle, claims, version, is_idle=True)
+        unconfirmed = self.cells.find_unconfirmed_hosts(now_s)
+        for peers, is_idle in ((recipients.active, False), (recipients.idle, True)):
+            for is_asked in (False, True):
+                self.membership.send_heartbeats(
+                    tuple(peer for peer in peers if (peer in unconfirmed) == is_asked),
+                    claims,
+                    version,
+                    now_s,
+                    is_idle=is_idle,
+                    requests_open_jobs=is_asked,
+                )
 
     def _send_due_heartbeats(self, now_s: float) -> None:
         owners = self.requests.job_registry.collect_working_owners()
@@ -270,7 +301,10 @@
                 self._handle_heartbeat(sender, message, now_s)
             case ev.RunTasks() | ev.CancelTasks():
                 self.membership.ownership.record_message(sender, now_s)
-                self.cells.handle_task_request(message, sender, now_s)
+                self._handle_task_request(message, sender, now_s)
+            case ev.OpenJobs():
+                # It does not announce frequent heartbeats, unlike a request for tasks.
+                self._handle_task_request(message, sender, now_s)
             case ev.TasksEnded():
                 self.requests.handle_event(message, now_s)
             case ev.ConfigurationOffer(content=content):
@@ -289,6 +323,44 @@
                 kind = type(message).__name__
                 log_decision("message not used", str(sender), kind=kind)
 
+    def _handle_task_request(
+        self,
+        request: ev.RunTasks | ev.CancelTasks | ev.OpenJobs,
+        sender: Incarnation,
+        now_s: float,
+    ) -> None:
+        match request:
+            case ev.CancelTasks():
+                confirmed_s = now_s
+            case (
+                ev.RunTasks(heard_heartbeat=heard) | ev.OpenJobs(heard_heartbeat=heard)
+            ):
+                confirmed_s = self._find_confirmed_s(sender, heard)
+        self.cells.handle_task_request(request, sender, now_s, confirmed_s)
+
+    def _find_confirmed_s(self, front_host: Incarnation, heard_heartbeat: int) -> float:
+        """Return when a front host is known to have had the jobs of a message open.
+
+        This host's own departures of callers wait in its mailbox like any message.
+        """
+        if front_host == self.local_host:
+            return self._handled_until_s
+        return self.membership.sent_heartbeats.find_confirmed_s(heard_heartbeat)
+
+    def _send_open_jobs(
+        self, owner: Incarnation, cells: Iterable[Cell], heard_heartbeat: int
+    ) -> None:
+        """Tell an owner which jobs are open in the cells that it owns."""
+        job_registry = self.requests.job_registry
+        for cell in cells:
+            known = job_registry.owners.get(cell)
+            if known is not None and known.owner == owner:
+                jobs = job_registry.list_open_jobs(cell)
+                message = ev.OpenJobs(
+                    cell=cell, jobs=jobs, heard_heartbeat=heard_heartbeat
+                )
+                self.outbox.send(owner, message)
+
     def _handle_heartbeat(
         self, sender: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
     ) -> None:
@@ -302,6 +374,13 @@
             )
         if heartbeat.lacks_targets and self._target_list.rows:
             self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
+        if heartbeat.requests_open_jobs:
+            answer = ms.AnswerHeartbeat(
+                owner=sender,
+                cells=tuple(claim.cell for claim in heartbeat.claims),
+                heartbeat=heartbeat.number,
+            )
+            self.mailbox.try_put(answer)
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
@@ -364,6 +443,18 @@
 
     # Timer and drain
 
+    def _record_mailbox_lag(self, lag_s: float, now_s: float) -> None:
+        """Record how long a tick has waited in the mailbox; log long waits."""
+        self.metrics.record_mailbox_lag(lag_s)
+        if lag_s > LOGGED_MAILBOX_LAG_S and now_s > self._lag_logged_s + 1.0:
+            self._lag_logged_s = now_s
+            log_decision(
+                "mailbox behind",
+                str(self.local_host),
+                lag_s=round(lag_s, 3),
+                waiting=len(self.mailbox),
+            )
+
     @property
     def timer_period_ticks(self) -> int:
         """Period of the timer, in ticks."""
@@ -378,6 +469,7 @@
         is_owner = bool(self.cells)
         for peer in self.membership.find_silent(now_s):
             self.cells.remove_front_host(peer, now_s)
+        self._send_open_jobs(self.local_host, self.cells.list_cells(), 0)
         self.cells.handle_tick(now_s)
         if self._tick_count % OWNERSHIP_TICKS == 0:
             self.membership.maintain_links(
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -4,7 +4,8 @@
 
 from attrs import frozen
 
-from gentianhub.capacity.jobs import ListedTarget
+from gentianhub.capacity.jobs import Cell, ListedTarget
+from gentianhub.core import Incarnation
 from gentianhub.host.registry import HostEntry
 
 
@@ -37,9 +38,25 @@
 
 @frozen(kw_only=True)
 class TimerTick:
-    """The timer has reached a multiple of its period; `count` is that multiple."""
+    """The timer has reached a multiple of its period; `count` is that multiple.
+
+    `sent_s` is the monotonic time at which the tick was put into the mailbox.
+    """
 
     count: int
+    sent_s: float
+
+
+@frozen(kw_only=True)
+class AnswerHeartbeat:
+    """The coordinator's message to itself to tell an owner which jobs are open.
+
+    It stands behind all departures of callers that arrived with the heartbeat.
+    """
+
+    owner: Incarnation
+    cells: tuple[Cell, ...]
+    heartbeat: int
 
 
 @frozen(kw_only=True)
