Let several runs of the tests share a machine

test_hosts failed twice in six runs beside the tests of other checkouts: 'cannot serve: Address already in use: 127.0.3.1, 9464'. The metrics port is fixed, so that hosts of tests have addresses of their own, and these were fixed as well. They follow from the process id now, which is unique on the machine. Ruled out: an own server that had not ended, since the tests of one module run in one process, one after another, and wait for their hosts. Three runs at once, two of them of the same module: all pass.

--- a/gentianhub/host/tests/host_processes.py
+++ b/gentianhub/host/tests/host_processes.py
@@ -1,6 +1,7 @@
 """Starts hosts as processes against stand-ins for the users' platform."""
 
 import json
+import os
 import subprocess
 import tempfile
 import time
@@ -38,16 +39,26 @@
 START_TIMEOUT_S = 20.0
 
 
-class HostProcessesTest(unittest.TestCase):
-    """Hosts that share the two targets of one data centre.
+def build_addresses(count: int) -> tuple[str, ...]:
+    """Return loopback addresses that no other process of tests uses.
 
-    Each host needs its own address because the metrics port is fixed, and each module
-    its own ones, as modules run in parallel.
+    Each host needs its own address because the metrics port is fixed. Process ids are
+    below 2**22 and unique, also among several runs of the tests on one machine.
     """
+    process = os.getpid()
+    second, third, fourth = process >> 16, process >> 8 & 0xFF, process & 0xFF
+    return tuple(
+        f"127.{64 * (number + 1) + second}.{third}.{fourth}" for number in range(count)
+    )
+
+
+class HostProcessesTest(unittest.TestCase):
+    """`host_count` hosts that share the two targets of one data centre."""
 
-    addresses: tuple[str, ...] = ()
+    host_count = 1
 
     def setUp(self):
+        self.addresses = build_addresses(self.host_count)
         self.stack = ExitStack()
         self.addCleanup(self.stack.close)
         self.logs: dict[str, Path] = {}
@@ -82,7 +93,7 @@
         settings = Path(folder) / "local.toml"
         write_settings(
             settings,
-            name=f"host-{address.rpartition('.')[2]}",
+            name=f"host-{self.addresses.index(address) + 1}",
             data_centre="olten",
             address=address,
             ports=HostPorts(callers=self.callers, ready=self.ready, links=self.links),
--- a/gentianhub/host/tests/test_hosts.py
+++ b/gentianhub/host/tests/test_hosts.py
@@ -12,7 +12,7 @@
 class HostsTest(HostProcessesTest):
     """Two hosts share the targets of one data centre."""
 
-    addresses = ("127.0.3.1", "127.0.3.2")
+    host_count = 2
 
     def test_tasks_start_once_and_unknown_routes_are_rejected(self):
         """Guards against tasks that are lost or started by both hosts."""
--- a/gentianhub/host/tests/test_odd_entries.py
+++ b/gentianhub/host/tests/test_odd_entries.py
@@ -82,8 +82,6 @@
 class TestOddEntries(HostProcessesTest):
     """Guards against hosts that end again and again, or stop following a table."""
 
-    addresses = ("127.0.3.11",)
-
     def check_is_served(self, number: int) -> None:
         gevent.sleep(READING_S)
         (process,) = self.processes
