Reproduce a refused second submission, a next step and repeated orders, as failing tests

A job whose withdrawal was lost is refused at the same front host for 3 s; the order for a next step names a heartbeat that stands ahead of the departure; of two submissions the order that arrives last is run; bytes behind a request end the observation of its connection.

--- a/gentianhub/capacity/tests/test_confirmation_gaps.py
+++ b/gentianhub/capacity/tests/test_confirmation_gaps.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import TaskKey
 from gentianhub.capacity.leases import (
@@ -133,6 +134,20 @@
         told = [e for e in find_ends(effects) if e.end is ev.TaskEnd.EXPIRED]
         self.assertLessEqual(len(told), 1)
 
+    def test_repeated_orders_at_a_new_owner_do_not_end_the_later_submission(self):
+        """The order in which two front hosts repeat a job decided which one is run."""
+        request = build_request("c", is_repeat=True, age_s=0.1, **LONG)
+        effects = self.feed(request, front_host=OTHER_FRONT_HOST)
+        request = build_request("c", is_repeat=True, age_s=1.5, **LONG)
+        effects += self.feed(request, front_host=FRONT_HOST)
+        expired = [
+            effect.front_host
+            for effect in effects
+            if isinstance(effect, fx.SendToFront)
+            and effect.message.end is ev.TaskEnd.EXPIRED
+        ]
+        self.assertNotIn(OTHER_FRONT_HOST, expired)
+
 
 class TestAdoptedRuns(unittest.TestCase):
     """The owner fails at the moment when a caller leaves, or with its front host."""
--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -1,11 +1,13 @@
 """Departures that do not reach the coordinator, or only after an order was sent."""
 
 import contextlib
+import json
 import unittest
 from types import SimpleNamespace
 from unittest import mock
 
 import gevent
+import gevent.socket
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -23,6 +25,8 @@
     RESUBMISSION_S,
     DepartureTest,
 )
+from gentianhub.linking.link_events import MessageReceived
+from gentianhub.web.server import watch_disconnect
 
 JOB_2 = "00000000000000b2"
 
@@ -119,6 +123,106 @@
         self.assertEqual([], [f"{s:.2f} s after the caller left" for s in late])
 
 
+class TestNextStepInTheSameBatch(DepartureTest):
+    def submit_two_steps(self) -> Mailbox:
+        replies = Mailbox(limit=2)
+        phases = [
+            {"count": 1, "cpu": 27_000, "mem_mb": 1},
+            {"count": 1, "cpu": 27_000, "mem_mb": 1, "after": [0]},
+        ]
+        body = {"spec": "text", "best_effort": True, "phases": phases}
+        request = ms.CallerRequest(
+            method="POST",
+            host="queue.example",
+            path=f"/queue/{JOB}",
+            body=json.dumps(body).encode(),
+            wait_s=20.0,
+            reply_to=replies,
+        )
+        self.front.receive(request)
+        return replies
+
+    def test_the_next_step_is_not_started_if_the_departure_is_read_with_it(self):
+        """The end of a step was read behind the heartbeats of another cell's owner.
+
+        The order for the next step named the last of them, and the departure of the
+        caller was behind all of it.
+        """
+        for job in OCCUPANTS:
+            self.deployment.end_job(job)
+        self.deployment.run(0.5)
+        caller = self.submit_two_steps()
+        self.deployment.run(0.3)
+        first, second = sorted(
+            self.deployment.owners, key=lambda owner: -owner.targets.count_running(JOB)
+        )
+        self.assertEqual(1, first.targets.count_running(JOB))
+        with mock.patch.object(self.front, "handle_messages"):
+            left_s = self.deployment.now_s
+            first.targets.end_job(JOB)
+            self.deployment.run(0.3)
+            first.submit(JOB_2)
+            self.deployment.run(RESUBMISSION_S - 0.2)
+            self.assertEqual(1, first.targets.count_running(JOB_2))
+        # Links are read one after another.
+        arrived = [
+            message
+            for _, message in self.front._arrived
+            if isinstance(message, MessageReceived)
+        ]
+        arrived.sort(key=lambda m: m.link.incarnation != second.incarnation)
+        self.front._arrived.clear()
+        for message in arrived:
+            self.front.receive(message)
+        self.front.leave(caller)
+        self.deployment.run(1.0)
+        late = [at - left_s for at in self.deployment.list_starts(JOB) if at > left_s]
+        self.assertEqual([], [f"{s:.2f} s after the caller left" for s in late])
+
+
+class TestSameFrontHost(DepartureTest):
+    def test_a_job_whose_withdrawal_was_lost_runs_when_its_caller_comes_again(self):
+        """The owner, which had given the job up, refused it for 3 s.
+
+        It asks only for jobs that it has not given up, so that nothing tells it that
+        the first submission has ended.
+        """
+        caller, owner = self.submit_to_owner()
+        for job in OCCUPANTS:
+            if owner.targets.count_running(job):
+                owner.targets.end_job(job)
+        self.deployment.run(0.3)
+        self.assertEqual(1, owner.targets.count_running(JOB))
+        link = self.deployment.find_link(self.front, owner)
+        link.is_held = True
+        self.front.leave(caller)
+        self.deployment.run(0.02)
+        link.drop_messages()
+        link.close(self.front)
+        link.close(owner)
+        self.deployment.run(0.95)
+        self.deployment.open_link(self.front, owner)
+        self.deployment.run(RESUBMISSION_S - 0.97)
+        self.assertEqual(0, self.deployment.count_running(JOB))
+        caller = self.front.submit(JOB)
+        self.deployment.run(0.5)
+        self.assertEqual(1, owner.targets.count_running(JOB))
+        self.assertEqual(0, len(caller))
+
+
+class TestPipelinedRequest(unittest.TestCase):
+    def test_a_departure_behind_further_bytes_is_noticed(self):
+        """Any byte after the request ended the observation of the connection."""
+        connection, peer = gevent.socket.socketpair()
+        self.addCleanup(connection.close)
+        reports = Mailbox(limit=2)
+        with watch_disconnect(connection, lambda: reports.try_put("left")):
+            peer.sendall(b"POST")
+            gevent.sleep(0.02)
+            peer.close()
+            self.assertEqual("left", reports.get(0.3))
+
+
 class TestLaggingOwner(DepartureTest):
     def test_a_caller_whose_order_is_held_is_answered(self):
         """An owner that stayed 0.45 s behind held the order until the deadline.
