--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -180,6 +180,61 @@
         self.assertEqual([], [f"{s:.2f} s after the caller left" for s in late])
 
 
+class TestManyDepartures(DepartureTest):
+    """One call of epoll returns 64 events at first, in the order of their arrival."""
+
+    JOBS = 100
+
+    def serve_front_host(self) -> None:
+        while True:
+            self.front.mailbox._queue.peek()
+            self.front.coordinator.run()
+
+    def watch(self, connection, reply_to) -> None:
+        closed = ms.CallerConnectionClosed(reply_to=reply_to)
+        with watch_disconnect(connection, lambda: self.front.mailbox.put(closed)):
+            gevent.sleep(10)
+
+    def test_jobs_of_callers_that_left_during_a_pause_are_not_confirmed(self):
+        """The answer stood ahead of the departures that the next call returned."""
+        callers_ = [self.front.submit(f"{n + 1:016x}") for n in range(self.JOBS)]
+        self.deployment.run(0.1)
+        owner = self.deployment.owners[0]
+        link = self.deployment.find_link(self.front, owner)
+        (_, front_link) = next(end for end in link.ends if end[0] is self.front)
+        heartbeat = ev.HostHeartbeat(
+            number=1_000_000,
+            claims=tuple(owner.coordinator.cells.build_claims(self.deployment.now_s)),
+            configuration_version=1,
+            requests_open_jobs=True,
+        )
+        message = MessageReceived(link=front_link, message=heartbeat)
+        socket, remote_socket = gevent.socket.socketpair()
+
+        def read_link():
+            socket.recv(1)
+            self.front.mailbox.put(message)
+
+        greenlets = [gevent.spawn(self.serve_front_host), gevent.spawn(read_link)]
+        connections = [gevent.socket.socketpair() for _ in callers_]
+        for (connection, _), reply_to in zip(connections, callers_, strict=True):
+            greenlets.append(gevent.spawn(self.watch, connection, reply_to))
+        self.addCleanup(gevent.killall, greenlets)
+        gevent.sleep(0.05)
+        # All of it arrives while the event loop does not run.
+        remote_socket._sock.send(b"1")
+        for _, remote_connection in connections:
+            remote_connection._sock.close()
+        gevent.sleep(0.3)
+        sent = [
+            owner.codec.decode(front_link.outgoing_queue.get())
+            for _ in range(len(front_link.outgoing_queue))
+        ]
+        (answer,) = (m for m in sent if isinstance(m, ev.OpenJobs))
+        self.assertEqual({}, self.front.coordinator.requests.job_registry.jobs)
+        self.assertEqual(0, len(answer.jobs))
+
+
 class TestSameFrontHost(DepartureTest):
     def test_a_job_whose_withdrawal_was_lost_runs_when_its_caller_comes_again(self):
         """The owner, which had given the job up, refused it for 3 s.
