--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -95,6 +95,7 @@
             run=1,
             payload="",
             term=1,
+            decided_s=decided_s,
             lease_s=LEASE_S,
             inputs={},
         )
