Refuse held orders in time, and tell the front host of each dropped one

The review showed that an order whose confirmations all come too late was held until its caller's deadline, as each list started its time anew; that the loss of its front host dropped it without a word, so that a host that was only silent waited as long; and that tasks of jobs that were given up counted as work of a draining owner. A held order keeps its first time, orders that are dropped with their front host are refused as not run, and ended tasks no longer count.

--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -8,7 +8,7 @@
 before that heartbeat is known.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, field, frozen
 
@@ -81,15 +81,14 @@
     _requested_s: dict[Incarnation, float] = field(init=False, factory=dict)
 
     def __bool__(self) -> bool:
-        return bool(self._held or self._unconfirmed)
+        return bool(self._held) or any(task.is_waiting for task in self._unconfirmed)
 
     def hold_request(
         self, request: ev.RunTasks, front_host: Incarnation, now_s: float
     ) -> Iterator:
         """Keep a request until its front host confirms the job, and ask it to."""
-        self._held.append(
-            HeldRequest(request=request, front_host=front_host, received_s=now_s)
-        )
+        held = HeldRequest(request=request, front_host=front_host, received_s=now_s)
+        self._held.append(held)
         yield fx.LogDecision(
             decision="order held",
             subject=request.job,
@@ -111,21 +110,30 @@
 
     def release_requests(self, front_host: Incarnation) -> list[HeldRequest]:
         """Remove and return the held requests of a front host."""
-        released = [held for held in self._held if held.front_host == front_host]
-        if released:
-            self._held = [held for held in self._held if held not in released]
-        return released
+        return self._take_held(lambda held: held.front_host == front_host)
+
+    def release_expired(self, now_s: float) -> list[HeldRequest]:
+        """Remove and return the held requests that were not confirmed in time."""
+        last_s = now_s - JOB_CONFIRMATION_TIMEOUT_S
+        return self._take_held(lambda held: held.received_s < last_s)
+
+    def hold_again(self, held: HeldRequest) -> None:
+        """Keep a request whose confirmation was too late, for the rest of its time."""
+        self._held.append(held)
+
+    def _take_held(self, is_taken: Callable[[HeldRequest], bool]) -> list[HeldRequest]:
+        taken = [held for held in self._held if is_taken(held)]
+        if taken:
+            self._held = [held for held in self._held if not is_taken(held)]
+        return taken
 
     def release_tasks(self, now_s: float) -> list[CellTask]:
-        """Remove and return the tasks whose jobs are confirmed or no longer wait."""
-        released = [
-            task
-            for task in self._unconfirmed
-            if not task.is_waiting or is_recent(task.job.confirmed_s, now_s)
+        """Remove and return the tasks whose jobs are confirmed; drop ended ones."""
+        tasks = [task for task in self._unconfirmed if task.is_waiting]
+        self._unconfirmed = [
+            task for task in tasks if not is_recent(task.job.confirmed_s, now_s)
         ]
-        if released:
-            self._unconfirmed = [t for t in self._unconfirmed if t not in released]
-        return [task for task in released if task.is_waiting]
+        return [task for task in tasks if is_recent(task.job.confirmed_s, now_s)]
 
     def drop_job(self, front_host: Incarnation, job: str) -> None:
         """Drop the held requests of a job that its front host has cancelled."""
@@ -135,18 +143,6 @@
             if (held.front_host, held.request.job) != (front_host, job)
         ]
 
-    def release_expired(self, now_s: float) -> list[HeldRequest]:
-        """Remove and return the held requests that were not confirmed in time."""
-        if not self._held:
-            return []
-        expired = [
-            held
-            for held in self._held
-            if now_s > held.received_s + JOB_CONFIRMATION_TIMEOUT_S
-        ]
-        self._held = [held for held in self._held if held not in expired]
-        return expired
-
     def forget_requests(self, now_s: float) -> None:
         """Forget when front hosts were asked, once it limits nothing any more."""
         self._requested_s = {
@@ -158,7 +154,7 @@
     def find_waiting_hosts(self) -> Iterator[Incarnation]:
         """Yield the front hosts of which a request or a task waits."""
         yield from (held.front_host for held in self._held)
-        yield from (task.job.front_host for task in self._unconfirmed)
+        yield from (t.job.front_host for t in self._unconfirmed if t.is_waiting)
 
 
 def is_confirmation_due(job: CellJob, now_s: float) -> bool:
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -13,6 +13,7 @@
 from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.confirmations import (
     CellConfirmations,
+    HeldRequest,
     is_confirmation_due,
     is_given_up,
     is_recent,
@@ -325,7 +326,7 @@
 
         A host that is only slow would wait for its tasks until its callers' deadline.
         """
-        self.confirmations.release_requests(lost)
+        yield from self._refuse_requests(self.confirmations.release_requests(lost))
         for job in [job for job in self.jobs.values() if job.front_host == lost]:
             if not job.is_cancelled and job.has_open_tasks():
                 yield from self._give_up_job(job, now_s)
@@ -361,8 +362,12 @@
         for task in self.confirmations.release_tasks(now_s):
             self._push_waiting(task, now_s)
         for held in self.confirmations.release_requests(front_host):
-            if held.request.job in listed:
+            if held.request.job not in listed:
+                continue
+            if is_recent(confirmed_s, now_s):
                 yield from self.handle(held.request, now_s, front_host, confirmed_s)
+            else:
+                self.confirmations.hold_again(held)
 
     def _give_up_unconfirmed(self, now_s: float) -> Iterator:
         """End what no front host has confirmed in time, and report it."""
@@ -378,7 +383,11 @@
                 },
             )
             yield from self._give_up_job(job, now_s)
-        for held in self.confirmations.release_expired(now_s):
+        yield from self._refuse_requests(self.confirmations.release_expired(now_s))
+
+    def _refuse_requests(self, refused: list[HeldRequest]) -> Iterator:
+        """Report held requests as not run."""
+        for held in refused:
             yield self.reporter.build_refusal(
                 held.request, held.front_host, ev.TaskEnd.EXPIRED, False
             )
