Ask about jobs that were given up until they are known to have ended

An owner that had given a job up asked its front host only about other jobs. If the withdrawal was lost, nothing told the owner that the submission had ended, and the next one through the same front host, 1.3 s later, was refused for up to 3 s as a part of it. Ruled out: taking each request that is no repetition as a new submission, since a late request of the job that was given up is none either (test_cell.py has that case). The owner asks until the list shows that the job is closed.

--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -158,11 +158,15 @@
 
 
 def is_confirmation_due(job: CellJob, now_s: float) -> bool:
-    """Whether the front host of an open job should confirm it with its next message."""
+    """Whether the front host should say whether a job is open.
+
+    It also says so of a job that this owner has given up, until it is known to have
+    ended: a later submission of the job would be refused as a part of it.
+    """
     return (
         now_s >= job.confirmed_s + CONFIRMATION_DUE_S
-        and not job.is_cancelled
-        and job.has_open_tasks()
+        and not job.is_withdrawn
+        and (job.is_cancelled or job.has_open_tasks())
     )
 
 
