--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -200,6 +200,8 @@
             job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
             self.jobs[(front_host, request.job)] = job
             self._front_hosts[request.job] = front_host
+        if is_given_up(job, now_s):
+            yield from self._give_up_job(job, now_s)
         job.confirmed_s = max(job.confirmed_s, confirmed_s)
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
@@ -353,6 +355,8 @@
         listed = set(names)
         for job in [job for job in self.jobs.values() if job.front_host == front_host]:
             if job.name in listed:
+                if is_given_up(job, now_s):
+                    yield from self._give_up_job(job, now_s)
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
