Keep the latest of two submissions of a job, not the one whose order arrives last

A late order of the earlier submission, or the order in which two front hosts repeat a job to a new owner, ended the submission whose caller waits. The owner compares the times of submission: the age in the order, counted from the last moment at which it can have been sent at the earliest. The older one is refused as not run.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -196,8 +196,21 @@
             yield from self._cancel_job(job, now_s)
             return
         if job is None or job.is_withdrawn:
-            yield from self._end_earlier_submission(request.job, front_host, now_s)
-            job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
+            submitted_s = min(confirmed_s, now_s) - request.age_s
+            other = self.jobs.get((self._front_hosts.get(request.job), request.job))
+            if other is not None and other.front_host != front_host:
+                if submitted_s < other.submitted_s and not other.is_cancelled:
+                    yield self.reporter.build_refusal(
+                        request, front_host, ev.TaskEnd.EXPIRED, False
+                    )
+                    return
+                yield from self._end_earlier_submission(other, now_s)
+            job = CellJob(
+                front_host=front_host,
+                name=request.job,
+                changed_s=now_s,
+                submitted_s=submitted_s,
+            )
             self.jobs[(front_host, request.job)] = job
             self._front_hosts[request.job] = front_host
         if is_given_up(job, now_s):
@@ -219,16 +232,11 @@
             yield from self._start_tasks(now_s)
             yield from self._decline_waiting(job, new_keys)
 
-    def _end_earlier_submission(
-        self, name: str, front_host: Incarnation, now_s: float
-    ) -> Iterator:
+    def _end_earlier_submission(self, earlier: CellJob, now_s: float) -> Iterator:
         """End a job that its caller has submitted again through another host.
 
         The earlier front host may not have noticed that the connection is broken.
         """
-        earlier = self.jobs.get((self._front_hosts.get(name), name))
-        if earlier is None or earlier.front_host == front_host:
-            return
         if not earlier.is_cancelled and earlier.has_open_tasks():
             yield self._log_withdrawal(earlier, "submitted again")
             yield from self._give_up_job(earlier, now_s)
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -15,7 +15,8 @@
     a target has provably not executed is none. `is_withdrawn` is set if the front host
     has cancelled the job, so that a later request is a new submission. `confirmed_s` is
     the last time, on this host's clock, at which the front host is known to have had
-    the job open.
+    the job open, and `submitted_s` the earliest time at which its caller may have
+    submitted it.
     """
 
     front_host: Incarnation
@@ -26,6 +27,7 @@
     is_withdrawn: bool = False
     changed_s: float = 0.0
     confirmed_s: float = float("-inf")
+    submitted_s: float = float("-inf")
     tasks: dict[TaskKey, "CellTask"] = field(factory=dict)
 
     @property
