Name a heartbeat only once all that had arrived with it has been read

The answer to an owner stood behind the messages that had been read together with its heartbeat, but orders did not, and after a pause one call of epoll returns 64 events at first.

Every 0.1 s a host records which heartbeats it has handled, waits until its event loop is idle (50 ms at most), and takes them as settled once what has come in meanwhile is handled. Orders and answers name settled heartbeats; an answer on a quiet link waits for its own one. Ruled out: looking at each connection before an answer (sockets belong to other greenlets).

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -21,6 +21,7 @@
 from gentianhub.host.membership import HeartbeatRecipients, Membership
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
+from gentianhub.host.progress import ReadProgress
 from gentianhub.host.request_handler import RequestHandler
 from gentianhub.host.target_list import TargetList
 from gentianhub.linking.link_events import (
@@ -44,6 +45,9 @@
 # Time after the start of a drain during which jobs on open connections are still
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
+# Messages that wait until all that had arrived is read; an owner whose question is
+# dropped asks again.
+READ_MARK_LIMIT = 64
 # Messages that wait longer than this in the mailbox are logged, once a second, s.
 LOGGED_MAILBOX_LAG_S = 0.2
 
@@ -60,6 +64,8 @@
         Receives commands for the registry of hosts.
     target_polls : Mailbox
         Receives requests to read the list of targets from the store now.
+    read_marks : Mailbox
+        Receives messages that come back once all that had arrived has been read.
     """
 
     local_host: Incarnation
@@ -67,6 +73,7 @@
     registry_commands: Mailbox
     target_polls: Mailbox
     links: HostLinks
+    read_marks: Mailbox = field(factory=lambda: Mailbox(limit=READ_MARK_LIMIT))
     started_s: float = field(factory=read_monotonic_s)
     metrics: HostMetrics = field(init=False, factory=lambda: HostMetrics())
     configuration: ConfigurationCache = field(
@@ -82,8 +89,7 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
-    _last_tick_s: float = field(init=False, default=float("-inf"))
-    _handled_until_s: float = field(init=False, default=float("-inf"))
+    _progress: ReadProgress = field(init=False, factory=lambda: ReadProgress())
     _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
@@ -98,9 +104,7 @@
             outbox=self.outbox,
             configuration=self.configuration,
             metrics=self.metrics,
-            find_heard_heartbeat=lambda owner: self.membership.find_heard_heartbeat(
-                owner
-            ),
+            find_heard_heartbeat=self._progress.find_heartbeat,
         )
         self.cells = OwnedCells(
             answers=self.mailbox,
@@ -154,9 +158,10 @@
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
                 self._record_mailbox_lag(now_s - sent_s, now_s)
-                # A departure that is read together with this tick may be behind it.
-                self._handled_until_s, self._last_tick_s = self._last_tick_s, sent_s
+                self._progress.begin(sent_s, self.membership.list_heard_heartbeats())
                 self._handle_tick(count, now_s)
+            case ms.InputRead(sent_s=sent_s):
+                self._progress.complete(sent_s)
             case ms.AnswerHeartbeat(owner=owner, cells=cells, heartbeat=number):
                 self._send_open_jobs(owner, cells, number)
             case LinkOpened(link=link):
@@ -344,9 +349,23 @@
         This host's own departures of callers wait in its mailbox like any message.
         """
         if front_host == self.local_host:
-            return self._handled_until_s
+            return self._progress.handled_until_s
         return self.membership.sent_heartbeats.find_confirmed_s(heard_heartbeat)
 
+    def _answer_heartbeat(
+        self, owner: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
+    ) -> None:
+        """Tell an owner which jobs are open, at once if it gets a recent number."""
+        cells = tuple(claim.cell for claim in heartbeat.claims)
+        if self._progress.has_recent_heartbeat(owner, now_s):
+            heard = self._progress.find_heartbeat(owner)
+            self._send_open_jobs(owner, cells, heard)
+            return
+        answer = ms.AnswerHeartbeat(
+            owner=owner, cells=cells, heartbeat=heartbeat.number
+        )
+        self.read_marks.try_put(answer)
+
     def _send_open_jobs(
         self, owner: Incarnation, cells: Iterable[Cell], heard_heartbeat: int
     ) -> None:
@@ -375,12 +394,7 @@
         if heartbeat.lacks_targets and self._target_list.rows:
             self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
         if heartbeat.requests_open_jobs:
-            answer = ms.AnswerHeartbeat(
-                owner=sender,
-                cells=tuple(claim.cell for claim in heartbeat.claims),
-                heartbeat=heartbeat.number,
-            )
-            self.mailbox.try_put(answer)
+            self._answer_heartbeat(sender, heartbeat, now_s)
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -22,6 +22,7 @@
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.encoding import encode_message
 from gentianhub.host.links import HostLinks
+from gentianhub.host.progress import HeardHeartbeat
 from gentianhub.host.registry import HostEntry
 
 # Heartbeat intervals in ticks. An owner uses the shorter one for hosts of its own data
@@ -291,10 +292,15 @@
                 log_decision("host silent", str(peer))
             yield peer
 
-    def find_heard_heartbeat(self, peer: Incarnation) -> int:
-        """Return the number of the last heartbeat of a host; 0 without one."""
-        known = self.ownership.peers.get(peer)
-        return known.heartbeat.number if known else 0
+    def list_heard_heartbeats(self) -> dict[Incarnation, HeardHeartbeat]:
+        """Return the last heartbeat of each host."""
+        return {
+            peer: HeardHeartbeat(
+                number=known.heartbeat.number, handled_s=known.heartbeat_s
+            )
+            for peer, known in self.ownership.peers.items()
+            if known.heartbeat.number
+        }
 
     def remove_replaced(self, peer: Incarnation) -> Iterator[Incarnation]:
         """Drop and yield the earlier incarnations of a host that has a new link."""
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -49,9 +49,9 @@
 
 @frozen(kw_only=True)
 class AnswerHeartbeat:
-    """The coordinator's message to itself to tell an owner which jobs are open.
+    """Tell an owner which jobs are open, and name its heartbeat of this number.
 
-    It stands behind all departures of callers that arrived with the heartbeat.
+    The coordinator gets it back once all that arrived with the heartbeat is read.
     """
 
     owner: Incarnation
@@ -59,6 +59,13 @@
     heartbeat: int
 
 
+@frozen(kw_only=True)
+class InputRead:
+    """All that had arrived before the tick that was sent at `sent_s` has been read."""
+
+    sent_s: float
+
+
 @frozen(kw_only=True)
 class PollTargets:
     """Read the list of targets now, because a cell has been taken over."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -29,6 +29,7 @@
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
+from gentianhub.host.progress import return_when_read
 from gentianhub.host.registry import HostEntry
 from gentianhub.linking.handshake import Hello
 from gentianhub.linking.link_events import DialAddress
@@ -36,6 +37,8 @@
 from gentianhub.platform.settings import HostSettings
 
 TICK_S = 0.05
+# Interval at which a host records how far it has read its sockets, in ticks.
+READ_MARK_TICKS = 2
 MAILBOX_LIMIT = 20_000
 EXIT_CRASHED = 70
 # Part of the grace period kept for the exit, s; the rest is for open requests.
@@ -126,8 +129,12 @@
         greenlets = [
             spawn_greenlet(self.coordinator.run),
             spawn_greenlet(
-                run_timer, self.mailbox, lambda: self.coordinator.timer_period_ticks
+                run_timer,
+                self.mailbox,
+                lambda: self.coordinator.timer_period_ticks,
+                self.coordinator.read_marks,
             ),
+            spawn_greenlet(return_when_read, self.coordinator.read_marks, self.mailbox),
             spawn_greenlet(
                 followers.follow_configuration,
                 store,
@@ -216,9 +223,13 @@
         self._stop.set()
 
 
-def run_timer(mailbox: Mailbox, choose_period_ticks: Callable[[], int]) -> None:
+def run_timer(
+    mailbox: Mailbox, choose_period_ticks: Callable[[], int], read_marks: Mailbox
+) -> None:
     """Send a `TimerTick` every few multiples of `TICK_S`; drop it if there is no room.
 
+    An `InputRead` goes to `read_marks` with every second multiple.
+
     `choose_period_ticks` returns the number of multiples. Counts are aligned to it, so
     that intervals which it divides are kept when it changes.
     """
@@ -228,4 +239,7 @@
         steps = period - count % period
         gevent.sleep(steps * TICK_S)
         count += steps
-        mailbox.try_put(ms.TimerTick(count=count, sent_s=read_monotonic_s()))
+        sent_s = read_monotonic_s()
+        is_sent = mailbox.try_put(ms.TimerTick(count=count, sent_s=sent_s))
+        if is_sent and count % READ_MARK_TICKS == 0:
+            read_marks.try_put(ms.InputRead(sent_s=sent_s))
--- /dev/null
+++ b/gentianhub/host/progress.py
@@ -0,0 +1,77 @@
+"""How far a host has read what has arrived at its sockets.
+
+A departure of a caller and an owner's heartbeat may be read in any order after a pause
+of the process, and one call of the event loop returns a part of the sockets only. So a
+host names a heartbeat to its owner, or confirms its own jobs, only once everything that
+had arrived before has been read and handled.
+"""
+
+import gevent
+from attrs import define, field, frozen
+
+from gentianhub.core import Incarnation, Mailbox
+
+# Longest wait for the event loop to be idle. A busy one reads all sockets that were
+# ready within this time.
+IDLE_TIMEOUT_S = 0.05
+# Names no heartbeat: the owner takes the message as one of unknown age.
+NO_HEARTBEAT = 2**64 - 1
+# A heartbeat that was handled within this time is named at once; otherwise an answer
+# waits until the newest one may be named.
+RECENT_HEARTBEAT_S = 0.25
+
+
+@frozen(kw_only=True)
+class HeardHeartbeat:
+    """An owner's heartbeat and the monotonic time at which it was handled."""
+
+    number: int
+    handled_s: float
+
+
+@define(kw_only=True, eq=False)
+class ReadProgress:
+    """The last point in time before which everything has been read and handled.
+
+    `handled_until_s` is that time, and `heartbeats` are the last ones of each host that
+    were handled before it.
+    """
+
+    handled_until_s: float = field(init=False, default=float("-inf"))
+    heartbeats: dict[Incarnation, HeardHeartbeat] = field(init=False, factory=dict)
+    _begun_s: float = field(init=False, default=float("-inf"))
+    _begun_heartbeats: dict[Incarnation, HeardHeartbeat] = field(
+        init=False, factory=dict
+    )
+
+    def begin(
+        self, begun_s: float, heartbeats: dict[Incarnation, HeardHeartbeat]
+    ) -> None:
+        """Record what has been handled when a tick that was sent at `begun_s` is."""
+        self._begun_s, self._begun_heartbeats = begun_s, heartbeats
+
+    def complete(self, begun_s: float) -> None:
+        """Record that what had arrived before the tick has been handled as well."""
+        if begun_s == self._begun_s:
+            self.handled_until_s = begun_s
+            self.heartbeats = self._begun_heartbeats
+
+    def find_heartbeat(self, owner: Incarnation) -> int:
+        """Return the number of the heartbeat to name to an owner."""
+        known = self.heartbeats.get(owner)
+        return known.number if known is not None else NO_HEARTBEAT
+
+    def has_recent_heartbeat(self, owner: Incarnation, now_s: float) -> bool:
+        """Whether the heartbeat to name to an owner has been handled recently."""
+        known = self.heartbeats.get(owner)
+        return known is not None and now_s < known.handled_s + RECENT_HEARTBEAT_S
+
+
+def return_when_read(messages: Mailbox, coordinator: Mailbox) -> None:
+    """Return messages to the coordinator once all that had arrived has been read."""
+    for message in messages.iterate_messages():
+        with gevent.Timeout(IDLE_TIMEOUT_S, False):
+            gevent.idle()
+        coordinator.put(message)
+        while len(messages):
+            coordinator.put(messages.get())
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -16,7 +16,7 @@
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
-from gentianhub.host.process import TICK_S
+from gentianhub.host.process import READ_MARK_TICKS, TICK_S
 from gentianhub.linking.handshake import Hello
 from gentianhub.linking.link_events import LinkClosed, LinkOpened, MessageReceived
 from gentianhub.linking.links import Link, LinkContext
@@ -178,8 +178,12 @@
     def handle_messages(self) -> None:
         """Handle the messages whose turn has come, as one batch."""
         while self._arrived and self._compute_turn_s() <= self.world.now_s + 1e-9:
-            self.mailbox.put(self._arrived.popleft()[1])
-        self.coordinator.run()
+            while self._arrived and self._compute_turn_s() <= self.world.now_s + 1e-9:
+                self.mailbox.put(self._arrived.popleft()[1])
+            self.coordinator.run()
+            # All that has arrived is read before these come back.
+            while len(self.coordinator.read_marks):
+                self.receive(self.coordinator.read_marks.get())
 
     def has_waiting_end(self) -> bool:
         """Whether the report of an ended run waits in the mailbox."""
@@ -317,6 +321,9 @@
                 for host in self.hosts:
                     tick = ms.TimerTick(count=self._tick, sent_s=self.now_s)
                     host.receive(tick)
+                    if self._tick % READ_MARK_TICKS == 0:
+                        mark = ms.InputRead(sent_s=self.now_s)
+                        host.coordinator.read_marks.try_put(mark)
             for host in self.hosts:
                 host.targets.advance()
             self._settle()
