Serve callers on hosts that are somewhat behind, with shorter leases

A start may rely on a confirmation of 0.6 s now, and its lease ends 1.25 s after the confirmation, so that the arithmetic stays: below an age of 0.4 s the lease is whole. A front host that is not behind names the newest heartbeat, after its event loop has been idle, in place of one that is up to 0.2 s older. Log lines have no age for hosts that name no heartbeat, as JSON has no infinity.

--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -8,6 +8,7 @@
 before that heartbeat is known.
 """
 
+import math
 from collections.abc import Callable, Iterator
 
 from attrs import define, field, frozen
@@ -36,6 +37,14 @@
     return now_s - confirmed_s <= START_CONFIRMATION_S
 
 
+def describe_age(confirmed_s: float, now_s: float) -> float | None:
+    """Return the age of a confirmation for log lines, s; None if it is unknown.
+
+    JSON has no number for the age of a message that names no heartbeat.
+    """
+    return round(now_s - confirmed_s, 4) if math.isfinite(confirmed_s) else None
+
+
 @define(kw_only=True, eq=False)
 class SentHeartbeats:
     """Times at which this host has sent its last heartbeats, by their number."""
--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -29,16 +29,27 @@
 # Time after a claim until the previous owner, if it lives, has received the claim and
 # has sent its last renewal.
 HANDOVER_NOTICE_S = 0.1
-# A task starts only if its front host has confirmed the job within this time, so that a
-# lease that is granted at the last moment expires before a caller that has left submits
-# its job again, 1.3 s later.
-START_CONFIRMATION_S = 0.4
+# A task starts only if its front host has confirmed the job within this time.
+START_CONFIRMATION_S = 0.6
+# The lease of a start has expired this long after the last confirmation of its job: a
+# caller that has left submits the job again 1.3 s later.
+CONFIRMED_LEASE_S = 1.25
 # Runs of a job that its front host has not confirmed for this long are stopped. It is
 # longer than the silence time-out of a host by the interval of heartbeats, which the
 # front host answers; detection and stop take another 0.1 s.
 JOB_CONFIRMATION_TIMEOUT_S = 0.8
 
 
+def choose_start_lease_s(confirmed_age_s: float) -> float:
+    """Return the lease of a start whose job was confirmed so long ago, in seconds.
+
+    An owner or a front host that is some tenths of a second behind serves its callers
+    with shorter leases; without them it would start nothing at all.
+    """
+    allowed_s = CONFIRMED_LEASE_S - confirmed_age_s - LEASE_SLACK_S
+    return min(LEASE_S, allowed_s / (1 + CLOCK_DRIFT))
+
+
 def bound_lease_expiry(decided_s: float) -> float:
     """Return the time at which a lease granted at `decided_s` has expired for certain.
 
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -82,13 +82,11 @@
 
     `last_received_s` is the monotonic time of its last message. `is_reported_silent` is
     set once the silence of the host has been reported. `is_idle` is set if its next
-    heartbeat is due only after the longer interval. `heartbeat_s` is the monotonic time
-    of the last heartbeat.
+    heartbeat is due only after the longer interval.
     """
 
     last_received_s: float
     heartbeat: HostHeartbeat
-    heartbeat_s: float = float("-inf")
     is_reported_silent: bool = False
     is_idle: bool = False
 
@@ -159,10 +157,7 @@
             or _list_terms(known.heartbeat) != _list_terms(heartbeat)
         )
         self.peers[peer] = Peer(
-            last_received_s=now_s,
-            heartbeat=heartbeat,
-            heartbeat_s=now_s,
-            is_idle=heartbeat.is_idle,
+            last_received_s=now_s, heartbeat=heartbeat, is_idle=heartbeat.is_idle
         )
         self._last_received_s = now_s
         for claim in heartbeat.claims:
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -14,13 +14,14 @@
 from gentianhub.capacity.confirmations import (
     CellConfirmations,
     HeldRequest,
+    describe_age,
     is_confirmation_due,
     is_given_up,
     is_recent,
 )
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
-from gentianhub.capacity.leases import LEASE_S, bound_lease_expiry
+from gentianhub.capacity.leases import bound_lease_expiry, choose_start_lease_s
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.placement import PlacementRound
@@ -616,7 +617,7 @@
         inputs = {
             "term": self.term,
             "front_host": str(task.job.front_host),
-            "confirmed_age_s": round(now_s - task.job.confirmed_s, 4),
+            "confirmed_age_s": describe_age(task.job.confirmed_s, now_s),
             "slack_s": round(task.objective_start_s - now_s, 4),
             "expected_s": round(run.expected_s, 4),
             "pace": round(state.pace.value, 2),
@@ -635,7 +636,7 @@
             payload=task.request.payload,
             term=self.term,
             decided_s=now_s,
-            lease_s=LEASE_S,
+            lease_s=choose_start_lease_s(now_s - task.job.confirmed_s),
         )
 
     # Expiry of finished jobs
--- a/gentianhub/capacity/tests/test_confirmations.py
+++ b/gentianhub/capacity/tests/test_confirmations.py
@@ -13,8 +13,10 @@
 from gentianhub.capacity.leases import (
     JOB_CONFIRMATION_TIMEOUT_S,
     LEASE_S,
+    RENEWAL_WAIT_S,
     START_CONFIRMATION_S,
     bound_lease_expiry,
+    choose_start_lease_s,
 )
 from gentianhub.capacity.tests.builders import (
     CELL,
@@ -41,8 +43,15 @@
 class TestArithmetic(unittest.TestCase):
     def test_a_run_that_starts_at_the_last_moment_ends_before_a_resubmission(self):
         """Its target may be cut off from the owner right after the start."""
-        last_start_s = START_CONFIRMATION_S
-        self.assertLess(bound_lease_expiry(last_start_s), RESUBMISSION_S)
+        for age_s in (0.0, 0.2, 0.4, START_CONFIRMATION_S):
+            unused_s = LEASE_S - choose_start_lease_s(age_s)
+            expiry_s = bound_lease_expiry(age_s - unused_s)
+            self.assertLess(expiry_s, RESUBMISSION_S)
+            self.assertGreater(choose_start_lease_s(age_s), RENEWAL_WAIT_S)
+
+    def test_the_lease_of_a_start_with_a_recent_confirmation_is_not_shortened(self):
+        """Each lost renewal would end runs whose callers wait."""
+        self.assertEqual(LEASE_S, choose_start_lease_s(0.35))
 
     def test_a_run_without_confirmation_is_stopped_before_a_resubmission(self):
         detected_s = JOB_CONFIRMATION_TIMEOUT_S + TICK_S
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -158,7 +158,8 @@
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
                 self._record_mailbox_lag(now_s - sent_s, now_s)
-                self._progress.begin(sent_s, self.membership.list_heard_heartbeats())
+                heard = self.membership.list_heard_heartbeats()
+                self._progress.begin(sent_s, heard, now_s)
                 self._handle_tick(count, now_s)
             case ms.InputRead(sent_s=sent_s):
                 self._progress.complete(sent_s)
@@ -353,11 +354,11 @@
         return self.membership.sent_heartbeats.find_confirmed_s(heard_heartbeat)
 
     def _answer_heartbeat(
-        self, owner: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
+        self, owner: Incarnation, heartbeat: ev.HostHeartbeat
     ) -> None:
-        """Tell an owner which jobs are open, at once if it gets a recent number."""
+        """Tell an owner which jobs are open, once its heartbeat may be named."""
         cells = tuple(claim.cell for claim in heartbeat.claims)
-        if self._progress.has_recent_heartbeat(owner, now_s):
+        if self._progress.answers_settled():
             heard = self._progress.find_heartbeat(owner)
             self._send_open_jobs(owner, cells, heard)
             return
@@ -394,7 +395,7 @@
         if heartbeat.lacks_targets and self._target_list.rows:
             self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
         if heartbeat.requests_open_jobs:
-            self._answer_heartbeat(sender, heartbeat, now_s)
+            self._answer_heartbeat(sender, heartbeat)
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -22,7 +22,6 @@
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.encoding import encode_message
 from gentianhub.host.links import HostLinks
-from gentianhub.host.progress import HeardHeartbeat
 from gentianhub.host.registry import HostEntry
 
 # Heartbeat intervals in ticks. An owner uses the shorter one for hosts of its own data
@@ -292,12 +291,10 @@
                 log_decision("host silent", str(peer))
             yield peer
 
-    def list_heard_heartbeats(self) -> dict[Incarnation, HeardHeartbeat]:
-        """Return the last heartbeat of each host."""
+    def list_heard_heartbeats(self) -> dict[Incarnation, int]:
+        """Return the number of the last heartbeat of each host."""
         return {
-            peer: HeardHeartbeat(
-                number=known.heartbeat.number, handled_s=known.heartbeat_s
-            )
+            peer: known.heartbeat.number
             for peer, known in self.ownership.peers.items()
             if known.heartbeat.number
         }
--- a/gentianhub/host/progress.py
+++ b/gentianhub/host/progress.py
@@ -7,7 +7,7 @@
 """
 
 import gevent
-from attrs import define, field, frozen
+from attrs import define, field
 
 from gentianhub.core import Incarnation, Mailbox
 
@@ -16,17 +16,9 @@
 IDLE_TIMEOUT_S = 0.05
 # Names no heartbeat: the owner takes the message as one of unknown age.
 NO_HEARTBEAT = 2**64 - 1
-# A heartbeat that was handled within this time is named at once; otherwise an answer
-# waits until the newest one may be named.
-RECENT_HEARTBEAT_S = 0.25
-
-
-@frozen(kw_only=True)
-class HeardHeartbeat:
-    """An owner's heartbeat and the monotonic time at which it was handled."""
-
-    number: int
-    handled_s: float
+# A host that is further behind names the last settled heartbeat at once; the
+# newest one would have to pass the mailbox a second time.
+SETTLED_ANSWER_LAG_S = 0.1
 
 
 @define(kw_only=True, eq=False)
@@ -38,17 +30,17 @@
     """
 
     handled_until_s: float = field(init=False, default=float("-inf"))
-    heartbeats: dict[Incarnation, HeardHeartbeat] = field(init=False, factory=dict)
+    heartbeats: dict[Incarnation, int] = field(init=False, factory=dict)
+    _lag_s: float = field(init=False, default=0.0)
     _begun_s: float = field(init=False, default=float("-inf"))
-    _begun_heartbeats: dict[Incarnation, HeardHeartbeat] = field(
-        init=False, factory=dict
-    )
+    _begun_heartbeats: dict[Incarnation, int] = field(init=False, factory=dict)
 
     def begin(
-        self, begun_s: float, heartbeats: dict[Incarnation, HeardHeartbeat]
+        self, begun_s: float, heartbeats: dict[Incarnation, int], now_s: float
     ) -> None:
         """Record what has been handled when a tick that was sent at `begun_s` is."""
         self._begun_s, self._begun_heartbeats = begun_s, heartbeats
+        self._lag_s = now_s - begun_s
 
     def complete(self, begun_s: float) -> None:
         """Record that what had arrived before the tick has been handled as well."""
@@ -58,13 +50,11 @@
 
     def find_heartbeat(self, owner: Incarnation) -> int:
         """Return the number of the heartbeat to name to an owner."""
-        known = self.heartbeats.get(owner)
-        return known.number if known is not None else NO_HEARTBEAT
+        return self.heartbeats.get(owner, NO_HEARTBEAT)
 
-    def has_recent_heartbeat(self, owner: Incarnation, now_s: float) -> bool:
-        """Whether the heartbeat to name to an owner has been handled recently."""
-        known = self.heartbeats.get(owner)
-        return known is not None and now_s < known.handled_s + RECENT_HEARTBEAT_S
+    def answers_settled(self) -> bool:
+        """Whether answers to owners name the last settled heartbeat, at once."""
+        return self._lag_s > SETTLED_ANSWER_LAG_S
 
 
 def return_when_read(messages: Mailbox, coordinator: Mailbox) -> None:
--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -211,8 +211,6 @@
             requests_open_jobs=True,
         )
         message = MessageReceived(link=front_link, message=heartbeat)
-        # No earlier heartbeat is recent enough to be named at once.
-        self.deployment.now_s += 1.0
         socket, remote_socket = gevent.socket.socketpair()
 
         def read_link():
@@ -289,12 +287,7 @@
 
 
 class TestLaggingOwner(DepartureTest):
-    def test_a_caller_whose_order_is_held_is_answered(self):
-        """An owner that stayed 0.45 s behind held the order until the deadline.
-
-        Each of its confirmations was too old to start the task, and each one started
-        the time-out of the held order anew.
-        """
+    def submit_to_lagging_owners(self, lag_s: float) -> Mailbox:
         for job in OCCUPANTS:
             self.deployment.end_job(job)
         for owner in self.deployment.owners:
@@ -302,11 +295,25 @@
                 mock.patch.object(
                     owner,
                     "_compute_turn_s",
-                    lambda owner=owner: owner._arrived[0][0] + 0.45,
+                    lambda owner=owner: owner._arrived[0][0] + lag_s,
                 )
             )
+        self.deployment.run(3.0)
+        return self.front.submit(JOB)
+
+    def test_an_owner_that_is_somewhat_behind_serves_its_callers(self):
+        """It started nothing at all as soon as it was 0.4 s behind."""
+        self.submit_to_lagging_owners(0.45)
         self.deployment.run(2.0)
-        caller = self.front.submit(JOB)
+        self.assertEqual(1, self.deployment.count_running(JOB))
+
+    def test_a_caller_whose_order_is_held_is_answered(self):
+        """An owner that stayed 0.9 s behind held the order until the deadline.
+
+        Each of its confirmations was too old to start the task, and each one started
+        the time-out of the held order anew.
+        """
+        caller = self.submit_to_lagging_owners(0.9)
         self.deployment.run(3.0)
         is_running = self.deployment.count_running(JOB) > 0
         self.assertTrue(is_running or len(caller), "neither started nor answered")
