Notice that a caller leaves after it has sent another request

Cause: watch_disconnect waited for the socket to become readable and ended as soon as it was readable without being at its end. Bytes of a pipelined request ended the observation, and a close or reset after them was noticed by nobody: the job was held until the caller's deadline. A request and a close that a frozen process reads together have the same effect if bytes are left unread.

Ruled out: waiting for the end in the event loop. The unread bytes keep the socket readable, so that a level-triggered watcher would spin; a second epoll descriptor for each connection does not fit the host's 4,100 descriptors.

Change: the state of the connection is read with POLLRDHUP, which unread bytes do not hide. While there are such bytes it is read every 0.1 s.

--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -1,6 +1,7 @@
 """HTTP server shared by the caller port, the operator port and the stand-ins."""
 
 import logging
+import select
 import socket
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
@@ -15,6 +16,9 @@
 SOCKET_TIMEOUT_S = 30.0
 # Time allowed for requests in flight when a server stops.
 STOP_TIMEOUT_S = 5.0
+# Interval at which a connection with unread bytes is checked for its end. The bytes
+# keep the socket readable, so that the event loop cannot wait for the end itself.
+CLOSE_CHECK_INTERVAL_S = 0.1
 CONNECTION_KEY = "gentianhub.connection"
 STATUS_TEXTS = {
     200: "200 OK",
@@ -163,31 +167,34 @@
 def watch_disconnect(connection, report: Callable[[], None]) -> Iterator[None]:
     """Call `report` once if the peer closes the connection within the context.
 
-    Another request that arrives on the connection ends the observation.
+    It is called by the event loop, so that it must not block.
     """
-    watcher = get_hub().loop.io(connection.fileno(), 1)
+    loop = get_hub().loop
+    readable = loop.io(connection.fileno(), 1)
+    interval = loop.timer(CLOSE_CHECK_INTERVAL_S, CLOSE_CHECK_INTERVAL_S)
 
     def check() -> None:
-        watcher.stop()
-        if _is_closed(connection):
+        readable.stop()
+        if is_closed(connection):
+            interval.stop()
             report()
+        elif not interval.active:
+            interval.start(check)
 
-    watcher.start(check)
+    readable.start(check)
     try:
         yield
     finally:
-        watcher.stop()
-        watcher.close()
+        for watcher in (readable, interval):
+            watcher.stop()
+            watcher.close()
 
 
-def _is_closed(connection) -> bool:
-    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-    try:
-        return connection._sock.recv(1, flags) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
+def is_closed(connection) -> bool:
+    """Whether the peer has closed the connection, also behind bytes not read yet."""
+    poller = select.poll()
+    poller.register(connection.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
 
 
 @contextmanager
--- /dev/null
+++ b/gentianhub/web/tests/test_server.py
@@ -0,0 +1,80 @@
+"""Observation of the peer's end of a server connection."""
+
+import struct
+import unittest
+
+import gevent
+from gevent import socket
+
+from gentianhub.web import watch_disconnect
+
+# Time for an event of a socket on loopback to be handled, s.
+NOTICE_S = 0.5
+
+
+class WatchDisconnectTest(unittest.TestCase):
+    """Guards against jobs of callers that have left and that nobody withdraws."""
+
+    def setUp(self):
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            self.peer = socket.create_connection(listener.getsockname())
+            self.connection, _ = listener.accept()
+        self.addCleanup(self.peer.close)
+        self.addCleanup(self.connection.close)
+        self.reports = 0
+
+    def count_report(self) -> None:
+        self.reports += 1
+
+    def wait_for_report(self) -> None:
+        with gevent.Timeout(NOTICE_S, False):
+            while not self.reports:
+                gevent.sleep(0.005)
+
+    def test_a_close_is_reported_once(self):
+        with watch_disconnect(self.connection, self.count_report):
+            self.peer.close()
+            gevent.sleep(NOTICE_S)
+        self.assertEqual(1, self.reports)
+
+    def test_a_close_after_another_request_is_reported(self):
+        """The bytes of the next request had ended the observation."""
+        with watch_disconnect(self.connection, self.count_report):
+            self.peer.sendall(b"GET / HTTP/1.1\r\n")
+            gevent.sleep(0.02)
+            self.assertEqual(0, self.reports)
+            self.peer.close()
+            self.wait_for_report()
+        self.assertEqual(1, self.reports)
+
+    def test_a_reset_after_another_request_is_reported(self):
+        with watch_disconnect(self.connection, self.count_report):
+            self.peer.sendall(b"GET / HTTP/1.1\r\n")
+            gevent.sleep(0.02)
+            linger = struct.pack("ii", 1, 0)
+            self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.peer.close()
+            self.wait_for_report()
+        self.assertEqual(1, self.reports)
+
+    def test_a_request_and_a_close_that_arrive_together_are_a_close(self):
+        """A process that was frozen reads both at once."""
+        self.peer.sendall(b"GET / HTTP/1.1\r\n")
+        self.peer.close()
+        with watch_disconnect(self.connection, self.count_report):
+            self.wait_for_report()
+        self.assertEqual(1, self.reports)
+
+    def test_an_open_connection_is_not_reported(self):
+        with watch_disconnect(self.connection, self.count_report):
+            self.peer.sendall(b"GET / HTTP/1.1\r\n")
+            gevent.sleep(NOTICE_S)
+        self.peer.close()
+        gevent.sleep(0.02)
+        self.assertEqual(0, self.reports)
+
+
+if __name__ == "__main__":
+    unittest.main()
