Report the departure of a caller once a full mailbox has room

Cause: the event loop's callback put CallerConnectionClosed with try_put, as it must not block. With a full mailbox of the coordinator the report was dropped. The socket's end is observed once, so that nothing repeated it: the tasks ran on until the caller's deadline, beside those of its next submission elsewhere.

Ruled out: leaving the report to the greenlet of the connection alone. A test shows that an owner's question which is read in the same turn of the event loop is then answered before the departure is in the mailbox.

Change: the callback still reports the departure. If the mailbox is full, the greenlet of the connection reports it, and blocks until there is room. A late report of a job that has been answered meanwhile is ignored by the request handler, as before.

--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -33,6 +33,13 @@
 METRICS_PORT = 9464
 
 
+@frozen(kw_only=True)
+class _Departure:
+    """The caller has left; its departure is reported unless the mailbox was full."""
+
+    is_reported: bool
+
+
 @frozen(kw_only=True)
 class CallerHandler:
     """Passes callers' requests to the coordinator and waits for their responses.
@@ -56,15 +63,24 @@
         )
         if not self.coordinator.try_put(message):
             return encode_error(503, "the coordinator's mailbox is full", 1.0)
-        disconnected = ms.CallerConnectionClosed(reply_to=replies)
-        with watch_disconnect(
-            request.connection, lambda: self._report_disconnect(disconnected)
-        ):
-            response = replies.get()
-        return self._close_if_draining(response)
-
-    def _report_disconnect(self, disconnected: ms.CallerConnectionClosed) -> None:
-        self.coordinator.try_put(disconnected)
+        left = ms.CallerConnectionClosed(reply_to=replies)
+
+        def report_departure() -> None:
+            # A departure has to be in the mailbox before anything is handled that has
+            # arrived with it, so that it is put there by the event loop itself.
+            is_reported = self.coordinator.try_put(left)
+            replies.try_put(_Departure(is_reported=is_reported))
+
+        with watch_disconnect(request.connection, report_departure):
+            reply = replies.get()
+        match reply:
+            case _Departure(is_reported=is_reported):
+                if not is_reported:
+                    # The report of a full mailbox may be late, but not lost.
+                    self.coordinator.put(left)
+                return self._close_if_draining(replies.get())
+            case response:
+                return self._close_if_draining(response)
 
     def _close_if_draining(self, response: Response) -> Response:
         if not self.is_draining():
