Refuse a job whose caller has left before it is read

Cause: the connection was observed only after the request had been put into the coordinator's mailbox. A process that was frozen or slow reads a request and the end of its connection at once. It submitted the job and sent its tasks to the owners before the departure was noticed, while the caller had submitted the job again through another host.

Change: the state of the connection is read before a job is passed on. Cancels and queries are passed on as before, since a cancel is wanted after its caller has left as well. The log line `caller left` then has `is_passed_on: false`.

Not changed: a request that waits in the mailbox while its caller leaves. The departure is handled only behind it.

Before: test_a_request_of_a_caller_that_has_left_is_not_passed_on times out, with the request in the mailbox; after: it passes.

--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -9,6 +9,7 @@
 
 from gentianhub.core import Mailbox
 from gentianhub.host import messages as ms
+from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.callers import DEADLINE_HEADER, encode_error
 from gentianhub.platform.settings import Address
 from gentianhub.web import (
@@ -16,6 +17,7 @@
     Request,
     Response,
     build_application,
+    is_closed,
     open_server,
     watch_disconnect,
 )
@@ -52,6 +54,8 @@
 
     def handle(self, request: Request) -> Response:
         """Return the response to one request."""
+        if request.method == "POST" and is_closed(request.connection):
+            return _refuse_departed(request)
         replies = Mailbox(limit=2)
         message = ms.CallerRequest(
             method=request.method,
@@ -101,6 +105,12 @@
     return min(max(0.0, wait_s), MAX_WAIT_S) if math.isfinite(wait_s) else None
 
 
+def _refuse_departed(request: Request) -> Response:
+    """Refuse a job that its caller may have submitted again through another host."""
+    log_decision("caller left", request.path.rpartition("/")[2], is_passed_on=False)
+    return encode_error(503, "the caller has closed its connection")
+
+
 def _refuse_body(error: BodyError) -> Response:
     return encode_error(error.status, error.reason)
 
--- a/gentianhub/host/tests/test_callers.py
+++ b/gentianhub/host/tests/test_callers.py
@@ -111,6 +111,16 @@
         kinds = [type(message) for message in coordinator.get(timeout=NOTICE_S)]
         self.assertIn(ms.CallerConnectionClosed, kinds)
 
+    def test_a_request_of_a_caller_that_has_left_is_not_passed_on(self):
+        """A host that was frozen reads a request and the end behind it at once. Its
+        tasks were started beside those of the next submission elsewhere."""
+        self.caller.sendall(b"POST")
+        self.caller.close()
+        handler = self.build_handler(limit=10)
+        response = self.spawn_request(handler).get(timeout=NOTICE_S)
+        self.assertEqual(503, response.status)
+        self.assertEqual(0, len(handler.coordinator))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/web/__init__.py
+++ b/gentianhub/web/__init__.py
@@ -10,6 +10,7 @@
     Request,
     Response,
     build_application,
+    is_closed,
     open_server,
     watch_disconnect,
 )
@@ -21,6 +22,7 @@
     "Request",
     "Response",
     "build_application",
+    "is_closed",
     "open_connection",
     "open_server",
     "watch_disconnect",
