Close the connection of a caller that has left

Cause: after the report of a departure, the greenlet of the connection waited for a response. A job whose last caller has left is closed without one. So each departure kept a greenlet, an open socket and one of the server's 2,000 places until the process ended; after 2,000 departures the host accepted no caller.

Change: the greenlet ends the connection after its report. A late response is left in its own mailbox.

Ruled out: a response from the job registry. A departed caller needs none, and the connection would still depend on one message.

Not changed: RequestHandler keeps the entry of `_pending_requests` for such a submission until the process ends.

Before: test_the_connection_of_a_caller_that_has_left_is_closed times out; after: it passes.

--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from gentianhub.core import Mailbox
 from gentianhub.host import messages as ms
@@ -33,6 +33,7 @@
 MAX_OPERATIONS_CONNECTIONS = 64
 # deploy/system.toml names this port in the metrics address.
 METRICS_PORT = 9464
+CALLER_LEFT = "the caller has closed its connection"
 
 
 @frozen(kw_only=True)
@@ -82,18 +83,18 @@
                 if not is_reported:
                     # The report of a full mailbox may be late, but not lost.
                     self.coordinator.put(left)
-                return self._close_if_draining(replies.get())
+                # There is no answer for a caller that has left.
+                return _add_close(encode_error(504, CALLER_LEFT))
             case response:
                 return self._close_if_draining(response)
 
     def _close_if_draining(self, response: Response) -> Response:
-        if not self.is_draining():
-            return response
-        return Response(
-            status=response.status,
-            body=response.body,
-            headers={**response.headers, "Connection": "close"},
-        )
+        return _add_close(response) if self.is_draining() else response
+
+
+def _add_close(response: Response) -> Response:
+    """Return a response after which the connection is closed."""
+    return evolve(response, headers={**response.headers, "Connection": "close"})
 
 
 def parse_wait_s(text: str | None) -> float | None:
@@ -108,7 +109,7 @@
 def _refuse_departed(request: Request) -> Response:
     """Refuse a job that its caller may have submitted again through another host."""
     log_decision("caller left", request.path.rpartition("/")[2], is_passed_on=False)
-    return encode_error(503, "the caller has closed its connection")
+    return _add_close(encode_error(503, CALLER_LEFT))
 
 
 def _refuse_body(error: BodyError) -> Response:
--- a/gentianhub/host/tests/test_callers.py
+++ b/gentianhub/host/tests/test_callers.py
@@ -121,6 +121,19 @@
         self.assertEqual(503, response.status)
         self.assertEqual(0, len(handler.coordinator))
 
+    def test_the_connection_of_a_caller_that_has_left_is_closed(self):
+        """Its greenlet waited for an answer that never came: after 2,000 departures
+        a host accepted no more connections."""
+        handler = self.build_handler(limit=10)
+        greenlet = self.spawn_request(handler)
+        request = handler.coordinator.get(timeout_s=NOTICE_S)
+        self.assertIsInstance(request, ms.CallerRequest)
+        self.caller.close()
+        response = greenlet.get(timeout=NOTICE_S)
+        self.assertEqual("close", response.headers.get("Connection"))
+        departure = ms.CallerConnectionClosed(reply_to=request.reply_to)
+        self.assertEqual(departure, handler.coordinator.get(timeout_s=NOTICE_S))
+
 
 if __name__ == "__main__":
     unittest.main()
