Report a registry without this host's row until the row is there

Cause: a host whose row is missing puts RegisterHost into the mailbox of the register with try_put. The mailbox has 16 places, which the commands to remove hosts and to read the layout fill while the store answers slowly. A dropped command was repeated only after another change of the registry, so that the host stayed unknown to all hosts that had not dialled it.

Ruled out: a larger mailbox, which only moves the limit; a blocking put, which would hold up the coordinator while the store is away.

Change: the follower of the registry reports it after each request, one in 5 s, while the host's own row is missing. The coordinator then repeats the command.

--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -69,6 +69,8 @@
         Returns the delay between two requests, s; 0 means no delay.
     polls : Mailbox
         A message to it ends the delay.
+    has_to_repeat : callable
+        Returns whether rows are reported although they have not changed.
     """
 
     table: str
@@ -78,6 +80,7 @@
     get_wait_s: Callable[[], float]
     get_poll_interval_s: Callable[[], float] = lambda: 0.0
     polls: Mailbox = field(factory=lambda: Mailbox(limit=1))
+    has_to_repeat: Callable[[dict[str, StoredRow]], bool] = lambda rows: False
     random: Random = field(factory=Random)
     sent_s: float = field(init=False, default=0.0)
     _rows: dict[str, StoredRow] = field(init=False, factory=dict)
@@ -134,7 +137,7 @@
                 self._rows.pop(row.key, None)
             else:
                 self._rows[row.key] = row
-        if rows:
+        if rows or self.has_to_repeat(self._rows):
             self.report(self._rows)
 
 
@@ -157,8 +160,12 @@
     ).run()
 
 
-def follow_hosts(address: Address, coordinator: Mailbox) -> None:
-    """Report the registry of hosts whenever it changes."""
+def follow_hosts(address: Address, coordinator: Mailbox, name: str) -> None:
+    """Report the registry of hosts whenever it changes.
+
+    While the host `name` is missing from it, it is reported after each request: the
+    command to write the host's row may have been lost.
+    """
     decoded_hosts: dict[tuple[str, int], HostEntry | None] = {}
 
     def report(rows: dict[str, StoredRow]) -> None:
@@ -177,6 +184,7 @@
         coordinator=coordinator,
         report=report,
         get_wait_s=lambda: HOSTS_FEED_WAIT_S,
+        has_to_repeat=lambda rows: name not in rows,
     ).run()
 
 
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -134,7 +134,7 @@
                 self.mailbox,
                 lambda: self.coordinator.membership.is_candidate,
             ),
-            spawn_greenlet(followers.follow_hosts, store, self.mailbox),
+            spawn_greenlet(followers.follow_hosts, store, self.mailbox, entry.name),
             spawn_greenlet(
                 followers.follow_targets,
                 store,
--- a/gentianhub/host/tests/test_followers.py
+++ b/gentianhub/host/tests/test_followers.py
@@ -13,6 +13,7 @@
 from gentianhub.core import Mailbox
 from gentianhub.host import followers
 from gentianhub.host import messages as ms
+from gentianhub.host.registry import HostEntry, encode_host
 from gentianhub.platform.settings import Address
 from gentianhub.platform.store import RowsRead, StoredRow
 
@@ -82,5 +83,51 @@
             greenlet.kill()
 
 
+class HostsStore(FakeStore):
+    """The registry of hosts, which does not change, with the row of one host."""
+
+    def read_rows(self, table):
+        self.requests += 1
+        entry = HostEntry(
+            data_centre="olten",
+            name="e2",
+            address="127.0.0.1",
+            port=1,
+            started_ms=0,
+            cores=1.0,
+        )
+        row = StoredRow(
+            key=entry.name, value=encode_host(entry), version=1, is_removed=False
+        )
+        return RowsRead(rows=(row,), version=1)
+
+    def follow_rows(self, table, version, wait_s):
+        gevent.sleep(0.01)
+        return super().follow_rows(table, version, wait_s)
+
+
+class TestHostsFollower(unittest.TestCase):
+    """Guards against a host that stays out of the registry after one lost command.
+
+    The command to write the row again is dropped if the mailbox of the register is
+    full, and was repeated only after another change of the registry.
+    """
+
+    def count_reports(self, name: str) -> int:
+        coordinator = Mailbox(limit=100)
+        address = Address(host="127.0.0.1", port=1)
+        with mock.patch.object(followers, "open_store", HostsStore().open):
+            greenlet = gevent.spawn(followers.follow_hosts, address, coordinator, name)
+            gevent.sleep(0.1)
+            greenlet.kill()
+        return len(coordinator)
+
+    def test_a_registry_without_this_host_is_reported_again(self):
+        self.assertGreater(self.count_reports("e1"), 2)
+
+    def test_a_registry_with_this_host_is_reported_once(self):
+        self.assertEqual(1, self.count_reports("e2"))
+
+
 if __name__ == "__main__":
     unittest.main()
