End a served watch with the link that its reply needs

Cause: a watch that a process serves for a sibling ended only with the job's answer or after its wait of up to 60 s. If the link ended before, the sibling refused the request at once and its caller asked again, while the earlier watch kept one of the 1,024 places for forwarded requests and its entry at the job. Each failure of a link added the same number of watches, up to the refusal of all requests of siblings.

Ruled out: ending submissions and cancels too. They have an effect at the owner and end with the dispatcher's next reply.

Change: the manager keeps the greenlets of watches with the link and kills them when it is closed or replaced; a killed watch takes its entry back.

--- a/gentianhub/core/operations.py
+++ b/gentianhub/core/operations.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from attrs import frozen
+from gevent import GreenletExit
 
 from gentianhub.core import events as ev
 from gentianhub.core.errors import Refusal, RefusalKind, RunState, Step
@@ -90,10 +91,16 @@
     )
     if not dispatcher.try_put(watch):
         return _refuse_overload(RunState.UNKNOWN)
-    reply = replies.get(timeout_s=operation.wait_s or None)
+    unwatch = ev.UnwatchJob(job_id=operation.job_id, reply_to=replies)
+    try:
+        reply = replies.get(timeout_s=operation.wait_s or None)
+    except GreenletExit:
+        # Nobody waits for the reply any more: the link to the sibling has ended.
+        dispatcher.try_put(unwatch)
+        raise
     if not isinstance(reply, MailboxTimeout):
         return reply
-    dispatcher.put(ev.UnwatchJob(job_id=operation.job_id, reply_to=replies))
+    dispatcher.put(unwatch)
     return replies.get()
 
 
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -19,6 +19,7 @@
     TargetsListed,
     Tick,
 )
+from gentianhub.core.operations import WatchOperation
 from gentianhub.decisions import membership as mb
 from gentianhub.decisions.propagation import ChangesRead, PollerRole
 from gentianhub.linking.dialling import DialBackoff
@@ -43,11 +44,15 @@
 
 @define(kw_only=True, eq=False)
 class LinkState:
-    """An accepted link; times are in seconds on the monotonic clock."""
+    """An accepted link; times are in seconds on the monotonic clock.
+
+    `watches` are the greenlets that watch jobs for the process at the other end.
+    """
 
     link: Link
     last_received_s: float
     last_used_s: float
+    watches: Group = field(init=False, factory=Group)
 
 
 @define(kw_only=True, eq=False)
@@ -164,7 +169,7 @@
                 self._notify_dispatcher(self.leaving.record_reports(leaving, now_s))
             case ms.ForwardRequest():
                 state.last_used_s = now_s
-                self._serve_request(message, link)
+                self._serve_request(message, state)
             case ms.ForwardReply():
                 state.last_used_s = now_s
                 self.forwards.deliver_reply(message, link.incarnation)
@@ -215,6 +220,7 @@
             return
         if current is not None:
             current.link.close()
+            current.watches.kill(block=False)
             self.forwards.refuse_sent_to(link.incarnation, now_s, min_age_s=0.0)
         self.links[link.incarnation] = LinkState(
             link=link, last_received_s=now_s, last_used_s=now_s
@@ -239,6 +245,7 @@
         if is_current:
             logger.info("link to %s closed: %s", link.incarnation, reason)
             del self.links[link.incarnation]
+            state.watches.kill(block=False)
             self.forwards.refuse_sent_to(link.incarnation, now_s, min_age_s=0.0)
 
     def _handle_dial_failure(self, failed: mm.DialFailed, now_s: float) -> None:
@@ -347,14 +354,18 @@
                 if not self.dial_backoff.is_in_use(dial_address):
                     self._dial(dial_address)
 
-    def _serve_request(self, request: ms.ForwardRequest, link: Link) -> None:
+    def _serve_request(self, request: ms.ForwardRequest, state: LinkState) -> None:
         if self._forward_pool.full():
-            link.send(
-                encode_message(fw.build_overload_reply(request, self.own_incarnation))
-            )
-        else:
-            dispatcher = self.context.dispatcher_mailbox
-            self._forward_pool.spawn(fw.serve_forward, dispatcher, request, link)
+            reply = fw.build_overload_reply(request, self.own_incarnation)
+            state.link.send(encode_message(reply))
+            return
+        dispatcher = self.context.dispatcher_mailbox
+        served = self._forward_pool.spawn(
+            fw.serve_forward, dispatcher, request, state.link
+        )
+        match request.operation:
+            case WatchOperation():
+                state.watches.add(served)
 
     # Table and host list
 
--- a/gentianhub/siblings/tests/test_fencing.py
+++ b/gentianhub/siblings/tests/test_fencing.py
@@ -31,13 +31,16 @@
 PENDING = JobPending(ended_tasks=0, started_tasks=0)
 
 
-class FencingTest(unittest.TestCase):
-    """Guards against acting on messages meant for an earlier incarnation."""
+class LinkTest(unittest.TestCase):
+    """Base of tests in which the test is the sibling of a process."""
 
     def setUp(self):
         (self.port,) = find_free_ports(1)
         self.dispatcher = Mailbox(limit=100)
         self.mailbox = Mailbox(limit=100)
+        self.start_manager()
+
+    def start_manager(self) -> None:
         self.enterContext(
             open_sibling_links(
                 own_incarnation=OWN,
@@ -74,6 +77,10 @@
             self.assertNotIsInstance(message, wire.LinkEnded)
         return message
 
+
+class FencingTest(LinkTest):
+    """Guards against acting on messages meant for an earlier incarnation."""
+
     def test_only_messages_to_this_incarnation_are_handled(self):
         frames = self.connect(PEER, 1)
         cancel = CancelOperation(job_id=JobId(owner=OLD, sequence=1))
