--- a/gentianhub/host/tests/test_callers.py
+++ b/gentianhub/host/tests/test_callers.py
@@ -63,6 +63,12 @@
         self.addCleanup(greenlet.kill)
         return greenlet
 
+    def test_a_job_is_refused_if_the_mailbox_is_full(self):
+        handler = self.build_handler(limit=1)
+        handler.coordinator.put(ms.InterruptOpenJobs())
+        response = self.spawn_request(handler).get(timeout=NOTICE_S)
+        self.assertEqual(503, response.status)
+
     def test_a_departure_is_reported_once_a_full_mailbox_has_room(self):
         """It was dropped, and the job held until the caller's deadline."""
         handler = self.build_handler(limit=1)
--- a/gentianhub/host/tests/test_followers.py
+++ b/gentianhub/host/tests/test_followers.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from gentianhub.core import Mailbox
+from gentianhub.core import Mailbox, PlatformError, Step
 from gentianhub.host import followers
 from gentianhub.host import messages as ms
 from gentianhub.host.registry import HostEntry, encode_host
@@ -83,19 +83,23 @@
             greenlet.kill()
 
 
+def build_entry(name: str) -> HostEntry:
+    return HostEntry(
+        data_centre="olten",
+        name=name,
+        address="127.0.0.1",
+        port=1,
+        started_ms=0,
+        cores=1.0,
+    )
+
+
 class HostsStore(FakeStore):
     """The registry of hosts, which does not change, with the row of one host."""
 
     def read_rows(self, table):
         self.requests += 1
-        entry = HostEntry(
-            data_centre="olten",
-            name="e2",
-            address="127.0.0.1",
-            port=1,
-            started_ms=0,
-            cores=1.0,
-        )
+        entry = build_entry("e2")
         row = StoredRow(
             key=entry.name, value=encode_host(entry), version=1, is_removed=False
         )
@@ -129,5 +133,41 @@
         self.assertEqual(1, self.count_reports("e2"))
 
 
+class RefusingStore(FakeStore):
+    """Refuses the first writes of a host's row; `written` are the stored ones."""
+
+    def __init__(self, failures: int):
+        super().__init__()
+        self.failures = failures
+        self.written = []
+
+    def write_row(self, table, key, value):
+        if self.failures:
+            self.failures -= 1
+            raise PlatformError(step=Step.WRITE_PLATFORM, peer="store", reason="down")
+        self.written.append(key)
+
+
+class TestRegister(unittest.TestCase):
+    def test_the_row_of_a_host_is_written_until_it_is_stored(self):
+        """The host would stay unknown to all hosts that it has not dialled."""
+        store = RefusingStore(failures=2)
+        address = Address(host="127.0.0.1", port=1)
+        with (
+            mock.patch.object(followers, "open_store", store.open),
+            mock.patch.object(followers, "INITIAL_RETRY_DELAY_S", 0.01),
+        ):
+            greenlet = gevent.spawn(
+                followers.keep_register,
+                build_entry("e2"),
+                address,
+                Mailbox(limit=1),
+                Mailbox(limit=1),
+            )
+            gevent.sleep(0.2)
+            greenlet.kill()
+        self.assertEqual(["e2"], store.written)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/host/tests/test_membership.py
+++ b/gentianhub/host/tests/test_membership.py
@@ -10,6 +10,7 @@
 from gentianhub.host.encoding import decode_message
 from gentianhub.host.membership import (
     IDLE_HEARTBEAT_TICKS,
+    LOST_HOST_TIMEOUT_S,
     MAX_REGISTRATION_WAIT_S,
     REGISTRATION_QUIET_S,
     WORKING_RETENTION_TICKS,
@@ -181,6 +182,20 @@
         self.membership.remove_lost_hosts(is_owner=True, now_s=60.0)
         self.assertEqual(0, len(self.registry_commands))
 
+    def test_the_removal_of_a_lost_host_is_repeated(self):
+        """The command may be dropped at a full mailbox, or fail at the store."""
+        self.maintain_links(is_owner=True)
+        del self.links.hosts[self.membership.local_host.name]
+        removed_s = []
+        for second in range(10, 60):
+            self.membership.ownership.record_message(self.local, float(second))
+            self.membership.remove_lost_hosts(is_owner=True, now_s=float(second))
+            while len(self.registry_commands):
+                self.assertEqual("f1", self.registry_commands.get().name)
+                removed_s.append(second - 10)
+        between = [LOST_HOST_TIMEOUT_S + 1, 2 * (LOST_HOST_TIMEOUT_S + 1)]
+        self.assertEqual(between, removed_s)
+
 
 class PairedLinks(FakeLinks):
     """Links of one of two hosts; messages arrive at the other one at once."""
--- a/gentianhub/host/tests/test_target_list.py
+++ b/gentianhub/host/tests/test_target_list.py
@@ -115,6 +115,19 @@
         self.lose_store()
         self.assertEqual([], self.receive(request))
 
+    def test_a_host_without_the_list_gets_it_with_each_heartbeat(self):
+        """An offer that a link loses would leave it without targets for good."""
+        heartbeat = ev.HostHeartbeat(
+            number=1, claims=(), configuration_version=0, lacks_targets=True
+        )
+        for _ in range(2):
+            (offer,) = [
+                message
+                for _, message in self.receive(heartbeat)
+                if isinstance(message, ev.TargetsOffer)
+            ]
+            self.assertEqual(["t1", "t9"], [name for name, _ in offer.rows])
+
 
 class TestPeers(unittest.TestCase):
     def test_the_owners_are_asked_in_turn(self):
