--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from gentianhub.core import Mailbox
 from gentianhub.host import messages as ms
+from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.callers import DEADLINE_HEADER, encode_error
 from gentianhub.platform.settings import Address
 from gentianhub.web import (
@@ -16,6 +17,7 @@
     Request,
     Response,
     build_application,
+    is_closed,
     open_server,
     watch_disconnect,
 )
@@ -31,6 +33,14 @@
 MAX_OPERATIONS_CONNECTIONS = 64
 # deploy/system.toml names this port in the metrics address.
 METRICS_PORT = 9464
+CALLER_LEFT = "the caller has closed its connection"
+
+
+@frozen(kw_only=True)
+class _Departure:
+    """The caller has left; its departure is reported unless the mailbox was full."""
+
+    is_reported: bool
 
 
 @frozen(kw_only=True)
@@ -45,6 +55,8 @@
 
     def handle(self, request: Request) -> Response:
         """Return the response to one request."""
+        if request.method == "POST" and is_closed(request.connection):
+            return _refuse_departed(request)
         replies = Mailbox(limit=2)
         message = ms.CallerRequest(
             method=request.method,
@@ -56,24 +68,33 @@
         )
         if not self.coordinator.try_put(message):
             return encode_error(503, "the coordinator's mailbox is full", 1.0)
-        disconnected = ms.CallerConnectionClosed(reply_to=replies)
-        with watch_disconnect(
-            request.connection, lambda: self._report_disconnect(disconnected)
-        ):
-            response = replies.get()
-        return self._close_if_draining(response)
-
-    def _report_disconnect(self, disconnected: ms.CallerConnectionClosed) -> None:
-        self.coordinator.try_put(disconnected)
+        left = ms.CallerConnectionClosed(reply_to=replies)
+
+        def report_departure() -> None:
+            # A departure has to be in the mailbox before anything is handled that has
+            # arrived with it, so that it is put there by the event loop itself.
+            is_reported = self.coordinator.try_put(left)
+            replies.try_put(_Departure(is_reported=is_reported))
+
+        with watch_disconnect(request.connection, report_departure):
+            reply = replies.get()
+        match reply:
+            case _Departure(is_reported=is_reported):
+                if not is_reported:
+                    # The report of a full mailbox may be late, but not lost.
+                    self.coordinator.put(left)
+                # There is no answer for a caller that has left.
+                return _add_close(encode_error(504, CALLER_LEFT))
+            case response:
+                return self._close_if_draining(response)
 
     def _close_if_draining(self, response: Response) -> Response:
-        if not self.is_draining():
-            return response
-        return Response(
-            status=response.status,
-            body=response.body,
-            headers={**response.headers, "Connection": "close"},
-        )
+        return _add_close(response) if self.is_draining() else response
+
+
+def _add_close(response: Response) -> Response:
+    """Return a response after which the connection is closed."""
+    return evolve(response, headers={**response.headers, "Connection": "close"})
 
 
 def parse_wait_s(text: str | None) -> float | None:
@@ -85,6 +106,12 @@
     return min(max(0.0, wait_s), MAX_WAIT_S) if math.isfinite(wait_s) else None
 
 
+def _refuse_departed(request: Request) -> Response:
+    """Refuse a job that its caller may have submitted again through another host."""
+    log_decision("caller left", request.path.rpartition("/")[2], is_passed_on=False)
+    return _add_close(encode_error(503, CALLER_LEFT))
+
+
 def _refuse_body(error: BodyError) -> Response:
     return encode_error(error.status, error.reason)
 
