--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -44,8 +44,11 @@
             reports.append(report)
             yield
 
+        connection, peer = gevent.socket.socketpair()
+        self.addCleanup(connection.close)
+        self.addCleanup(peer.close)
         request = SimpleNamespace(
-            method="POST", headers={}, path="/q/1", body=b"", connection=None
+            method="POST", headers={}, path="/q/1", body=b"", connection=connection
         )
         with mock.patch.object(callers, "watch_disconnect", watch):
             handling = gevent.spawn(handler.handle, request)
