Let small candidates wait until larger hosts are able to own a cell

Cause: a data centre has four candidates at least. solothurn and aarau have three larger hosts, so that the fourth candidate has 0.387 cores. Candidates did not wait for each other: one that learns the cells before it receives that a larger one is able claims the cell, and of simultaneous claims the one with the higher random token wins. Change: in the 1.5 s after a host has become able to own, live candidates and larger hosts that are not able yet count as able when the owner is chosen. Hosts of the same size do not wait for each other, large ones not for small ones. Shown by test_a_small_candidate_waits_until_larger_hosts_are_able_to_own and test_hosts_that_learn_the_cells_in_any_order_give_them_to_large_ones, which failed before.

--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -29,6 +29,7 @@
 TOKEN_BITS = 20
 # Time after which all hosts have told that they are able to own a cell, once this host
 # is. They learn the cells within a short time, and heartbeats may be a second apart.
+# Until then, live candidates and larger hosts count as able.
 ABILITY_NOTICE_S = 1.5
 # A host that receives no heartbeats claims nothing for this long, because it is more
 # likely to be partitioned from the others than to be the only one left.
@@ -287,28 +288,26 @@
     def _count_live(self, now_s: float) -> int:
         return sum(self.is_live(peer, now_s) for peer in self.peers)
 
-    def _has_to_wait_for_candidates(self, now_s: float) -> bool:
-        """Whether a live candidate may become able to own cells at any moment."""
-        candidates = self.candidates or frozenset()
-        if not candidates or self.local_host.name in candidates:
+    def _may_own_soon(self, peer: Incarnation, now_s: float) -> bool:
+        """Whether a preferred host may become able to own cells at any moment.
+
+        Of simultaneous claims the highest term wins, whatever the size of its host.
+        """
+        if now_s >= self._able_since_s + ABILITY_NOTICE_S:
             return False
-        has_live_candidate = any(
-            peer.name in candidates
-            and self.is_live(peer, now_s)
-            and not known.heartbeat.is_draining
-            for peer, known in self.peers.items()
-        )
-        return has_live_candidate and now_s < self._able_since_s + ABILITY_NOTICE_S
+        return self._rank_size(peer) > self._rank_size(self.local_host)
+
+    def _rank_size(self, host: Incarnation) -> tuple[bool, float]:
+        is_candidate = self.candidates is None or host.name in self.candidates
+        return is_candidate, self._find_cores(host)
 
     def _is_preferred_owner(self, cell: Cell, now_s: float) -> bool:
-        if self._has_to_wait_for_candidates(now_s):
-            return False
         candidates = [self.local_host] + [
             peer
             for peer, known in self.peers.items()
             if peer.name.data_centre == cell.data_centre
             and self.is_live(peer, now_s)
-            and known.heartbeat.can_own
+            and (known.heartbeat.can_own or self._may_own_soon(peer, now_s))
             and not known.heartbeat.is_draining
         ]
         candidates = self._prefer_candidates(candidates)
--- a/gentianhub/capacity/tests/test_ownership.py
+++ b/gentianhub/capacity/tests/test_ownership.py
@@ -1,6 +1,8 @@
 """Tests of the claims on cells: unique terms, takeovers and partitioned hosts."""
 
+import itertools
 import unittest
+from collections.abc import Sequence
 
 from attrs import evolve
 
@@ -40,6 +42,47 @@
     return ow.Ownership(local_host=local_host, cells=(CELL,), started_s=0.0, **options)
 
 
+def simulate_start(
+    order: Sequence[Incarnation], cores: dict[ProcessName, float]
+) -> list[Incarnation]:
+    """Return the hosts that claim the cell; they learn it in this order, 0.1 s apart.
+
+    All of them are candidates and exchange heartbeats every 0.2 s.
+    """
+    hosts = {
+        host: build_ownership(host, candidates=frozenset(cores), cores=cores)
+        for host in order
+    }
+    for ownership in hosts.values():
+        ownership.cells = ()
+    claimants = []
+    exchange_heartbeats(hosts, 9.9)
+    for step in range(30):
+        now_s = 10.0 + 0.1 * step
+        for host in order[step : step + 1]:
+            hosts[host].cells = (CELL,)
+        for host, ownership in hosts.items():
+            changes = list(ownership.update_claims(now_s))
+            if any(isinstance(change, ow.CellClaimed) for change in changes):
+                claimants.append(host)
+        if step % 2 == 0:
+            exchange_heartbeats(hosts, now_s)
+    return claimants
+
+
+def exchange_heartbeats(hosts: dict[Incarnation, ow.Ownership], now_s: float) -> None:
+    for sender, ownership in list(hosts.items()):
+        heartbeat = HostHeartbeat(
+            number=1,
+            claims=tuple(CellClaim(cell=c, term=t) for c, t in ownership.terms.items()),
+            configuration_version=1,
+            can_own=ownership.can_own,
+        )
+        for receiver, other in hosts.items():
+            if receiver != sender:
+                other.handle_heartbeat(sender, heartbeat, now_s)
+
+
 class TestTerms(unittest.TestCase):
     def test_two_hosts_that_claim_in_the_same_second_have_distinct_terms(self):
         """With equal terms, targets accepted starts of two owners: a task ran twice."""
@@ -135,6 +178,72 @@
             with self.subTest(now_s):
                 self.assertEqual(claims, len(list(ownership.update_claims(now_s))))
 
+    def test_a_small_candidate_waits_until_larger_hosts_are_able_to_own(self):
+        """Small data centres have small candidates as well.
+
+        Of simultaneous claims the highest term wins, so that a host of 0.4 cores took a
+        cell from one of 2.2 at the start, and kept it.
+        """
+        unable = HostHeartbeat(
+            number=1, claims=(), configuration_version=1, can_own=False
+        )
+        ownership = build_ownership(
+            SECOND,
+            candidates=frozenset({FIRST.name, SECOND.name}),
+            cores={FIRST.name: 2.2, SECOND.name: 0.4},
+        )
+        for now_s, claims in ((10.0, 0), (11.0, 0), (10.0 + ow.ABILITY_NOTICE_S, 1)):
+            ownership.handle_heartbeat(FIRST, unable, now_s)
+            with self.subTest(now_s):
+                self.assertEqual(claims, len(list(ownership.update_claims(now_s))))
+
+    def test_a_large_candidate_does_not_wait_for_smaller_hosts(self):
+        """After a loss of all hosts the slowest ones would delay the claims."""
+        unable = HostHeartbeat(
+            number=1, claims=(), configuration_version=1, can_own=False
+        )
+        ownership = build_ownership(
+            FIRST,
+            candidates=frozenset({FIRST.name, SECOND.name}),
+            cores={FIRST.name: 2.2, SECOND.name: 0.4},
+        )
+        ownership.handle_heartbeat(SECOND, unable, 10.0)
+        self.assertEqual(1, len(list(ownership.update_claims(10.0))))
+
+    def test_a_small_candidate_does_not_wait_for_larger_hosts_that_drain(self):
+        """The cell of a data centre whose large hosts are stopped would have no owner
+        for 1.5 s."""
+        draining = HostHeartbeat(
+            number=1,
+            claims=(),
+            configuration_version=1,
+            can_own=False,
+            is_draining=True,
+        )
+        ownership = build_ownership(
+            SECOND,
+            candidates=frozenset({FIRST.name, SECOND.name}),
+            cores={FIRST.name: 2.2, SECOND.name: 0.4},
+        )
+        ownership.handle_heartbeat(FIRST, draining, 10.0)
+        self.assertEqual(1, len(list(ownership.update_claims(10.0))))
+
+    def test_hosts_that_learn_the_cells_in_any_order_give_them_to_large_ones(self):
+        """The hosts of a data centre read the layout within about 0.1 s of each other,
+        and a heartbeat tells it to the others up to 0.2 s later."""
+        hosts = [build_host(f"e{number}", "abcd"[number]) for number in range(4)]
+        cores = dict(
+            zip((host.name for host in hosts), (2.2, 2.2, 1.3, 0.4), strict=True)
+        )
+        for order in itertools.permutations(hosts):
+            claimants = {
+                host.name.process
+                for host in simulate_start(order, cores)
+                if cores[host.name] < 2.2
+            }
+            with self.subTest([host.name.process for host in order]):
+                self.assertEqual(set(), claimants)
+
     def test_a_candidate_does_not_wait_for_others_that_are_not_able_to_own(self):
         candidates = frozenset({FIRST.name, SECOND.name})
         ownership = build_ownership(SECOND, candidates=candidates)
