Log the size of the host that takes a cell

A cell that a small host owns was visible in the logs only to a reader who knew the sizes of all hosts. `cell taken` now has the processor time of the host in cores.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -218,6 +218,7 @@
             "cell taken",
             str(claimed.cell),
             term=claimed.term,
+            cores=self.membership.ownership.cores.get(self.local_host.name),
             predecessor_term=claimed.predecessor_term,
             handover=handover.kind.value,
             announced=len(handover.targets),
