Choose no candidates before the host register has been read

Cause: front-olten-4 (0.387 cores) starts again while the store is down and learns the cells from a sibling. adopt_layout chose the candidates among the registered hosts, of which this host knew only itself, so that it took itself for the only candidate. Ruled out: the wait for larger hosts that are not able yet; all hosts concerned were able. Change: the candidates stay unknown until the register has been read. Shown by test_a_small_host_without_the_registry_leaves_cells_to_live_hosts, which failed before.

--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -31,6 +31,9 @@
 # is. They learn the cells within a short time, and heartbeats may be a second apart.
 # Until then, live candidates and larger hosts count as able.
 ABILITY_NOTICE_S = 1.5
+# A host without the host register claims a cell that it would leave to another host if
+# none has claimed it within this time. Claims take one tick and a heartbeat.
+UNREGISTERED_CLAIM_DELAY_S = 1.0
 # A host that receives no heartbeats claims nothing for this long, because it is more
 # likely to be partitioned from the others than to be the only one left.
 ISOLATION_TIMEOUT_S = 2.0
@@ -134,6 +137,7 @@
     _highest_terms: dict[Cell, int] = field(init=False, factory=dict)
     _paused_until_s: dict[Cell, float] = field(init=False, factory=dict)
     _raise_times: dict[Cell, list[float]] = field(init=False, factory=dict)
+    _free_since_s: dict[Cell, float] = field(init=False, factory=dict)
     _last_received_s: float = field(init=False)
     _able_since_s: float | None = field(init=False, default=None)
 
@@ -236,6 +240,10 @@
         for cell in self.cells:
             other = owners.get(cell)
             term = self.terms.get(cell)
+            if term is None and self._is_free(other):
+                self._free_since_s.setdefault(cell, now_s)
+            else:
+                self._free_since_s.pop(cell, None)
             if term is not None and other is not None:
                 if (other.claim.term, str(other.owner)) > (term, str(self.local_host)):
                     del self.terms[cell]
@@ -243,19 +251,34 @@
             elif term is None and self._should_claim(cell, other, now_s):
                 yield self._claim_cell(cell, is_predecessor_draining=other is not None)
 
+    def _is_free(self, other: CellOwner | None) -> bool:
+        """Whether a cell with this other owner, or none, may be claimed."""
+        return other is None or self.peers[other.owner].heartbeat.is_draining
+
     def _should_claim(self, cell: Cell, other: CellOwner | None, now_s: float) -> bool:
         if self.is_draining or not self.has_targets:
             return False
         if now_s < self._paused_until_s.get(cell, 0.0):
             return False
-        if other is not None and not self.peers[other.owner].heartbeat.is_draining:
+        if not self._is_free(other):
             return False
         if not self._has_waited_for_claims(now_s):
             return False
         is_isolated = self.expected_hosts > 0 and not self._count_live(now_s)
         if is_isolated and now_s < self._last_received_s + ISOLATION_TIMEOUT_S:
             return False
-        return self._is_preferred_owner(cell, now_s)
+        return self._is_preferred_owner(cell, now_s) or self._is_left_free(cell, now_s)
+
+    def _is_left_free(self, cell: Cell, now_s: float) -> bool:
+        """Whether the hosts that this one would leave a cell to do not claim it.
+
+        A host that does not know the candidates does not know the sizes of the others
+        either, and they may leave the cell to this host.
+        """
+        return (
+            self.candidates is None
+            and now_s >= self._free_since_s[cell] + UNREGISTERED_CLAIM_DELAY_S
+        )
 
     def _has_waited_for_claims(self, now_s: float) -> bool:
         live_names = {
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -312,6 +312,12 @@
         ]
 
     def _choose_candidates(self) -> None:
+        """Choose the candidates, once the registry has been read.
+
+        A host without it would be the only candidate that it knows.
+        """
+        if self.ownership.expected_local_hosts is None:
+            return
         self.ownership.candidates = choose_candidates(
             [self.local_host.name, *self._find_local_peers()],
             self.ownership.cores,
--- a/gentianhub/host/tests/test_membership.py
+++ b/gentianhub/host/tests/test_membership.py
@@ -3,8 +3,9 @@
 import random
 import unittest
 
-from gentianhub.capacity.events import HostHeartbeat
-from gentianhub.capacity.jobs import TARGETS_PER_CELL
+from gentianhub.capacity.events import CellClaim, HostHeartbeat
+from gentianhub.capacity.jobs import TARGETS_PER_CELL, Cell
+from gentianhub.capacity.ownership import UNREGISTERED_CLAIM_DELAY_S
 from gentianhub.capacity.tests.builders import build_host, build_target
 from gentianhub.core import Mailbox
 from gentianhub.host.encoding import decode_message
@@ -79,6 +80,44 @@
         self.assertEqual(1, self.request_layout(11, at_s))
 
 
+class TestCandidates(MembershipTest):
+    def test_a_small_host_without_the_registry_leaves_cells_to_live_hosts(self):
+        """It took itself for the only candidate, and the cell of a draining owner from
+        the large host that had claimed it."""
+        local_host = self.membership.local_host
+        self.membership.ownership.cores[local_host.name] = 0.4
+        cell = Cell(data_centre=local_host.name.data_centre)
+        draining = HostHeartbeat(
+            number=1,
+            claims=(CellClaim(cell=cell, term=5),),
+            configuration_version=1,
+            is_draining=True,
+        )
+        live = HostHeartbeat(number=1, claims=(), configuration_version=1)
+        self.membership.handle_heartbeat(build_host("e2", "b"), draining, 10.0)
+        self.membership.handle_heartbeat(build_host("e3", "c"), live, 10.0)
+        self.assertEqual((cell,), self.membership.ownership.cells)
+        self.assertEqual([], list(self.membership.ownership.update_claims(10.0)))
+
+    def test_a_small_host_without_the_registry_claims_a_cell_that_is_left_free(self):
+        """It does not know the sizes of the other hosts, which may leave the cell to
+        it: the cell would have no owner until the store is back."""
+        ownership = self.membership.ownership
+        ownership.cores[self.membership.local_host.name] = 0.4
+        self.membership.adopt_layout(1, "sibling")
+        live = HostHeartbeat(number=1, claims=(), configuration_version=1)
+        claimed_s = 10.0 + UNREGISTERED_CLAIM_DELAY_S
+        for now_s, claims in ((10.0, 0), (claimed_s - 0.1, 0), (claimed_s, 1)):
+            self.membership.handle_heartbeat(build_host("e2", "b"), live, now_s)
+            with self.subTest(now_s):
+                self.assertEqual(claims, len(list(ownership.update_claims(now_s))))
+
+    def test_a_host_without_the_registry_claims_a_cell_if_no_other_is_able(self):
+        """An outage of the store would leave the cell without an owner."""
+        self.membership.adopt_layout(1, "sibling")
+        self.assertEqual(1, len(list(self.membership.ownership.update_claims(10.0))))
+
+
 class TestHeartbeatRecipients(MembershipTest):
     def setUp(self):
         super().setUp()
