Build the head of repeated POST requests once, and keep one socket without a queue

Cause: an owner sends two or more requests for each task. The library merges and checks the same headers several times for each, and takes the only socket of a connection from a queue behind a semaphore.

Change: POST requests use a head that the library has built and checked once for this path and these headers. The bytes sent, and that such a request is never repeated, stay as they are; other methods still go through the library. The pool of one socket keeps it in an attribute.

--- a/gentianhub/web/connection.py
+++ b/gentianhub/web/connection.py
@@ -1,5 +1,6 @@
 """HTTP client connection to one peer, owned by one greenlet."""
 
+import errno
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 
@@ -23,6 +24,54 @@
 )
 
 
+# Errors of a write to a connection that the peer has closed, possibly after an answer.
+_CLOSED_BY_PEER = (errno.ECONNRESET, errno.EPIPE)
+# Heads kept for repeated requests; one connection sends few different ones.
+MAX_KEPT_HEADS = 8
+
+
+class _Client(HTTPClient):
+    """Client that builds the head of repeated requests with a body once."""
+
+    def __init__(self, pool: SendTrackingPool):
+        super().__init__(pool.host, pool.port, concurrency=1)
+        self._connection_pool = pool
+        self._heads: dict[tuple, bytes] = {}
+
+    def post(
+        self, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> HTTPSocketPoolResponse:
+        """Send a POST request; return its response when its headers have arrived.
+
+        Like `request` of the library, it never sends such a request twice.
+        """
+        message = b"%b%d\r\n\r\n%b" % (self._get_head(path, headers), len(body), body)
+        pool = self._connection_pool
+        sock = pool.get_socket()
+        try:
+            sock.sendall(message)
+        except OSError as error:
+            if error.errno not in _CLOSED_BY_PEER:
+                pool.release_socket(sock)
+                raise
+            # The peer may have answered before it closed the connection.
+        return HTTPSocketPoolResponse(
+            sock, pool, block_size=self.block_size, method="POST"
+        )
+
+    def _get_head(self, path: str, headers: Mapping[str, str]) -> bytes:
+        """Return the head up to the value of its last header, Content-Length."""
+        key = (path, *headers.items())
+        head = self._heads.get(key)
+        if head is None:
+            if len(self._heads) >= MAX_KEPT_HEADS:
+                self._heads.clear()
+            text = self._build_request("POST", path, b"", headers, chunked=False)
+            head = text.removesuffix("0\r\n\r\n").encode("latin-1")
+            self._heads[key] = head
+        return head
+
+
 @define(kw_only=True, eq=False)
 class HttpConnection:
     """HTTP connection that is opened on demand and reopened after `reset`.
@@ -41,21 +90,20 @@
     port: int
     connect_timeout_s: float
     reply_timeout_s: float | None
-    _client: HTTPClient = field(init=False)
+    _client: _Client = field(init=False)
     _pool: SendTrackingPool = field(init=False)
 
     def __attrs_post_init__(self):
         self._open()
 
     def _open(self) -> None:
-        self._client = HTTPClient(self.host, self.port, concurrency=1)
         self._pool = SendTrackingPool(
             host=self.host,
             port=self.port,
             connect_timeout_s=self.connect_timeout_s,
             reply_timeout_s=self.reply_timeout_s,
         )
-        self._client._connection_pool = self._pool
+        self._client = _Client(self._pool)
 
     @property
     def may_have_sent(self) -> bool:
@@ -80,6 +128,8 @@
         headers: Mapping[str, str] | None = None,
     ) -> HTTPSocketPoolResponse:
         """Send a request; return its response when the headers have been received."""
+        if method == "POST":
+            return self._client.post(path, body, headers or {})
         return self._client.request(
             method, path, body=body, headers=dict(headers or {})
         )
--- a/gentianhub/web/sockets.py
+++ b/gentianhub/web/sockets.py
@@ -22,7 +22,7 @@
 
 
 class SendTrackingPool(ConnectionPool):
-    """Connection pool of a single socket.
+    """Connection pool of a single socket, which one greenlet uses.
 
     `may_have_sent` is set before the first byte of a request is sent, over any
     socket of the pool, and stays set until it is cleared by the user of the pool.
@@ -47,8 +47,39 @@
             connection_timeout=connect_timeout_s,
             network_timeout=reply_timeout_s,
         )
+        self.host, self.port = host, port
         self.may_have_sent = False
         self.is_checked = False
+        self._idle: gevent.socket.socket | None = None
+
+    def get_socket(self) -> gevent.socket.socket:
+        """Return the idle socket if it is still open, or else a connected one."""
+        if self._closed:
+            raise RuntimeError("connection pool closed")
+        sock, self._idle = self._idle, None
+        if sock is not None:
+            if self._is_socket_alive(sock):
+                return sock
+            sock.close()
+        return self._create_socket()
+
+    def return_socket(self, sock: gevent.socket.socket) -> None:
+        """Keep a socket for the next request."""
+        if self._closed or self._idle is not None:
+            sock.close()
+        else:
+            self._idle = sock
+
+    def release_socket(self, sock: gevent.socket.socket) -> None:
+        """Close a socket that cannot be used again."""
+        sock.close()
+
+    def close(self) -> None:
+        """Close the idle socket; the others are closed when they are returned."""
+        self._closed = True
+        sock, self._idle = self._idle, None
+        if sock is not None:
+            sock.close()
 
     def _record_send(self) -> None:
         self.may_have_sent = True
--- a/gentianhub/web/tests/test_connection.py
+++ b/gentianhub/web/tests/test_connection.py
@@ -1,9 +1,14 @@
 """Reuse of an HTTP connection after a failed exchange."""
 
+import errno
 import select
 import unittest
+from contextlib import contextmanager
 from unittest import mock
 
+from gevent.server import StreamServer
+from geventhttpclient import HTTPClient
+
 from gentianhub.stand_ins.processes import LOOPBACK, find_free_ports
 from gentianhub.web import (
     HTTP_ERRORS,
@@ -12,6 +17,9 @@
     open_connection,
     open_server,
 )
+from gentianhub.web.sockets import _SendTrackingSocket
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 class ConnectionTest(unittest.TestCase):
@@ -52,3 +60,90 @@
                 self.assertEqual(1, poll.call_count)
                 connection.request("POST", "/", b"third").read()
                 self.assertEqual(2, poll.call_count)
+
+
+class PostTest(unittest.TestCase):
+    """Guards against requests that differ from the library's or are sent twice."""
+
+    def setUp(self):
+        (self.port,) = find_free_ports(1)
+        self.received: list[bytes] = []
+        self.answers: list[bytes] = []
+
+    def _serve(self, sock, _) -> None:
+        """Record what arrives in each connection, and send the next answer."""
+        while chunk := sock.recv(65_536):
+            self.received.append(chunk)
+            if not self.answers:
+                return
+            sock.sendall(self.answers.pop(0))
+
+    @contextmanager
+    def _open_server(self):
+        server = StreamServer((LOOPBACK, self.port), self._serve)
+        server.start()
+        try:
+            yield
+        finally:
+            server.stop(timeout=0)
+
+    def test_a_request_has_the_bytes_of_the_library(self):
+        cases = (
+            ("/api/hold", b"{}", {"Content-Type": "application/json", "X": "1"}),
+            ("/api/hold", b"{}" * 900, {"Content-Type": "application/json", "X": "1"}),
+            ("/api/hold", b"{}", {"Content-Type": "application/json", "X": "2"}),
+            ("/", b"", {}),
+        ) + tuple((f"/{number}", b"x", {}) for number in range(20))
+        self.answers = [ANSWER] * (2 * len(cases))
+        with (
+            self._open_server(),
+            open_connection(LOOPBACK, self.port, 1.0, 1.0) as connection,
+        ):
+            for path, body, headers in cases:
+                connection.request("POST", path, body, headers).read()
+                library = HTTPClient(LOOPBACK, self.port)
+                library.request("POST", path, body, headers).read()
+                library.close()
+        self.assertEqual(2 * len(cases), len(self.received))
+        self.assertEqual(self.received[::2], self.received[1::2])
+
+    def test_a_header_with_a_line_break_is_rejected(self):
+        with (
+            self._open_server(),
+            open_connection(LOOPBACK, self.port, 1.0, 1.0) as connection,
+            self.assertRaises(ValueError),
+        ):
+            connection.request("POST", "/", b"", {"X": "1\r\nY: 2"})
+        self.assertEqual([], self.received)
+
+    def test_a_request_that_may_have_run_is_not_repeated(self):
+        self.answers = [ANSWER]
+        with (
+            self._open_server(),
+            open_connection(LOOPBACK, self.port, 1.0, 1.0) as connection,
+        ):
+            connection.request("POST", "/", b"answered").read()
+            connection.connect()
+            with self.assertRaises(HTTP_ERRORS):
+                connection.request("POST", "/", b"not answered")
+            self.assertTrue(connection.may_have_sent)
+        self.assertEqual(2, len(self.received))
+
+    def test_the_answer_of_a_peer_that_closes_early_is_read(self):
+        self.answers = [ANSWER.replace(b"200 OK", b"413 Too Large")]
+        with (
+            self._open_server(),
+            open_connection(LOOPBACK, self.port, 1.0, 1.0) as connection,
+        ):
+            connection.connect()
+            reset = ConnectionResetError(errno.ECONNRESET, "reset")
+            sent = _SendTrackingSocket.sendall
+
+            def send_and_fail(sock, data):
+                sent(sock, data)
+                raise reset
+
+            with mock.patch.object(_SendTrackingSocket, "sendall", send_and_fail):
+                response = connection.request("POST", "/", b"too large")
+            self.assertEqual(413, response.status_code)
+        self.assertEqual(1, len(self.received))
