Format plain log records in one step, and keep the text of a second

Cause: a job makes about seven lines on an owner and three on a front host, 12 of 100 samples of the processor time of either; half of that is formatting.

Change: a subclass of the library's formatter builds the fields of a plain record directly and keeps its encoder and the text of the current second. Records with an exception, a stack or a message that is no text go the library's way. Lines stay as they are.

Ruled out: fewer or shorter lines.

--- a/gentianhub/observability/logs.py
+++ b/gentianhub/observability/logs.py
@@ -2,8 +2,59 @@
 
 import logging
 import sys
+import time
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.json import JsonEncoder, JsonFormatter
+
+
+class LineFormatter(JsonFormatter):
+    """Formats records as the library does, and plain ones in less time.
+
+    The text of a second and the encoder are kept from one record to the next.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._encode = JsonEncoder().encode
+        self._second = -1
+        self._second_text = ""
+
+    def formatTime(self, record: logging.LogRecord, datefmt: str | None = None) -> str:
+        """Return the local time of a record with milliseconds."""
+        second = int(record.created)
+        if datefmt is not None:
+            return super().formatTime(record, datefmt)
+        if second != self._second:
+            self._second = second
+            self._second_text = time.strftime(
+                self.default_time_format, time.localtime(second)
+            )
+        return self.default_msec_format % (self._second_text, record.msecs)
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        if (
+            type(record.msg) is not str
+            or record.exc_info
+            or record.exc_text
+            or record.stack_info
+        ):
+            return super().format(record)
+        skipped = self._skip_fields
+        extra = {
+            key: value
+            for key, value in record.__dict__.items()
+            if key not in skipped and key[:1] != "_"
+        }
+        line = {
+            "time": self.formatTime(record),
+            "level": record.levelname,
+            "logger": record.name,
+            "message": record.getMessage(),
+            **self.static_fields,
+            **extra,
+        }
+        return self._encode(line)
 
 
 def configure_logging(
@@ -20,7 +71,7 @@
     logging._srcfile = None
     handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
-        JsonFormatter(
+        LineFormatter(
             "{asctime}{levelname}{name}{message}",
             style="{",
             rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
