Send messages without asking for the buffer's size, and waiting frames together

Cause: gevent's sendall asks the kernel for the size of the socket's buffer before each message, and each frame of a link is a write and a packet of its own.

Change: responses, requests and frames go through send_message, which sends and only falls back to sendall for what the buffer did not take. Frames that wait for the writer of a link are written together up to 64 KB.

--- a/gentianhub/core/__init__.py
+++ b/gentianhub/core/__init__.py
@@ -32,6 +32,7 @@
     TaskOutcome,
     Unknown,
 )
+from gentianhub.core.sockets import send_message
 from gentianhub.core.table import (
     EntryProcessAddress,
     ServiceRow,
@@ -78,5 +79,6 @@
     "create_incarnation",
     "parse_job_id",
     "read_monotonic_s",
+    "send_message",
     "spawn_greenlet",
 ]
--- a/gentianhub/linking/links.py
+++ b/gentianhub/linking/links.py
@@ -9,7 +9,14 @@
 from attrs import define, field, frozen
 from gevent import socket as gsocket
 
-from gentianhub.core import Incarnation, Mailbox, ProcessName, Step, spawn_greenlet
+from gentianhub.core import (
+    Incarnation,
+    Mailbox,
+    ProcessName,
+    Step,
+    send_message,
+    spawn_greenlet,
+)
 from gentianhub.linking.frames import (
     ANY_RECEIVER_TOKEN,
     HEADER_BYTES,
@@ -34,6 +41,8 @@
 # About one second of slot messages at one per 4 ms; a slower peer's link is closed.
 LINK_QUEUE_LIMIT = 256
 MAX_HELLO_BYTES = 4096
+# Frames are added to a write until it has this size.
+MAX_JOINED_BYTES = 2**16
 
 logger = logging.getLogger(__name__)
 
@@ -207,8 +216,14 @@
     token = link.incarnation.token
     try:
         for body in link.outgoing_queue.iterate_messages():
-            sock.sendall(frame := encode_frame(token, body))
-            link.sent_bytes += len(frame)
+            frames = [encode_frame(token, body)]
+            size = len(frames[0])
+            # Frames that wait already share a system call and a packet.
+            while size < MAX_JOINED_BYTES and len(link.outgoing_queue):
+                frames.append(encode_frame(token, link.outgoing_queue.get()))
+                size += len(frames[-1])
+            send_message(sock, b"".join(frames))
+            link.sent_bytes += size
     except OSError as error:
         logger.debug("write to link failed: %r", error)
     finally:
--- a/gentianhub/web/connection.py
+++ b/gentianhub/web/connection.py
@@ -12,6 +12,7 @@
     HTTPSocketPoolResponse,
 )
 
+from gentianhub.core import send_message
 from gentianhub.web.sockets import SendTrackingPool
 
 # Exceptions of a failed HTTP exchange; the connection must be reset after any of them.
@@ -49,7 +50,7 @@
         pool = self._connection_pool
         sock = pool.get_socket()
         try:
-            sock.sendall(message)
+            send_message(sock, message)
         except OSError as error:
             if error.errno not in _CLOSED_BY_PEER:
                 pool.release_socket(sock)
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -13,6 +13,8 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from gentianhub.core import send_message
+
 SOCKET_TIMEOUT_S = 30.0
 # Time allowed for requests in flight when a server stops.
 STOP_TIMEOUT_S = 5.0
@@ -169,6 +171,16 @@
         else:
             self._sendall(head + data)
 
+    def _sendall(self, data):
+        """Send a part of a response; record a failure as the library does."""
+        try:
+            send_message(self.socket, data)
+        except OSError as error:
+            self.status = f"socket error: {error}"
+            self.code = -abs(self.code)
+            raise
+        self.response_length += len(data)
+
     def log_request(self):
         """Write no access log, and do not format its lines either."""
 
--- a/gentianhub/web/sockets.py
+++ b/gentianhub/web/sockets.py
@@ -9,16 +9,16 @@
 
 
 class _SendTrackingSocket(gevent.socket.socket):
-    """Socket that calls `on_send` before the first byte of each write is sent."""
+    """Socket that calls `on_send` before any byte of a write is sent."""
 
     def __init__(self, *args, on_send: Callable[[], None]):
         super().__init__(*args)
         self._on_send = on_send
 
-    def sendall(self, *args):
-        """Call `on_send`, then send."""
+    def send(self, *args, **kwargs):
+        """Call `on_send`, then send; `sendall` calls this method as well."""
         self._on_send()
-        return super().sendall(*args)
+        return super().send(*args, **kwargs)
 
 
 class SendTrackingPool(ConnectionPool):
--- a/gentianhub/web/tests/test_connection.py
+++ b/gentianhub/web/tests/test_connection.py
@@ -137,13 +137,13 @@
         ):
             connection.connect()
             reset = ConnectionResetError(errno.ECONNRESET, "reset")
-            sent = _SendTrackingSocket.sendall
+            sent = _SendTrackingSocket.send
 
             def send_and_fail(sock, data):
                 sent(sock, data)
                 raise reset
 
-            with mock.patch.object(_SendTrackingSocket, "sendall", send_and_fail):
+            with mock.patch.object(_SendTrackingSocket, "send", send_and_fail):
                 response = connection.request("POST", "/", b"too large")
             self.assertEqual(413, response.status_code)
         self.assertEqual(1, len(self.received))
--- a/gentianhub/web/tests/test_server.py
+++ b/gentianhub/web/tests/test_server.py
@@ -99,14 +99,14 @@
 
     def test_head_and_body_are_sent_by_one_call(self):
         calls = []
-        original = gsocket.socket.sendall
+        original = gsocket.socket.send
 
-        def record(sock, data, *args):
+        def record(sock, data, *args, **kwargs):
             calls.append(bytes(data))
-            return original(sock, data, *args)
+            return original(sock, data, *args, **kwargs)
 
         request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
-        with mock.patch.object(gsocket.socket, "sendall", record):
+        with mock.patch.object(gsocket.socket, "send", record):
             received = self._exchange(request, 4)
         self.assertEqual([request, received], calls)
         self.assertTrue(received.endswith(b"\r\n\r\nbody"))
