Wait for an answer before the first attempt to read it

Cause: after a request the connection tries to read an answer that cannot be there yet: a system call and an exception for each start and renewal.

Change: the first read after a write waits for the socket. Later reads of the same answer try at once, as before.

--- a/gentianhub/web/sockets.py
+++ b/gentianhub/web/sockets.py
@@ -14,12 +14,24 @@
     def __init__(self, *args, on_send: Callable[[], None]):
         super().__init__(*args)
         self._on_send = on_send
+        self._is_answer_awaited = False
 
     def send(self, *args, **kwargs):
         """Call `on_send`, then send; `sendall` calls this method as well."""
         self._on_send()
+        self._is_answer_awaited = True
         return super().send(*args, **kwargs)
 
+    def recv(self, *args):
+        """Receive; wait first if a request has just been sent.
+
+        Its answer is not there yet, so an attempt to read is a needless system call.
+        """
+        if self._is_answer_awaited:
+            self._is_answer_awaited = False
+            self._wait(self._read_event)
+        return super().recv(*args)
+
 
 class SendTrackingPool(ConnectionPool):
     """Connection pool of a single socket, which one greenlet uses.
--- a/gentianhub/web/tests/test_connection.py
+++ b/gentianhub/web/tests/test_connection.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from unittest import mock
 
+import gevent
 from gevent.server import StreamServer
 from geventhttpclient import HTTPClient
 
@@ -147,3 +148,22 @@
                 response = connection.request("POST", "/", b"too large")
             self.assertEqual(413, response.status_code)
         self.assertEqual(1, len(self.received))
+
+    def test_answers_that_are_large_late_or_missing_are_told_apart(self):
+        """Guards against a read that waits although the answer has arrived."""
+        body = b"x" * 300_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.answers = [head + body, ANSWER]
+        with (
+            self._open_server(),
+            open_connection(LOOPBACK, self.port, 1.0, 0.2) as connection,
+        ):
+            response = connection.request("POST", "/", b"large")
+            gevent.sleep(0.05)
+            self.assertEqual(body, bytes(response.read()))
+            with mock.patch.object(self, "answers", [b"HTTP/1.1 "]):
+                with self.assertRaises(TimeoutError):
+                    connection.request("POST", "/", b"missing")
+            connection.reset()
+            response = connection.request("POST", "/", b"again")
+            self.assertEqual(b"ok", bytes(response.read()))
