Import the metrics library only when a host's metrics are read

Also, spawn_greenlet computed the text of the function's owner, the whole coordinator, although the name is known.

Change: the rendering moves to its own module, imported at the first request for metrics. The text is the same to the byte for the same counters.

--- a/gentianhub/core/mailbox.py
+++ b/gentianhub/core/mailbox.py
@@ -65,5 +65,5 @@
 def spawn_greenlet(run, *args) -> gevent.Greenlet:
     """Start a greenlet that is named after its function in log lines."""
     greenlet = gevent.spawn(run, *args)
-    greenlet.name = getattr(run, "__qualname__", repr(run))
+    greenlet.name = getattr(run, "__qualname__", None) or repr(run)
     return greenlet
--- /dev/null
+++ b/gentianhub/host/exposition.py
@@ -0,0 +1,58 @@
+"""Counters of a host in the Prometheus text format."""
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from gentianhub.observability.histograms import PERCENTILES
+
+if TYPE_CHECKING:
+    from gentianhub.host.metrics import HostMetrics
+
+
+@frozen(kw_only=True)
+class HostCollector:
+    """Collector of a host's counters for prometheus_client."""
+
+    metrics: "HostMetrics"
+
+    def collect(self):
+        """Yield metric families in the form that prometheus_client renders."""
+        metrics = self.metrics
+        yield _build_family("starts", "Runs started", "kind", {"start": metrics.starts})
+        yield _build_family("stops", "Runs stopped", "kind", {"stop": metrics.stops})
+        yield _build_family("jobs", "Jobs submitted", "route", metrics.submissions)
+        yield _build_family("answers", "Answers to callers", "verdict", metrics.answers)
+        yield _build_family("task_reports", "Reports of tasks", "end", metrics.ends)
+        yield _build_family(
+            "target_losses", "Losses of targets", "outcome", metrics.losses
+        )
+        yield self._collect_responses()
+
+    def _collect_responses(self) -> GaugeMetricFamily:
+        family = GaugeMetricFamily(
+            "gentianhub_host_response_ms",
+            "Response time by verdict and quantile",
+            labels=["verdict", "quantile"],
+        )
+        for verdict, histogram in self.metrics.response_ms.items():
+            for percentile in PERCENTILES:
+                value = histogram.get_value_at_percentile(percentile)
+                family.add_metric([verdict, str(percentile / 100)], value)
+        return family
+
+
+def render_metrics(metrics: "HostMetrics") -> bytes:
+    """Return the metrics in the Prometheus text format."""
+    registry = CollectorRegistry()
+    registry.register(HostCollector(metrics=metrics))
+    return generate_latest(registry)
+
+
+def _build_family(name: str, text: str, label: str, counts) -> CounterMetricFamily:
+    family = CounterMetricFamily(f"gentianhub_host_{name}", text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
+    return family
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -4,12 +4,10 @@
 
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from gentianhub.capacity.effects import JobVerdict
 from gentianhub.capacity.events import TaskEnd
-from gentianhub.observability.histograms import PERCENTILES, create_response_histogram
+from gentianhub.observability.histograms import create_response_histogram
 
 
 @define(kw_only=True, eq=False)
@@ -39,39 +37,9 @@
         """Count a report of ended tasks."""
         self.ends[end.value] += 1
 
-    def collect(self):
-        """Yield metric families in the form that prometheus_client renders."""
-        yield _build_family("starts", "Runs started", "kind", {"start": self.starts})
-        yield _build_family("stops", "Runs stopped", "kind", {"stop": self.stops})
-        yield _build_family("jobs", "Jobs submitted", "route", self.submissions)
-        yield _build_family("answers", "Answers to callers", "verdict", self.answers)
-        yield _build_family("task_reports", "Reports of tasks", "end", self.ends)
-        yield _build_family(
-            "target_losses", "Losses of targets", "outcome", self.losses
-        )
-        yield self._collect_responses()
-
-    def _collect_responses(self) -> GaugeMetricFamily:
-        family = GaugeMetricFamily(
-            "gentianhub_host_response_ms",
-            "Response time by verdict and quantile",
-            labels=["verdict", "quantile"],
-        )
-        for verdict, histogram in self.response_ms.items():
-            for percentile in PERCENTILES:
-                value = histogram.get_value_at_percentile(percentile)
-                family.add_metric([verdict, str(percentile / 100)], value)
-        return family
-
     def render_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
-        registry = CollectorRegistry()
-        registry.register(self)
-        return generate_latest(registry)
-
+        # The library imports web servers, which takes time at each start of a host.
+        from gentianhub.host.exposition import render_metrics
 
-def _build_family(name: str, text: str, label: str, counts) -> CounterMetricFamily:
-    family = CounterMetricFamily(f"gentianhub_host_{name}", text, labels=[label])
-    for value, count in counts.items():
-        family.add_metric([value], count)
-    return family
+        return render_metrics(self)
