--- a/gentianhub/web/sockets.py
+++ b/gentianhub/web/sockets.py
@@ -9,20 +9,32 @@
 
 
 class _SendTrackingSocket(gevent.socket.socket):
-    """Socket that calls `on_send` before the first byte of each write is sent."""
+    """Socket that calls `on_send` before any byte of a write is sent."""
 
     def __init__(self, *args, on_send: Callable[[], None]):
         super().__init__(*args)
         self._on_send = on_send
+        self._is_answer_awaited = False
 
-    def sendall(self, *args):
-        """Call `on_send`, then send."""
+    def send(self, *args, **kwargs):
+        """Call `on_send`, then send; `sendall` calls this method as well."""
         self._on_send()
-        return super().sendall(*args)
+        self._is_answer_awaited = True
+        return super().send(*args, **kwargs)
+
+    def recv(self, *args):
+        """Receive; wait first if a request has just been sent.
+
+        Its answer is not there yet, so an attempt to read is a needless system call.
+        """
+        if self._is_answer_awaited:
+            self._is_answer_awaited = False
+            self._wait(self._read_event)
+        return super().recv(*args)
 
 
 class SendTrackingPool(ConnectionPool):
-    """Connection pool of a single socket.
+    """Connection pool of a single socket, which one greenlet uses.
 
     `may_have_sent` is set before the first byte of a request is sent, over any
     socket of the pool, and stays set until it is cleared by the user of the pool.
@@ -47,8 +59,39 @@
             connection_timeout=connect_timeout_s,
             network_timeout=reply_timeout_s,
         )
+        self.host, self.port = host, port
         self.may_have_sent = False
         self.is_checked = False
+        self._idle: gevent.socket.socket | None = None
+
+    def get_socket(self) -> gevent.socket.socket:
+        """Return the idle socket if it is still open, or else a connected one."""
+        if self._closed:
+            raise RuntimeError("connection pool closed")
+        sock, self._idle = self._idle, None
+        if sock is not None:
+            if self._is_socket_alive(sock):
+                return sock
+            sock.close()
+        return self._create_socket()
+
+    def return_socket(self, sock: gevent.socket.socket) -> None:
+        """Keep a socket for the next request."""
+        if self._closed or self._idle is not None:
+            sock.close()
+        else:
+            self._idle = sock
+
+    def release_socket(self, sock: gevent.socket.socket) -> None:
+        """Close a socket that cannot be used again."""
+        sock.close()
+
+    def close(self) -> None:
+        """Close the idle socket; the others are closed when they are returned."""
+        self._closed = True
+        sock, self._idle = self._idle, None
+        if sock is not None:
+            sock.close()
 
     def _record_send(self) -> None:
         self.may_have_sent = True
