Let callers of the soak leave and come again through another host

--departures lets a fraction of the submissions end with the caller's connection, and adds series of faults: a paused host, and up to three others that lose the connections to callers and to each other at once. The addresses of hosts depend on the block of ports of their process, since of two soaks beside each other only one could serve the metrics. The report gives the longest time for which the soak's own process did not run.

--- a/gentianhub/soak/callers.py
+++ b/gentianhub/soak/callers.py
@@ -10,6 +10,7 @@
 from geventhttpclient import HTTPClient
 
 from gentianhub.soak.testbed import QUEUE_HOST, QUEUE_PREFIX, SoakTestbed
+from gentianhub.stand_ins.processes import LOOPBACK
 from gentianhub.stand_ins.users_platform import CRASHING_PAYLOAD
 from gentianhub.web import HTTP_ERRORS
 
@@ -21,6 +22,9 @@
 MAX_ATTEMPTS = 3
 MEAN_PAUSE_S = 0.2
 DISCONNECT_PROBABILITY = 0.05
+# Longest time after which callers leave that come again, and how many of them do.
+MAX_DEPARTURE_S = 0.6
+RETURN_PROBABILITY = 0.7
 CANCEL_PROBABILITY = 0.03
 
 
@@ -54,13 +58,17 @@
 class Caller:
     """One caller: a greenlet with at most one connection for submissions.
 
-    `crashing_fraction` of its jobs crash targets.
+    `crashing_fraction` of its jobs crash targets. It leaves during
+    `departing_fraction` of its submissions, and in most cases submits the job again
+    through another host. An extra caller makes no further attempt when it has to stop.
     """
 
     number: int
     seed: int
     testbed: SoakTestbed
     crashing_fraction: float = 0.0
+    departing_fraction: float = 0.0
+    is_extra: bool = False
     traces: list[JobTrace] = field(factory=list)
     random: Random = field(init=False)
     _client: HTTPClient | None = field(init=False, default=None)
@@ -75,36 +83,43 @@
             trace = JobTrace(
                 job_id=f"{self.number:04x}{len(self.traces):04x}{self.seed:08x}",
                 tasks=self.random.randint(1, 5),
-                is_crashing=self._draw_crashing(),
+                is_crashing=self._draw(self.crashing_fraction),
             )
             self.traces.append(trace)
-            self._submit(trace)
+            self._submit(trace, should_stop)
             gevent.sleep(self.random.uniform(0.0, 2 * MEAN_PAUSE_S))
         self._close()
 
-    def _draw_crashing(self) -> bool:
-        # Seeds without crashing jobs keep their sequence of random numbers.
-        fraction = self.crashing_fraction
+    def _draw(self, fraction: float) -> bool:
+        # Seeds without an option keep their sequence of random numbers.
         return fraction > 0 and self.random.random() < fraction
 
-    def _submit(self, trace: JobTrace) -> None:
+    def _submit(self, trace: JobTrace, should_stop: Callable[[], bool]) -> None:
         for _ in range(MAX_ATTEMPTS):
             attempt = self._submit_once(trace)
             trace.attempts.append(attempt)
-            if attempt.status not in (0, 504) or attempt.has_disconnected:
+            if attempt.status not in (0, 504) or trace.cancelled_s is not None:
                 return
-            if trace.cancelled_s is not None:
+            if attempt.has_disconnected and not self._draw_return():
+                return
+            if self.is_extra and should_stop():
                 return
             gevent.sleep(RESEND_DELAY_S)
             if trace.is_crashing:
                 # The job reaches other hosts, which have to know of its crashes.
                 self._close()
 
+    def _draw_return(self) -> bool:
+        return self.departing_fraction > 0 and self._draw(RETURN_PROBABILITY)
+
     def _submit_once(self, trace: JobTrace) -> Attempt:
         if self._client is None:
             self._connect()
+        if self._draw(self.departing_fraction):
+            wait_s = self.random.uniform(0.05, MAX_DEPARTURE_S)
+            return self._submit_and_disconnect(trace, wait_s)
         if self.random.random() < DISCONNECT_PROBABILITY:
-            return self._submit_and_disconnect(trace)
+            return self._submit_and_disconnect(trace, self.random.uniform(0.01, 0.1))
         if self.random.random() < CANCEL_PROBABILITY:
             gevent.spawn_later(self.random.uniform(0.0, 0.2), self._cancel, trace)
         sent_s = time.monotonic()
@@ -117,10 +132,10 @@
             state=state,
         )
 
-    def _submit_and_disconnect(self, trace: JobTrace) -> Attempt:
+    def _submit_and_disconnect(self, trace: JobTrace, wait_s: float) -> Attempt:
         """Submit a job and close the connection, in most cases before the answer."""
         host, sent_s = self._host, time.monotonic()
-        status, state = self._send_request(trace, self.random.uniform(0.01, 0.1))
+        status, state = self._send_request(trace, wait_s)
         self._close()
         return Attempt(
             host=host,
@@ -168,11 +183,13 @@
             client.close()
 
     def _connect(self) -> None:
-        self._host = self.random.choice(list(self.testbed.hosts))
-        address = self.testbed.hosts[self._host].address
+        hosts = list(self.testbed.hosts)
+        if self.departing_fraction and self._host:
+            hosts.remove(self._host)
+        self._host = self.random.choice(hosts)
         self._client = HTTPClient(
-            address,
-            self.testbed.ports.callers,
+            LOOPBACK,
+            self.testbed.caller_relays[self._host].port,
             connection_timeout=1.0,
             network_timeout=10.0,
         )
--- a/gentianhub/soak/faults.py
+++ b/gentianhub/soak/faults.py
@@ -135,6 +135,15 @@
                 for relay in self._find_sibling_relays(host):
                     relay.reset_connections()
                 yield
+            case faults.DisconnectHost(host=host):
+                for relay in self._find_sibling_relays(host):
+                    relay.reset_connections()
+                testbed.caller_relays[host].reset_connections()
+                yield
+            case faults.CutHost(host=host):
+                with _cut(self._find_sibling_relays(host)):
+                    testbed.caller_relays[host].reset_connections()
+                    yield
             case faults.SilenceStore(host=host):
                 with _stalled([testbed.store_relays[host]]):
                     yield
@@ -266,6 +275,15 @@
         relay.restore_link()
 
 
+@contextmanager
+def _cut(relays: list[Relay]) -> Iterator[None]:
+    for relay in relays:
+        relay.cut_link()
+    yield
+    for relay in relays:
+        relay.restore_link()
+
+
 def find_subjects(fault: faults.Fault, testbed: SoakTestbed) -> set[str]:
     """Return what a fault affects; faults with a common subject must not overlap."""
     match fault:
@@ -283,6 +301,8 @@
             | faults.DrainHost(host=name)
             | faults.SilenceHost(host=name)
             | faults.ResetHost(host=name)
+            | faults.DisconnectHost(host=name)
+            | faults.CutHost(host=name)
             | faults.SilenceStore(host=name)
         ):
             return {name}
--- a/gentianhub/soak/plan.py
+++ b/gentianhub/soak/plan.py
@@ -1,5 +1,6 @@
 """Fault types and the seeded schedule of faults, which may overlap."""
 
+import heapq
 import random
 from collections.abc import Iterator
 
@@ -51,6 +52,20 @@
     host: str
 
 
+@frozen(kw_only=True)
+class DisconnectHost:
+    """Close all connections between a host and the others and its callers once."""
+
+    host: str
+
+
+@frozen(kw_only=True)
+class CutHost:
+    """Close the connections of `DisconnectHost`; links are refused until the end."""
+
+    host: str
+
+
 @frozen(kw_only=True)
 class SilenceStore:
     """Hold back all bytes between a host and the store."""
@@ -157,6 +172,8 @@
     | KillAllHosts
     | SilenceHost
     | ResetHost
+    | DisconnectHost
+    | CutHost
     | SilenceStore
     | StoreDown
     | StoreSlow
@@ -174,6 +191,12 @@
 )
 # Number of entries for `LapseTargets` among the 23 others, in a run with lapses.
 LAPSE_WEIGHT = 40
+# A series of short faults: the time in which they start, and the longest time until
+# the next series.
+SERIES_S = 1.0
+SERIES_GAP_S = 0.5
+MAX_PAUSE_S = 2.0
+MAX_DISCONNECTED = 3
 
 
 @frozen(kw_only=True)
@@ -192,6 +215,7 @@
     hosts: tuple[str, ...],
     targets: tuple[str, ...],
     with_lapses: bool = False,
+    with_departures: bool = False,
 ) -> Iterator[PlannedFault]:
     """Yield faults in order of their start; they may overlap.
 
@@ -203,7 +227,53 @@
         Mean time between the starts of two faults, s.
     with_lapses : bool
         Whether `LapseTargets` is among the faults; earlier seeds were drawn without it.
+    with_departures : bool
+        Whether series of faults that disconnect callers are added.
+    """
+    planned = _plan_single_faults(seed, duration_s, gap_s, hosts, targets, with_lapses)
+    if with_departures:
+        series = _plan_series(seed, duration_s, hosts)
+        planned = heapq.merge(planned, series, key=lambda planned: planned.start_s)
+    yield from planned
+
+
+def _plan_series(
+    seed: int, duration_s: float, hosts: tuple[str, ...]
+) -> Iterator[PlannedFault]:
+    """Yield short faults: the callers of some hosts leave while another is paused.
+
+    The withdrawal of a job is lost with the link that is closed together with the
+    connection of its caller. No link is cut for as long as the loss of a host takes.
     """
+    rng = random.Random(f"departures/{seed}")
+    start_s = 0.0
+    while start_s + SERIES_S + MAX_PAUSE_S < duration_s:
+        paused, *others = rng.sample(hosts, len(hosts))
+        disconnected = others[: rng.randint(1, min(MAX_DISCONNECTED, len(others)))]
+        offsets_s = sorted(rng.uniform(0.0, SERIES_S) for _ in disconnected)
+        yield PlannedFault(
+            start_s=start_s,
+            fault_duration_s=rng.uniform(0.3, MAX_PAUSE_S),
+            fault=PauseHost(host=paused),
+        )
+        for host, offset_s in zip(disconnected, offsets_s, strict=True):
+            cut_s, is_cut = rng.uniform(0.1, 0.6), rng.choice((False, True))
+            yield PlannedFault(
+                start_s=start_s + offset_s,
+                fault_duration_s=cut_s if is_cut else 0.0,
+                fault=CutHost(host=host) if is_cut else DisconnectHost(host=host),
+            )
+        start_s += SERIES_S + rng.uniform(0.0, SERIES_GAP_S)
+
+
+def _plan_single_faults(
+    seed: int,
+    duration_s: float,
+    gap_s: float,
+    hosts: tuple[str, ...],
+    targets: tuple[str, ...],
+    with_lapses: bool,
+) -> Iterator[PlannedFault]:
     rng = random.Random(f"soak/{seed}")
     start_s = rng.uniform(0.0, gap_s)
     while True:
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -32,11 +32,13 @@
     TargetPlan,
     open_testbed,
 )
+from gentianhub.stand_ins.processes import PORTS_PER_PROCESS, find_free_ports
 from gentianhub.web import HTTP_ERRORS
 
 DATA_CENTRES = ("olten", "aarau")
 HOSTS_PER_DATA_CENTRE = 2
-TARGETS_PER_DATA_CENTRE = 3
+# Targets in each data centre by their speed; each pair of its hosts adds one of each.
+TARGET_SPEEDS = 3
 # After the last fault: time to recover, then time in which jobs must be served.
 RECOVERY_S = 3.0
 FAULT_FREE_S = 3.0
@@ -44,12 +46,14 @@
 # An operator's change must take effect within 2 s of its acknowledgement.
 CONFIGURATION_LIMIT_S = 2.0
 PROBE_INTERVAL_S = 0.25
+STALL_CHECK_INTERVAL_S = 0.1
 MAX_PRINTED_VIOLATIONS = 20
 DEFAULT_CALLERS = 16
 # Run time of the tasks on the fastest targets, s. Runs on targets whose rows lapse have
-# to outlast the takeover of their cell.
+# to outlast the takeover of their cell. With departures, tasks wait in queues.
 RUN_S = 0.04
 LAPSE_RUN_S = 0.15
+DEPARTURE_RUN_S = 0.3
 
 
 @frozen(kw_only=True)
@@ -58,7 +62,9 @@
 
     `gap_s` is the mean time between the starts of two faults. `with_lapses` adds store
     outages during which the rows of targets expire. `crashing_fraction` of the jobs
-    crash the targets that start their first task.
+    crash the targets that start their first task. During `departing_fraction` of the
+    submissions their callers leave and come again, and hosts lose the connections to
+    callers and to each other at once.
     """
 
     seed: int
@@ -67,6 +73,42 @@
     gap_s: float = 1.0
     with_lapses: bool = False
     crashing_fraction: float = 0.0
+    departing_fraction: float = 0.0
+    hosts_per_data_centre: int = HOSTS_PER_DATA_CENTRE
+
+    def list_hosts(self) -> tuple[HostPlan, ...]:
+        """Return the hosts, each with its own loopback address.
+
+        Hosts of other processes have other addresses, since the metrics port is fixed.
+        """
+        block = find_free_ports(1)[0] // PORTS_PER_PROCESS
+        return tuple(
+            HostPlan(
+                name=f"{data_centre}-{number}",
+                data_centre=data_centre,
+                address=f"127.{block}.{4 + index}.{1 + number}",
+            )
+            for index, data_centre in enumerate(DATA_CENTRES)
+            for number in range(self.hosts_per_data_centre)
+        )
+
+    def list_targets(self) -> tuple[TargetPlan, ...]:
+        """Return the targets; the run times of their tasks differ."""
+        run_s = RUN_S
+        if self.with_lapses:
+            run_s = LAPSE_RUN_S
+        if self.departing_fraction:
+            run_s = DEPARTURE_RUN_S
+        pairs = max(1, self.hosts_per_data_centre // 2)
+        return tuple(
+            TargetPlan(
+                name=f"{data_centre}-t{number}",
+                data_centre=data_centre,
+                run_s=run_s * (1 + number % TARGET_SPEEDS),
+            )
+            for data_centre in DATA_CENTRES
+            for number in range(TARGET_SPEEDS * pairs)
+        )
 
 
 # Seeds that exposed faults in the past; docs/soak.md gives the cause of each.
@@ -77,6 +119,12 @@
     SoakPlan(seed=521, duration_s=30.0, gap_s=0.7, with_lapses=True),
     SoakPlan(seed=700, duration_s=25.0, gap_s=0.7, crashing_fraction=0.01),
     SoakPlan(seed=701, duration_s=25.0, gap_s=0.7, crashing_fraction=0.01),
+    *(
+        SoakPlan(
+            seed=seed, duration_s=20.0, gap_s=5.0, callers=48, departing_fraction=0.3
+        )
+        for seed in (1002, 1006, 1012, 1017)
+    ),
 )
 
 
@@ -90,6 +138,24 @@
     runs: int = 0
     leaving_periods: int = 0
     probes: int = 0
+    longest_stall_s: float = 0.0
+
+
+@define(kw_only=True, eq=False)
+class StallMeter:
+    """Measures for how long this process did not run on a busy machine.
+
+    Callers, relays and targets are late by a stall, which no host can make up for.
+    """
+
+    longest_s: float = 0.0
+
+    def run(self, should_stop: Callable[[], bool]) -> None:
+        """Measure until `should_stop` returns true."""
+        while not should_stop():
+            due_s = time.monotonic() + STALL_CHECK_INTERVAL_S
+            gevent.sleep(STALL_CHECK_INTERVAL_S)
+            self.longest_s = max(self.longest_s, time.monotonic() - due_s)
 
 
 @define(kw_only=True, eq=False)
@@ -147,26 +213,8 @@
 
 def run_soak(plan: SoakPlan, folder: Path) -> SoakResult:
     """Run load and faults together; the hosts write their logs to `folder`."""
-    hosts = tuple(
-        HostPlan(
-            name=f"{data_centre}-{number}",
-            data_centre=data_centre,
-            address=f"127.0.{4 + index}.{1 + number}",
-        )
-        for index, data_centre in enumerate(DATA_CENTRES)
-        for number in range(HOSTS_PER_DATA_CENTRE)
-    )
-    run_s = LAPSE_RUN_S if plan.with_lapses else RUN_S
-    targets = tuple(
-        TargetPlan(
-            name=f"{data_centre}-t{number}",
-            data_centre=data_centre,
-            run_s=run_s * (1 + number),
-        )
-        for data_centre in DATA_CENTRES
-        for number in range(TARGETS_PER_DATA_CENTRE)
-    )
-    with open_testbed(hosts, targets, folder) as testbed:
+    hosts = plan.list_hosts()
+    with open_testbed(hosts, plan.list_targets(), folder) as testbed:
         for host in hosts:
             _wait_until_ready(testbed, host)
         return _run_load_and_faults(testbed, plan)
@@ -191,7 +239,7 @@
 
 def _run_load_and_faults(testbed: SoakTestbed, plan: SoakPlan) -> SoakResult:
     # Faults may end later than planned; the fault-free period still has full length.
-    run_finished = Event()
+    faults_ended, run_finished = Event(), Event()
     injector = FaultInjector(testbed=testbed)
     probe = ConfigurationProbe(testbed=testbed, injector=injector)
     callers = [
@@ -200,14 +248,23 @@
             seed=plan.seed,
             testbed=testbed,
             crashing_fraction=plan.crashing_fraction,
+            departing_fraction=plan.departing_fraction,
+            # Tasks wait only under more load than the targets can serve afterwards.
+            is_extra=plan.departing_fraction > 0 and number % 4 > 0,
         )
         for number in range(plan.callers)
     ]
-    greenlets = [gevent.spawn(caller.run, run_finished.is_set) for caller in callers]
-    greenlets.append(gevent.spawn(probe.run, run_finished.is_set))
+    stalls = StallMeter()
+    greenlets = [
+        gevent.spawn(task.run, run_finished.is_set) for task in (probe, stalls)
+    ]
+    for caller in callers:
+        end = faults_ended if caller.is_extra else run_finished
+        greenlets.append(gevent.spawn(caller.run, end.is_set))
     fault_free_from_s = _inject_faults(injector, plan) + RECOVERY_S
+    faults_ended.set()
     for caller in callers:
-        caller.crashing_fraction = 0.0
+        caller.crashing_fraction = caller.departing_fraction = 0.0
     gevent.sleep(RECOVERY_S + FAULT_FREE_S)
     run_finished.set()
     gevent.joinall(greenlets, raise_error=True)
@@ -216,6 +273,7 @@
         faults=Counter(interval.kind for interval in injector.intervals),
         leaving_periods=len(injector.leaving_periods),
         probes=probe.probes,
+        longest_stall_s=stalls.longest_s,
     )
     result.violations = [*_audit(testbed, injector, result, fault_free_from_s)]
     result.violations += probe.violations
@@ -245,7 +303,13 @@
     hosts, targets = tuple(injector.testbed.hosts), tuple(injector.testbed.targets)
     running = []
     for planned in plan_faults(
-        plan.seed, plan.duration_s, plan.gap_s, hosts, targets, plan.with_lapses
+        plan.seed,
+        plan.duration_s,
+        plan.gap_s,
+        hosts,
+        targets,
+        plan.with_lapses,
+        with_departures=plan.departing_fraction > 0,
     ):
         gevent.sleep(max(0.0, started_s + planned.start_s - time.monotonic()))
         running.append(gevent.spawn(injector.run_fault, planned))
@@ -265,6 +329,7 @@
     yield f"  jobs {len(result.traces)}, runs {result.runs}; answers: {counts}"
     yield f"  faults by subject: {faults}"
     yield f"  leaving targets {result.leaving_periods}, probes {result.probes}"
+    yield f"  longest stall of this process {result.longest_stall_s:.1f} s"
     yield f"  violations: {len(result.violations)}"
     for violation in result.violations[:MAX_PRINTED_VIOLATIONS]:
         yield f"    {violation.guarantee}: {violation.subject}"
@@ -290,6 +355,17 @@
         float,
         typer.Option(min=0.0, max=1.0, help="Fraction of jobs that crash targets."),
     ] = 0.0,
+    departures: Annotated[
+        float,
+        typer.Option(
+            min=0.0,
+            max=1.0,
+            help="Fraction of submissions whose callers leave and come again.",
+        ),
+    ] = 0.0,
+    hosts: Annotated[
+        int, typer.Option(min=2, help="Hosts in each data centre.")
+    ] = HOSTS_PER_DATA_CENTRE,
     regressions: Annotated[
         bool, typer.Option(help="Run the regression seeds instead.")
     ] = False,
@@ -303,6 +379,8 @@
             gap_s=gap_s,
             with_lapses=lapses,
             crashing_fraction=crashing,
+            departing_fraction=departures,
+            hosts_per_data_centre=hosts,
         )
         for seed in range(first_seed, first_seed + seeds)
     )
--- a/gentianhub/soak/testbed.py
+++ b/gentianhub/soak/testbed.py
@@ -85,6 +85,7 @@
     targets: dict[str, LeasedTargetStandIn] = field(factory=dict)
     target_relays: dict[str, Relay] = field(factory=dict)
     store_relays: dict[str, Relay] = field(factory=dict)
+    caller_relays: dict[str, Relay] = field(factory=dict)
     sibling_relays: dict[tuple[str, str], Relay] = field(factory=dict)
     ports: HostPorts | None = None
     processes: dict[str, subprocess.Popen] = field(factory=dict)
@@ -151,10 +152,14 @@
         self.store.put("servers", name, content)
 
     def open_relays(self, stack: ExitStack) -> None:
-        """Open relays between the hosts, and between each host and the store."""
+        """Open relays between the hosts, their callers and the store."""
         callers, ready, links = find_free_ports(3)
         self.ports = HostPorts(callers=callers, ready=ready, links=links)
-        for host in self.hosts:
+        for host, host_plan in self.hosts.items():
+            (caller_port,) = find_free_ports(1)
+            self.caller_relays[host] = stack.enter_context(
+                open_relay(caller_port, callers, host_plan.address)
+            )
             relays = {}
             for peer, plan in self.hosts.items():
                 if peer != host:
--- a/gentianhub/soak/tests/test_faults.py
+++ b/gentianhub/soak/tests/test_faults.py
@@ -7,7 +7,7 @@
 import gevent
 
 from gentianhub.soak import faults
-from gentianhub.soak.plan import KillHost, PlannedFault
+from gentianhub.soak.plan import CutHost, DisconnectHost, KillHost, PlannedFault
 
 
 class SlowHosts:
@@ -61,5 +61,33 @@
         self.assertFalse(self.is_excused())
 
 
+class TestDepartures(unittest.TestCase):
+    """Guards against withdrawals that arrive because the link outlasts the caller."""
+
+    def setUp(self):
+        self.relays = mock.Mock()
+        testbed = mock.Mock(
+            hosts=("e1", "e2"),
+            caller_relays={"e1": self.relays.callers, "e2": mock.Mock()},
+            sibling_relays={("e2", "e1"): self.relays.link},
+        )
+        self.injector = faults.FaultInjector(testbed=testbed)
+
+    def run_fault(self, fault) -> list:
+        planned = PlannedFault(start_s=0.0, fault_duration_s=0.01, fault=fault)
+        self.injector.run_fault(planned)
+        return self.relays.mock_calls
+
+    def test_links_are_closed_before_the_connections_of_callers(self):
+        calls = [mock.call.link.reset_connections()]
+        calls += [mock.call.callers.reset_connections()]
+        self.assertEqual(calls, self.run_fault(DisconnectHost(host="e1")))
+
+    def test_cut_links_are_restored(self):
+        calls = [mock.call.link.cut_link(), mock.call.callers.reset_connections()]
+        calls += [mock.call.link.restore_link()]
+        self.assertEqual(calls, self.run_fault(CutHost(host="e1")))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/soak/tests/test_plan.py
+++ b/gentianhub/soak/tests/test_plan.py
@@ -3,14 +3,25 @@
 import unittest
 from typing import get_args
 
-from gentianhub.soak.plan import Fault, LapseTargets, plan_faults
+from gentianhub.soak.plan import (
+    CutHost,
+    DisconnectHost,
+    Fault,
+    LapseTargets,
+    PauseHost,
+    PlannedFault,
+    plan_faults,
+)
 
 HOSTS = ("e1", "e2")
 TARGETS = ("t1", "t2", "t3")
+DEPARTURES = {DisconnectHost, CutHost}
+# Silence after which a host counts as lost.
+LOSS_S = 0.6
 
 
-def plan(seed: int, duration_s: float = 30.0, with_lapses: bool = False) -> list:
-    return list(plan_faults(seed, duration_s, 0.5, HOSTS, TARGETS, with_lapses))
+def plan(seed: int, duration_s: float = 30.0, **options) -> list[PlannedFault]:
+    return list(plan_faults(seed, duration_s, 0.5, HOSTS, TARGETS, **options))
 
 
 class TestPlan(unittest.TestCase):
@@ -33,14 +44,35 @@
 
     def test_every_kind_of_fault_occurs(self):
         kinds = {type(p.fault) for seed in range(20) for p in plan(seed)}
-        self.assertEqual(set(get_args(Fault)) - {LapseTargets}, kinds)
+        self.assertEqual(set(get_args(Fault)) - {LapseTargets} - DEPARTURES, kinds)
 
     def test_a_run_with_lapses_has_every_kind_of_fault(self):
         """Without this, lapses could replace the faults that they are to overlap."""
         kinds = {
             type(p.fault) for seed in range(20) for p in plan(seed, with_lapses=True)
         }
-        self.assertEqual(set(get_args(Fault)), kinds)
+        self.assertEqual(set(get_args(Fault)) - DEPARTURES, kinds)
+
+    def test_departures_are_added_to_the_faults_of_a_seed(self):
+        """Without this, they could replace the faults that they are to overlap."""
+        without, planned = plan(3), plan(3, with_departures=True)
+        self.assertEqual(without, [p for p in planned if p in without])
+        self.assertEqual(planned, sorted(planned, key=lambda p: p.start_s))
+        self.assertLessEqual(DEPARTURES, {type(p.fault) for p in planned})
+        self.assertTrue(all(p.start_s + p.fault_duration_s < 30.0 for p in planned))
+
+    def test_connections_are_closed_about_when_another_host_is_paused(self):
+        """Links that are cut for long count as lost, and then no withdrawal is lost."""
+        planned = [p for p in plan(3, with_departures=True) if p not in plan(3)]
+        pauses = [p for p in planned if isinstance(p.fault, PauseHost)]
+        for cut in (p for p in planned if type(p.fault) in DEPARTURES):
+            self.assertLessEqual(cut.fault_duration_s, LOSS_S)
+            paused = [
+                pause.fault.host
+                for pause in pauses
+                if pause.start_s <= cut.start_s <= pause.start_s + 1.0
+            ]
+            self.assertNotEqual([], [host for host in paused if host != cut.fault.host])
 
     def test_a_lapse_leaves_some_targets_listed(self):
         lapses = [p.fault for p in plan(3, with_lapses=True)]
