--- a/gentianhub/soak/tests/test_soak.py
+++ b/gentianhub/soak/tests/test_soak.py
@@ -1,5 +1,7 @@
 """A short soak test of real hosts; longer ones are started by hand."""
 
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -9,15 +11,20 @@
 SEED = 1
 LAPSE_SEED = 520
 CRASHING_SEED = 700
+DEPARTURE_SEED = 1002
 SECONDS = 10.0
+PRINT_ADDRESSES = """
+from gentianhub.soak import SoakPlan
+print(*[host.address for host in SoakPlan(seed=1, duration_s=1.0).list_hosts()])
+"""
 
 
 class TestSoak(unittest.TestCase):
     """Guards against overlapping runs, missing answers and failed recovery."""
 
-    def run_soak(self, **options):
+    def run_soak(self, callers=8, **options):
         with tempfile.TemporaryDirectory() as folder:
-            plan = SoakPlan(duration_s=SECONDS, callers=8, **options)
+            plan = SoakPlan(duration_s=SECONDS, callers=callers, **options)
             result = run_soak(plan, Path(folder))
         self.assertGreater(result.runs, 100)
         self.assertEqual([], result.violations)
@@ -35,3 +42,24 @@
         """Such tasks crashed up to eight targets, through several owners and hosts."""
         result = self.run_soak(seed=CRASHING_SEED, crashing_fraction=0.02)
         self.assertTrue(any(trace.is_crashing for trace in result.traces))
+
+    def test_callers_that_leave_and_come_again_violate_no_guarantee(self):
+        """Tasks of their first submission ran on, beside those of the second."""
+        result = self.run_soak(
+            seed=DEPARTURE_SEED, callers=24, gap_s=5.0, departing_fraction=0.5
+        )
+        self.assertGreater(result.faults["CutHost"], 0)
+        first_attempts = [t.attempts[0] for t in result.traces if len(t.attempts) > 1]
+        self.assertTrue(any(attempt.has_disconnected for attempt in first_attempts))
+
+
+class TestAddresses(unittest.TestCase):
+    """Guards against soaks beside each other that need the same metrics ports."""
+
+    def test_two_processes_use_different_addresses(self):
+        hosts = SoakPlan(seed=1, duration_s=1.0).list_hosts()
+        found = subprocess.check_output(
+            [sys.executable, "-c", PRINT_ADDRESSES], text=True
+        )
+        self.assertEqual(len(hosts), len(found.split()))
+        self.assertFalse({host.address for host in hosts} & set(found.split()))
