Count the times of a held order from its arrival

A held order was taken as sent at its release, so that its deadline and its objective moved by the time for which it was held, up to 0.8 s. The new test failed before and passes now.

--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Callable, Iterator
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -79,6 +79,15 @@
     front_host: Incarnation
     received_s: float
 
+    def build_delayed_request(self, now_s: float) -> ev.RunTasks:
+        """Return the request as if it were sent now; its times count from sending."""
+        held_s = now_s - self.received_s
+        return evolve(
+            self.request,
+            age_s=self.request.age_s + held_s,
+            deadline_in_s=self.request.deadline_in_s - held_s,
+        )
+
 
 @define(kw_only=True, eq=False)
 class CellConfirmations:
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -197,23 +197,24 @@
             yield from self._cancel_job(job, now_s)
             return
         if job is None or job.is_withdrawn:
-            submitted_s = min(confirmed_s, now_s) - request.age_s
-            other = self.jobs.get((self._front_hosts.get(request.job), request.job))
-            if other is not None and other.front_host != front_host:
-                if submitted_s < other.submitted_s and not other.is_cancelled:
-                    yield self.reporter.build_refusal(
-                        request, front_host, ev.TaskEnd.EXPIRED, False
-                    )
-                    return
-                yield from self._end_earlier_submission(other, now_s)
             job = CellJob(
                 front_host=front_host,
                 name=request.job,
                 changed_s=now_s,
-                submitted_s=submitted_s,
+                submitted_s=min(confirmed_s, now_s) - request.age_s,
             )
-            self.jobs[(front_host, request.job)] = job
-            self._front_hosts[request.job] = front_host
+            other = self._find_other_submission(job)
+            if other is not None and other.submitted_s > job.submitted_s:
+                yield self.reporter.build_refusal(
+                    request, front_host, ev.TaskEnd.EXPIRED, False
+                )
+                return
+            if other is not None:
+                # The other front host may not have noticed that the caller has left it.
+                yield self._log_withdrawal(other, "submitted again")
+                yield from self._give_up_job(other, now_s)
+            self.jobs[(front_host, job.name)] = job
+            self._front_hosts[job.name] = front_host
         if is_given_up(job, now_s):
             yield from self._give_up_job(job, now_s)
         job.confirmed_s = max(job.confirmed_s, confirmed_s)
@@ -233,14 +234,12 @@
             yield from self._start_tasks(now_s)
             yield from self._decline_waiting(job, new_keys)
 
-    def _end_earlier_submission(self, earlier: CellJob, now_s: float) -> Iterator:
-        """End a job that its caller has submitted again through another host.
-
-        The earlier front host may not have noticed that the connection is broken.
-        """
-        if not earlier.is_cancelled and earlier.has_open_tasks():
-            yield self._log_withdrawal(earlier, "submitted again")
-            yield from self._give_up_job(earlier, now_s)
+    def _find_other_submission(self, job: CellJob) -> CellJob | None:
+        """Return an open submission of the same job through another front host."""
+        other = self.jobs.get((self._front_hosts.get(job.name), job.name))
+        if other is None or other.front_host == job.front_host or other.is_cancelled:
+            return None
+        return other if other.has_open_tasks() else None
 
     def _build_tasks(
         self, request: ev.RunTasks, job: CellJob, keys: list[TaskKey], now_s: float
@@ -378,7 +377,8 @@
             if held.request.job not in listed:
                 continue
             if is_recent(confirmed_s, now_s):
-                yield from self.handle(held.request, now_s, front_host, confirmed_s)
+                request = held.build_delayed_request(now_s)
+                yield from self.handle(request, now_s, front_host, confirmed_s)
             else:
                 self.confirmations.hold_again(held)
 
--- a/gentianhub/capacity/tests/test_confirmations.py
+++ b/gentianhub/capacity/tests/test_confirmations.py
@@ -119,6 +119,14 @@
         (start,) = find_starts(self.list_jobs("a", "b"))
         self.assertEqual("a", start.key.job)
 
+    def test_the_deadline_of_a_held_order_does_not_move(self):
+        """A task was started after its caller's deadline, by the time it was held."""
+        self.feed(build_request("c", deadline_in_s=0.3, objective_s=20.0), 9.0)
+        self.driver.now_s += 0.25
+        effects = self.list_jobs("c", confirmed_s=self.driver.now_s)
+        self.assertEqual([], find_starts(effects))
+        self.assertIn(ev.TaskEnd.EXPIRED, [end.end for end in find_ends(effects)])
+
     def test_a_late_order_of_a_job_that_is_not_open_is_dropped(self):
         self.list_jobs("b")
         self.assertEqual([], find_starts(self.list_jobs("a")))
