Send heartbeats to hosts with common tasks that are no heartbeat peers any more

A host stops to be a heartbeat peer when, for example, a third owner of a data centre takes over a remote host. Hosts with common tasks then got no heartbeats any more: the front host took its owner as lost and abandoned the job, and the owner did not ask it for its open jobs. Hosts with common tasks get heartbeats at the short interval now, whether they are peers or not. The new test failed before and passes now; that a deployment gets there is not shown.

--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -179,7 +179,12 @@
             return HeartbeatRecipients()
         linked = self.links.find_linked()
         current = self.split_peers(
-            (peer for peer in linked if peer.name in self.heartbeat_peers), is_owner
+            (
+                peer
+                for peer in linked
+                if peer.name in self.heartbeat_peers or peer in self._working_until
+            ),
+            is_owner,
         )
         self._active_peers &= set(linked)
         active = (
@@ -221,8 +226,8 @@
         """
         active, idle = [], []
         for peer in peers:
-            is_active = peer.name in self.heartbeat_peers and (
-                peer in self._working_until or self._may_succeed(peer, is_owner)
+            is_active = peer in self._working_until or (
+                peer.name in self.heartbeat_peers and self._may_succeed(peer, is_owner)
             )
             (active if is_active else idle).append(peer)
         return HeartbeatRecipients(active=tuple(active), idle=tuple(idle))
