Renew the lease of a target that has moved, and look for lost answers of starts

The connections to a target that moved to another address were closed together with the renewal that was pending there, and none followed: no lease was renewed and no end noticed until the target was no longer listed. A run whose start was answered on such a connection, or at a full mailbox, stayed reserved until its job's deadline. The renewal is sent again to the new address, and a start without an answer for 1 s is looked for like one that was not answered in time.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -48,6 +48,8 @@
 ORPHAN_GRACE_S = 0.3
 # A stop that has not taken effect is sent again after this time.
 STOP_RETRY_S = 0.15
+# A start is answered, refused or times out within this time, s.
+START_ANSWER_TIMEOUT_S = 1.0
 # A target that answers is used for this long after its entry is missing from the list.
 # Entries that expired during an outage of the store return within about 2 s of its end.
 MISSING_GRACE_S = 2.5
@@ -179,6 +181,10 @@
         if state is not None and state.entry.address != target.address:
             # A new address under the same name: the target has been restarted.
             yield fx.CloseTarget(target=target.name)
+            state.update(target)
+            # The pending renewal, or the delay before the next one, has ended with it.
+            yield from self._renew(state, now_s)
+            return
         if state is None:
             state = TargetState(entry=target)
             self.targets[target.name] = state
@@ -494,6 +500,10 @@
     def _check_runs(self, state: TargetState, now_s: float) -> Iterator:
         for run in list(state.runs.values()):
             match run.phase:
+                case RunPhase.STARTING if now_s > run.sent_s + START_ANSWER_TIMEOUT_S:
+                    # The answer is lost with a connection or at a full mailbox.
+                    run.phase = RunPhase.UNCERTAIN
+                    yield self._list_runs(state)
                 case RunPhase.RUNNING if _is_stalled(run, state.last_report_s):
                     yield self._log_decision(
                         "run stalled",
