Announce targets and losses to hosts that become successors on an open link

An owner announced its targets and the known losses on a new link only. A host that became a candidate or an owner while its link was open got neither, ignored the changes that followed, and counted the crashes of a task anew. The owner compares its successors and the other owners at each tick.

--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -52,6 +52,8 @@
     losses: LossLedger = field(init=False, factory=lambda: LossLedger())
     _new_losses: list[ev.TargetLoss] = field(init=False, factory=list)
     _requesters: set[Incarnation] = field(init=False, factory=set)
+    _successors: frozenset[Incarnation] = field(init=False, default=frozenset())
+    _loss_observers: frozenset[Incarnation] = field(init=False, default=frozenset())
     _awaited_hosts: set[Incarnation] = field(init=False, factory=set)
 
     def __attrs_post_init__(self):
@@ -125,6 +127,19 @@
             losses = tuple(self.losses.list_losses(now_s))
             self._send_losses((peer,), losses, is_passed_on=False)
 
+    def _announce_to_late_peers(self, now_s: float) -> None:
+        """Announce to hosts that have become successors or owners with an open link.
+
+        Changes of an announcement that they lack would be of no use to them.
+        """
+        successors = frozenset(self.find_successors())
+        observers = frozenset(self._find_loss_observers())
+        for peer in successors - self._successors:
+            self.announce_targets(peer)
+        for peer in observers - self._loss_observers:
+            self.announce_losses(peer, now_s)
+        self._successors, self._loss_observers = successors, observers
+
     def record_losses(self, message: ev.TargetLosses, now_s: float) -> None:
         """Record losses that another host has announced, and pass them on."""
         new = tuple(x for x in message.losses if self.losses.record(x, now_s))
@@ -201,6 +216,8 @@
     def handle_tick(self, now_s: float) -> None:
         """Pass a timer tick to every scheduler."""
         self.losses.remove_expired(now_s)
+        if self._schedulers:
+            self._announce_to_late_peers(now_s)
         self._dispatch_to_all(ev.Tick(), now_s)
 
     def _dispatch_to_all(self, event, now_s: float) -> None:
