--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -83,7 +83,7 @@
 
     def handle_disconnect(self, reply_to: Any, now_s: float) -> None:
         """Abandon the job of a caller whose connection has closed."""
-        pending = self._pending_requests.get(reply_to)
+        pending = self._pending_requests.pop(reply_to, None)
         if pending is not None:
             log_decision("caller left", pending.job_id)
             self.handle_event(
