Let the scheduler's tests confirm jobs over the time that they skip

Tests of the scheduler let time pass in one step. Since an owner gives a job up that is past its time-out before it accepts a confirmation, five tests of crashing tasks and succession failed: their front hosts confirmed once after a step of a second. The driver confirms every 0.2 s of the time that passes, as front hosts do; no test or check has changed.

--- a/gentianhub/capacity/tests/builders.py
+++ b/gentianhub/capacity/tests/builders.py
@@ -8,6 +8,8 @@
 from gentianhub.core import Incarnation, ProcessName
 
 CELL = Cell(data_centre="olten")
+# Interval at which front hosts confirm their open jobs, s.
+CONFIRMATION_INTERVAL_S = 0.2
 TERM = 7
 
 
@@ -70,7 +72,7 @@
         self.scheduler = CellScheduler(
             cell=CELL, term=TERM, owner_since_s=owner_since_s, **options
         )
-        self.now_s = owner_since_s
+        self.now_s = self._confirmed_s = owner_since_s
         self.effects: list = []
         if targets:
             self.list_targets(*targets)
@@ -84,12 +86,20 @@
         return effects
 
     def _confirm_jobs(self):
+        """Confirm the jobs as often as front hosts do since the last event."""
+        while self._confirmed_s + CONFIRMATION_INTERVAL_S < self.now_s:
+            self._confirmed_s += CONFIRMATION_INTERVAL_S
+            yield from self._confirm_jobs_at(self._confirmed_s)
+        self._confirmed_s = self.now_s
+        yield from self._confirm_jobs_at(self.now_s)
+
+    def _confirm_jobs_at(self, confirmed_s: float):
         jobs: dict[Incarnation, list[str]] = {}
         for front_host, job in self.scheduler.jobs:
             jobs.setdefault(front_host, []).append(job)
         for front_host, names in jobs.items():
             message = ev.OpenJobs(cell=CELL, jobs=tuple(names))
-            yield from self.scheduler.handle(message, self.now_s, front_host)
+            yield from self.scheduler.handle(message, confirmed_s, front_host)
 
     def list_targets(self, *targets, read_s: float | None = None) -> list:
         return self.feed(ev.TargetsListed(targets=targets, read_s=read_s))
