--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -29,7 +29,11 @@
 TOKEN_BITS = 20
 # Time after which all hosts have told that they are able to own a cell, once this host
 # is. They learn the cells within a short time, and heartbeats may be a second apart.
+# Until then, live candidates and larger hosts count as able.
 ABILITY_NOTICE_S = 1.5
+# A host without the host register claims a cell that it would leave to another host if
+# none has claimed it within this time. Claims take one tick and a heartbeat.
+UNREGISTERED_CLAIM_DELAY_S = 1.0
 # A host that receives no heartbeats claims nothing for this long, because it is more
 # likely to be partitioned from the others than to be the only one left.
 ISOLATION_TIMEOUT_S = 2.0
@@ -133,6 +137,7 @@
     _highest_terms: dict[Cell, int] = field(init=False, factory=dict)
     _paused_until_s: dict[Cell, float] = field(init=False, factory=dict)
     _raise_times: dict[Cell, list[float]] = field(init=False, factory=dict)
+    _free_since_s: dict[Cell, float] = field(init=False, factory=dict)
     _last_received_s: float = field(init=False)
     _able_since_s: float | None = field(init=False, default=None)
 
@@ -235,6 +240,10 @@
         for cell in self.cells:
             other = owners.get(cell)
             term = self.terms.get(cell)
+            if term is None and self._is_free(other):
+                self._free_since_s.setdefault(cell, now_s)
+            else:
+                self._free_since_s.pop(cell, None)
             if term is not None and other is not None:
                 if (other.claim.term, str(other.owner)) > (term, str(self.local_host)):
                     del self.terms[cell]
@@ -242,19 +251,34 @@
             elif term is None and self._should_claim(cell, other, now_s):
                 yield self._claim_cell(cell, is_predecessor_draining=other is not None)
 
+    def _is_free(self, other: CellOwner | None) -> bool:
+        """Whether a cell with this other owner, or none, may be claimed."""
+        return other is None or self.peers[other.owner].heartbeat.is_draining
+
     def _should_claim(self, cell: Cell, other: CellOwner | None, now_s: float) -> bool:
         if self.is_draining or not self.has_targets:
             return False
         if now_s < self._paused_until_s.get(cell, 0.0):
             return False
-        if other is not None and not self.peers[other.owner].heartbeat.is_draining:
+        if not self._is_free(other):
             return False
         if not self._has_waited_for_claims(now_s):
             return False
         is_isolated = self.expected_hosts > 0 and not self._count_live(now_s)
         if is_isolated and now_s < self._last_received_s + ISOLATION_TIMEOUT_S:
             return False
-        return self._is_preferred_owner(cell, now_s)
+        return self._is_preferred_owner(cell, now_s) or self._is_left_free(cell, now_s)
+
+    def _is_left_free(self, cell: Cell, now_s: float) -> bool:
+        """Whether the hosts that this one would leave a cell to do not claim it.
+
+        A host that does not know the candidates does not know the sizes of the others
+        either, and they may leave the cell to this host.
+        """
+        return (
+            self.candidates is None
+            and now_s >= self._free_since_s[cell] + UNREGISTERED_CLAIM_DELAY_S
+        )
 
     def _has_waited_for_claims(self, now_s: float) -> bool:
         live_names = {
@@ -287,28 +311,26 @@
     def _count_live(self, now_s: float) -> int:
         return sum(self.is_live(peer, now_s) for peer in self.peers)
 
-    def _has_to_wait_for_candidates(self, now_s: float) -> bool:
-        """Whether a live candidate may become able to own cells at any moment."""
-        candidates = self.candidates or frozenset()
-        if not candidates or self.local_host.name in candidates:
+    def _may_own_soon(self, peer: Incarnation, now_s: float) -> bool:
+        """Whether a preferred host may become able to own cells at any moment.
+
+        Of simultaneous claims the highest term wins, whatever the size of its host.
+        """
+        if now_s >= self._able_since_s + ABILITY_NOTICE_S:
             return False
-        has_live_candidate = any(
-            peer.name in candidates
-            and self.is_live(peer, now_s)
-            and not known.heartbeat.is_draining
-            for peer, known in self.peers.items()
-        )
-        return has_live_candidate and now_s < self._able_since_s + ABILITY_NOTICE_S
+        return self._rank_size(peer) > self._rank_size(self.local_host)
+
+    def _rank_size(self, host: Incarnation) -> tuple[bool, float]:
+        is_candidate = self.candidates is None or host.name in self.candidates
+        return is_candidate, self._find_cores(host)
 
     def _is_preferred_owner(self, cell: Cell, now_s: float) -> bool:
-        if self._has_to_wait_for_candidates(now_s):
-            return False
         candidates = [self.local_host] + [
             peer
             for peer, known in self.peers.items()
             if peer.name.data_centre == cell.data_centre
             and self.is_live(peer, now_s)
-            and known.heartbeat.can_own
+            and (known.heartbeat.can_own or self._may_own_soon(peer, now_s))
             and not known.heartbeat.is_draining
         ]
         candidates = self._prefer_candidates(candidates)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -13,13 +13,15 @@
 from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.confirmations import (
     CellConfirmations,
+    HeldRequest,
+    describe_age,
     is_confirmation_due,
     is_given_up,
     is_recent,
 )
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
-from gentianhub.capacity.leases import LEASE_S, bound_lease_expiry
+from gentianhub.capacity.leases import bound_lease_expiry, choose_start_lease_s
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.placement import PlacementRound
@@ -195,10 +197,25 @@
             yield from self._cancel_job(job, now_s)
             return
         if job is None or job.is_withdrawn:
-            yield from self._end_earlier_submission(request.job, front_host, now_s)
-            job = CellJob(front_host=front_host, name=request.job, changed_s=now_s)
+            submitted_s = min(confirmed_s, now_s) - request.age_s
+            other = self.jobs.get((self._front_hosts.get(request.job), request.job))
+            if other is not None and other.front_host != front_host:
+                if submitted_s < other.submitted_s and not other.is_cancelled:
+                    yield self.reporter.build_refusal(
+                        request, front_host, ev.TaskEnd.EXPIRED, False
+                    )
+                    return
+                yield from self._end_earlier_submission(other, now_s)
+            job = CellJob(
+                front_host=front_host,
+                name=request.job,
+                changed_s=now_s,
+                submitted_s=submitted_s,
+            )
             self.jobs[(front_host, request.job)] = job
             self._front_hosts[request.job] = front_host
+        if is_given_up(job, now_s):
+            yield from self._give_up_job(job, now_s)
         job.confirmed_s = max(job.confirmed_s, confirmed_s)
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
@@ -216,16 +233,11 @@
             yield from self._start_tasks(now_s)
             yield from self._decline_waiting(job, new_keys)
 
-    def _end_earlier_submission(
-        self, name: str, front_host: Incarnation, now_s: float
-    ) -> Iterator:
+    def _end_earlier_submission(self, earlier: CellJob, now_s: float) -> Iterator:
         """End a job that its caller has submitted again through another host.
 
         The earlier front host may not have noticed that the connection is broken.
         """
-        earlier = self.jobs.get((self._front_hosts.get(name), name))
-        if earlier is None or earlier.front_host == front_host:
-            return
         if not earlier.is_cancelled and earlier.has_open_tasks():
             yield self._log_withdrawal(earlier, "submitted again")
             yield from self._give_up_job(earlier, now_s)
@@ -325,7 +337,7 @@
 
         A host that is only slow would wait for its tasks until its callers' deadline.
         """
-        self.confirmations.release_requests(lost)
+        yield from self._refuse_requests(self.confirmations.release_requests(lost))
         for job in [job for job in self.jobs.values() if job.front_host == lost]:
             if not job.is_cancelled and job.has_open_tasks():
                 yield from self._give_up_job(job, now_s)
@@ -352,6 +364,8 @@
         listed = set(names)
         for job in [job for job in self.jobs.values() if job.front_host == front_host]:
             if job.name in listed:
+                if is_given_up(job, now_s):
+                    yield from self._give_up_job(job, now_s)
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
@@ -361,8 +375,12 @@
         for task in self.confirmations.release_tasks(now_s):
             self._push_waiting(task, now_s)
         for held in self.confirmations.release_requests(front_host):
-            if held.request.job in listed:
+            if held.request.job not in listed:
+                continue
+            if is_recent(confirmed_s, now_s):
                 yield from self.handle(held.request, now_s, front_host, confirmed_s)
+            else:
+                self.confirmations.hold_again(held)
 
     def _give_up_unconfirmed(self, now_s: float) -> Iterator:
         """End what no front host has confirmed in time, and report it."""
@@ -378,7 +396,11 @@
                 },
             )
             yield from self._give_up_job(job, now_s)
-        for held in self.confirmations.release_expired(now_s):
+        yield from self._refuse_requests(self.confirmations.release_expired(now_s))
+
+    def _refuse_requests(self, refused: list[HeldRequest]) -> Iterator:
+        """Report held requests as not run."""
+        for held in refused:
             yield self.reporter.build_refusal(
                 held.request, held.front_host, ev.TaskEnd.EXPIRED, False
             )
@@ -595,7 +617,7 @@
         inputs = {
             "term": self.term,
             "front_host": str(task.job.front_host),
-            "confirmed_age_s": round(now_s - task.job.confirmed_s, 4),
+            "confirmed_age_s": describe_age(task.job.confirmed_s, now_s),
             "slack_s": round(task.objective_start_s - now_s, 4),
             "expected_s": round(run.expected_s, 4),
             "pace": round(state.pace.value, 2),
@@ -614,7 +636,7 @@
             payload=task.request.payload,
             term=self.term,
             decided_s=now_s,
-            lease_s=LEASE_S,
+            lease_s=choose_start_lease_s(now_s - task.job.confirmed_s),
         )
 
     # Expiry of finished jobs
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -291,10 +291,13 @@
                 log_decision("host silent", str(peer))
             yield peer
 
-    def find_heard_heartbeat(self, peer: Incarnation) -> int:
-        """Return the number of the last heartbeat of a host; 0 without one."""
-        known = self.ownership.peers.get(peer)
-        return known.heartbeat.number if known else 0
+    def list_heard_heartbeats(self) -> dict[Incarnation, int]:
+        """Return the number of the last heartbeat of each host."""
+        return {
+            peer: known.heartbeat.number
+            for peer, known in self.ownership.peers.items()
+            if known.heartbeat.number
+        }
 
     def remove_replaced(self, peer: Incarnation) -> Iterator[Incarnation]:
         """Drop and yield the earlier incarnations of a host that has a new link."""
@@ -325,6 +328,12 @@
         ]
 
     def _choose_candidates(self) -> None:
+        """Choose the candidates, once the registry has been read.
+
+        A host without it would be the only candidate that it knows.
+        """
+        if self.ownership.expected_local_hosts is None:
+            return
         self.ownership.candidates = choose_candidates(
             [self.local_host.name, *self._find_local_peers()],
             self.ownership.cores,
