Take open tasks as started after a pause of their front host

An owner forgets a job 3 s after its last end. A front host that was frozen for longer, and had not noticed the loss of the owner, repeated its request, was told that nothing had started, and answered 503 not run for a job that had run. After a pause of 2 s it takes its open tasks as started.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -48,6 +48,9 @@
 # A submission that is repeated within this time of its answer gets the same answer.
 ANSWER_RETENTION_S = 10.0
 MAX_KEPT_ANSWERS = 5000
+# A host that has handled nothing for this long was frozen. Owners take it as lost and
+# forget its tasks 3 s after they have ended, so that they cannot tell which have run.
+MAX_PAUSE_S = 2.0
 
 
 @define(kw_only=True, eq=False)
@@ -69,12 +72,14 @@
     owners: dict[Cell, CellOwner] = field(init=False, factory=dict)
     _kept_answers: OrderedDict[str, KeptAnswer] = field(init=False, factory=OrderedDict)
     _addressed_cells: set[Cell] = field(init=False, factory=set)
+    _handled_s: float = field(init=False, default=float("inf"))
 
     def __attrs_post_init__(self):
         self.loads = LoadView(data_centre=self.data_centre)
 
     def handle(self, event, now_s: float) -> Iterator:
         """Yield the effects of one event at the monotonic time `now_s`."""
+        self._note_pause(now_s)
         match event:
             case SubmitCapacityJob():
                 yield from self._submit(event, now_s)
@@ -96,6 +101,13 @@
             case ev.Tick():
                 yield from self._handle_tick(now_s)
 
+    def _note_pause(self, now_s: float) -> None:
+        """After a pause, take open tasks as started: their ends may be forgotten."""
+        if now_s > self._handled_s + MAX_PAUSE_S:
+            for job in self.jobs.values():
+                job.has_started = job.has_started or bool(job.requested_cells)
+        self._handled_s = now_s
+
     def collect_working_owners(self) -> frozenset[Incarnation]:
         """Return the owners that expect frequent heartbeats of this host.
 
@@ -469,6 +481,7 @@
 
     def resend_requests(self, cell: Cell, now_s: float) -> Iterator:
         """Resend the open tasks of a cell after the link to its owner was replaced."""
+        self._note_pause(now_s)
         for job in list(self.jobs.values()):
             yield from self._resend_requests(job, cell, now_s)
 
--- /dev/null
+++ b/gentianhub/capacity/tests/test_forgotten_ends.py
@@ -0,0 +1,63 @@
+"""A front host that repeats its tasks after their owner has forgotten their ends.
+
+The front host was frozen meanwhile, so that it has not given up the job.
+"""
+
+import unittest
+
+from gentianhub.capacity import effects as fx
+from gentianhub.capacity.scheduler import END_RETENTION_S
+from gentianhub.capacity.tests import test_lost_ends
+from gentianhub.capacity.tests.builders import (
+    CELL,
+    build_step,
+    find_ends,
+    find_starts,
+)
+from gentianhub.capacity.tests.test_front import find_answers, find_requests
+
+
+class TestForgottenEnds(unittest.TestCase):
+    setUp = test_lost_ends.TestLostEnds.setUp
+    feed_front = test_lost_ends.TestLostEnds.feed_front
+    feed_owner = test_lost_ends.TestLostEnds.feed_owner
+    tick_owner = test_lost_ends.TestLostEnds.tick_owner
+    end_run = test_lost_ends.TestLostEnds.end_run
+    step = test_lost_ends.TestLostEnds.step
+
+    def forget(self) -> None:
+        self.end_run()
+        until_s = self.now_s + END_RETENTION_S + 1.0
+        while self.now_s < until_s:
+            self.tick_owner()
+
+    def test_a_job_that_has_run_is_not_answered_as_not_run(self):
+        """Its owner reported that it had started nothing."""
+        self.forget()
+        effects = list(self.front.resend_requests(CELL, self.now_s))
+        verdicts = []
+        while effects:
+            verdicts += [answer.verdict for answer in find_answers(effects)]
+            effects = [
+                effect
+                for request in find_requests(effects)
+                for ended in find_ends(self.feed_owner(request))
+                for effect in self.feed_front(ended)
+            ]
+        self.assertNotIn(fx.JobVerdict.NOT_RUN, verdicts)
+
+
+class TestForgottenEndsOfLongTasks(TestForgottenEnds):
+    step = build_step(estimate_s=2.0)
+
+    def test_a_task_that_is_done_is_not_run_again(self):
+        """It is not too late yet for another run."""
+        self.forget()
+        starts = []
+        for repeat in list(self.front.resend_requests(CELL, self.now_s)):
+            starts += find_starts(self.feed_owner(repeat.message))
+        self.assertEqual([], starts)
+
+
+if __name__ == "__main__":
+    unittest.main()
