--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -38,8 +38,9 @@
     504: "504 Gateway Timeout",
 }
 
-# Limits of http.client, which parses the header sections that are not plain.
+# Longest line that http.client accepts in a header section, bytes.
 MAX_HEADER_LINE = 65_536
+# Sections with more lines are left to http.client, which accepts a hundred.
 MAX_PLAIN_HEADERS = 50
 _PLAIN_HEADER_PATTERN = re.compile(
     rb"([!#$%&'*+.^`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*)\r\n"
@@ -136,8 +137,8 @@
 class _ConnectionHandler(WSGIHandler):
     """Handler that passes the connection's socket to the application.
 
-    It reads plain headers itself, because the library's parser for mail took a third of
-    the time of a request, and sends the head of a response together with its body.
+    It reads plain headers itself, because the library uses the parser for mail, and
+    sends the head of a response together with its body.
     """
 
     def MessageClass(self, rfile, *_):
