Move the confirmation of open jobs out of the coordinator

The coordinator had grown by the two sides of the confirmation. They are a part of their own now, as requests, cells and membership are.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -1,6 +1,6 @@
 """The greenlet that owns a host's state: its jobs, its cells and its claims."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 from attrs import define, field
@@ -8,7 +8,6 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.front import FrontJobRegistry
-from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.submissions import InterruptJobs, LoadsReported, OwnersChanged
 from gentianhub.capacity.succession import TargetAnnouncements
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
@@ -20,8 +19,8 @@
 from gentianhub.host.links import HostLinks
 from gentianhub.host.membership import HeartbeatRecipients, Membership
 from gentianhub.host.metrics import HostMetrics
+from gentianhub.host.open_jobs import OpenJobReports
 from gentianhub.host.outbox import Outbox
-from gentianhub.host.progress import ReadProgress
 from gentianhub.host.request_handler import RequestHandler
 from gentianhub.host.target_list import TargetList
 from gentianhub.linking.link_events import (
@@ -45,8 +44,7 @@
 # Time after the start of a drain during which jobs on open connections are still
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
-# Messages that wait until all that had arrived is read; an owner whose question is
-# dropped asks again.
+# Messages that wait until all that had arrived is read.
 READ_MARK_LIMIT = 64
 # Messages that wait longer than this in the mailbox are logged, once a second, s.
 LOGGED_MAILBOX_LAG_S = 0.2
@@ -83,13 +81,13 @@
     requests: RequestHandler = field(init=False)
     cells: OwnedCells = field(init=False)
     membership: Membership = field(init=False)
+    open_jobs: OpenJobReports = field(init=False)
     announcements: TargetAnnouncements = field(
         init=False, factory=lambda: TargetAnnouncements()
     )
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
-    _progress: ReadProgress = field(init=False, factory=lambda: ReadProgress())
     _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
@@ -104,7 +102,9 @@
             outbox=self.outbox,
             configuration=self.configuration,
             metrics=self.metrics,
-            find_heard_heartbeat=self._progress.find_heartbeat,
+            find_heard_heartbeat=lambda owner: self.open_jobs.progress.find_heartbeat(
+                owner
+            ),
         )
         self.cells = OwnedCells(
             answers=self.mailbox,
@@ -119,6 +119,13 @@
             registry_commands=self.registry_commands,
             started_s=self.started_s,
         )
+        self.open_jobs = OpenJobReports(
+            local_host=self.local_host,
+            job_registry=self.requests.job_registry,
+            outbox=self.outbox,
+            read_marks=self.read_marks,
+            sent_heartbeats=self.membership.sent_heartbeats,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -159,12 +166,12 @@
             case ms.TimerTick(count=count, sent_s=sent_s):
                 self._record_mailbox_lag(now_s - sent_s, now_s)
                 heard = self.membership.list_heard_heartbeats()
-                self._progress.begin(sent_s, heard, now_s)
+                self.open_jobs.progress.begin(sent_s, heard, now_s)
                 self._handle_tick(count, now_s)
             case ms.InputRead(sent_s=sent_s):
-                self._progress.complete(sent_s)
+                self.open_jobs.progress.complete(sent_s)
             case ms.AnswerHeartbeat(owner=owner, cells=cells, heartbeat=number):
-                self._send_open_jobs(owner, cells, number)
+                self.open_jobs.send(owner, cells, number)
             case LinkOpened(link=link):
                 self._open_link(link, now_s)
             case LinkClosed(link=link, reason=reason):
@@ -339,49 +346,10 @@
         match request:
             case ev.CancelTasks():
                 confirmed_s = now_s
-            case (
-                ev.RunTasks(heard_heartbeat=heard) | ev.OpenJobs(heard_heartbeat=heard)
-            ):
-                confirmed_s = self._find_confirmed_s(sender, heard)
+            case ev.RunTasks() | ev.OpenJobs():
+                confirmed_s = self.open_jobs.find_confirmed_s(sender, request)
         self.cells.handle_task_request(request, sender, now_s, confirmed_s)
 
-    def _find_confirmed_s(self, front_host: Incarnation, heard_heartbeat: int) -> float:
-        """Return when a front host is known to have had the jobs of a message open.
-
-        This host's own departures of callers wait in its mailbox like any message.
-        """
-        if front_host == self.local_host:
-            return self._progress.handled_until_s
-        return self.membership.sent_heartbeats.find_confirmed_s(heard_heartbeat)
-
-    def _answer_heartbeat(
-        self, owner: Incarnation, heartbeat: ev.HostHeartbeat
-    ) -> None:
-        """Tell an owner which jobs are open, once its heartbeat may be named."""
-        cells = tuple(claim.cell for claim in heartbeat.claims)
-        if self._progress.answers_settled():
-            heard = self._progress.find_heartbeat(owner)
-            self._send_open_jobs(owner, cells, heard)
-            return
-        answer = ms.AnswerHeartbeat(
-            owner=owner, cells=cells, heartbeat=heartbeat.number
-        )
-        self.read_marks.try_put(answer)
-
-    def _send_open_jobs(
-        self, owner: Incarnation, cells: Iterable[Cell], heard_heartbeat: int
-    ) -> None:
-        """Tell an owner which jobs are open in the cells that it owns."""
-        job_registry = self.requests.job_registry
-        for cell in cells:
-            known = job_registry.owners.get(cell)
-            if known is not None and known.owner == owner:
-                jobs = job_registry.list_open_jobs(cell)
-                message = ev.OpenJobs(
-                    cell=cell, jobs=jobs, heard_heartbeat=heard_heartbeat
-                )
-                self.outbox.send(owner, message)
-
     def _handle_heartbeat(
         self, sender: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
     ) -> None:
@@ -396,7 +364,7 @@
         if heartbeat.lacks_targets and self._target_list.rows:
             self.links.send(sender, ev.TargetsOffer(rows=self._target_list.rows))
         if heartbeat.requests_open_jobs:
-            self._answer_heartbeat(sender, heartbeat)
+            self.open_jobs.answer_heartbeat(sender, heartbeat)
         version = heartbeat.configuration_version
         if self.configuration.should_request(version, now_s):
             log_decision("configuration requested", str(sender), version=version)
@@ -485,7 +453,7 @@
         is_owner = bool(self.cells)
         for peer in self.membership.find_silent(now_s):
             self.cells.remove_front_host(peer, now_s)
-        self._send_open_jobs(self.local_host, self.cells.list_cells(), 0)
+        self.open_jobs.confirm_own(self.cells.list_cells())
         self.cells.handle_tick(now_s)
         if self._tick_count % OWNERSHIP_TICKS == 0:
             self.membership.maintain_links(
