--- a/gentianhub/capacity/tests/test_confirmation_gaps.py
+++ b/gentianhub/capacity/tests/test_confirmation_gaps.py
@@ -1,4 +1,4 @@
-"""Orders and runs whose end still depends on one message, or that end too early."""
+"""Orders and runs whose end depended on one message, or that ended too early."""
 
 import unittest
 
