--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -21,7 +21,7 @@
     """Kill the worker that started a task last; it starts again under its id."""
     while time.monotonic() < until_s:
         await asyncio.sleep(CRASH_INTERVAL_S)
-        worker = deployment.find_last_starter()
+        worker = deployment.find_last_starters()[0]
         born = worker.born_ms
         killed_s = worker.crash()
         deployment.notes.append(
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -14,6 +14,7 @@
 
 from attrs import define, field, frozen
 
+from review.stand_ins.gate import Gate
 from review.stand_ins.store import Store
 from review.stand_ins.web import send_request, start_server
 
@@ -116,7 +117,8 @@
 class WorkerProcess:
     """A worker's supervisor; `pid` and `born_ms` are those of the present life.
 
-    The next life has `next_labels`.
+    The next life has `next_labels`. With gates, hosts reach it through its `gate`, at
+    `address`.
     """
 
     name: str
@@ -125,6 +127,7 @@
     slots: int
     labels: list[str]
     next_labels: list[str]
+    gate: Gate
     process: asyncio.subprocess.Process | None = None
     pid: int = 0
     born_ms: int = 0
@@ -156,13 +159,17 @@
 
 @frozen(kw_only=True)
 class Shape:
-    """Size of a deployment; `worker_options` go to each worker."""
+    """Size of a deployment.
+
+    `worker_options` go to each worker. With gates, the paths to workers can be cut.
+    """
 
     zones: tuple[str, ...]
     hosts_per_zone: int
     workers_per_zone: int
     slots: int = 8
     workers_of_kind_a: int = 1_000_000
+    has_gates: bool = False
     worker_options: dict = field(factory=dict)
 
 
@@ -258,11 +265,12 @@
                     return next(h for n, h in names.items() if f".{n}." in owner)
         raise LookupError(f"no host owns the workers of {zone}")
 
-    def find_last_starter(self) -> WorkerProcess:
-        """Return the worker that was last to start a task."""
+    def find_last_starters(self) -> list[WorkerProcess]:
+        """Return the workers that have started tasks, the last one first."""
         starts = (e for e in reversed(self.read_events()) if e["event"] == "start")
-        names = {worker.name: worker for worker in self.workers}
-        return names[next(starts)["worker"]]
+        names = dict.fromkeys(event["worker"] for event in starts)
+        workers = {worker.name: worker for worker in self.workers}
+        return [workers[name] for name in names]
 
     def read_events(self) -> list[dict]:
         """Return the events of the workers and the notes, in the order of time."""
@@ -285,15 +293,18 @@
     deployment: Deployment, zone: str, number: int, shape: Shape
 ) -> WorkerProcess:
     """Start a worker and wait until it lives."""
-    (port,) = find_free_ports("127.0.0.1", 1)
+    address, own_address = (
+        ("127.0.0.1", port) for port in find_free_ports("127.0.0.1", 2)
+    )
     labels = ["a" if number < shape.workers_of_kind_a else "b", f"r{number // 8}"]
     worker = WorkerProcess(
         name=f"w{number:x}{os.urandom(4).hex()}",
         zone=zone,
-        address=("127.0.0.1", port),
+        address=address if shape.has_gates else own_address,
         slots=shape.slots,
         labels=labels,
         next_labels=labels,
+        gate=Gate(target=own_address, address=address),
     )
     options = {
         "name": worker.name,
@@ -302,7 +313,7 @@
         "late_flag": str(deployment.late_flag),
         **shape.worker_options,
     }
-    settings = json.dumps({"options": options, "address": worker.address})
+    settings = json.dumps({"options": options, "address": own_address})
     worker.process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-S", "-m", "review.stand_ins.worker", settings),
         cwd=ROOT,
@@ -310,6 +321,8 @@
     )
     line = await worker.process.stdout.readline()
     worker.pid, worker.born_ms = map(int, line.split())
+    if shape.has_gates:
+        await worker.gate.start()
     return worker
 
 
