--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,47 +1,63 @@
-"""A client cancels its job while the host that took it is stopped for planned work."""
+"""A worker is cut off for a moment, and the owner of the workers is killed."""
 
 import asyncio
 import os
-import signal
 import sys
 import time
 from pathlib import Path
 
-from review.stand_ins.balancer import Balancer
-from review.stand_ins.checks import write_record
-from review.stand_ins.clients import JobShape, call
+from review.stand_ins.checks import judge_overlaps
+from review.stand_ins.clients import JobShape, hand_in
 from review.stand_ins.deployment import Deployment, Shape, open_deployment
 
-ROUNDS = 4
-CANCEL_S = 3.0
-STOP_S = 0.05
-# Fourteen steps of one task each, one after another.
-JOB = JobShape(widths=(1,) * 14, work_ms=400, deadline_ms=10_000)
-ROTATION_TIMEOUT_S = 2.2
+ROUNDS = 7
+# Two jobs fill one worker.
+JOBS = 2
+JOB = JobShape(widths=(4,), work_ms=4000, deadline_ms=10_000)
+# Time from the new starts of the tasks to the kill, and from there to the heal, s.
+KILL_S = 0.28
+HEAL_S = 0.35
+NEW_START_TIMEOUT_S = 3.0
+# The platform starts a killed process again after a short delay.
+RESTART_S = 1.0
 
 
-async def play_round(
-    deployment: Deployment, balancer: Balancer, has_trouble: bool
-) -> None:
-    """Hand in a job, stop its host if there is trouble, and cancel the job."""
-    host = balancer.choose(deployment.hosts[0])
-    job_id = os.urandom(8).hex()
-    submission = asyncio.create_task(
-        call(deployment, host, "POST", job_id, JOB.encode(), JOB.deadline_ms / 1000)
-    )
-    await asyncio.sleep(0.2)
-    started_s = time.monotonic()
-    if has_trouble:
-        deployment.note("SIGTERM", host=host.name)
-        host.process.send_signal(signal.SIGTERM)
-    while balancer.is_in(host) and time.monotonic() < started_s + ROTATION_TIMEOUT_S:
-        await asyncio.sleep(0.02)
-    await call(deployment, balancer.choose(host), "DELETE", job_id)
-    await submission
+async def wait_for_new_starts(deployment: Deployment) -> None:
+    """Wait until tasks of the worker that was cut off have started elsewhere."""
+    limit_s = time.monotonic() + NEW_START_TIMEOUT_S
+    cut_s = max(e["t"] for e in deployment.notes if e["event"] == "cut")
+    while time.monotonic() < limit_s:
+        events = deployment.read_events()
+        if any(e["event"] == "start" and e["t"] > cut_s for e in events):
+            return
+        await asyncio.sleep(0.01)
+
+
+async def play_round(deployment: Deployment, delay_s: float, has_trouble: bool) -> None:
+    """Hand in jobs at a host that owns no workers; cut their worker, kill the owner."""
+    zone = deployment.hosts[0].zone
+    owner = await deployment.find_owner(zone)
+    local = [host for host in deployment.hosts if host.zone == zone]
+    (front,) = [host for host in local if host is not owner]
+    jobs = [
+        asyncio.create_task(hand_in(deployment, JOB, lambda attempt: front))
+        for _ in range(JOBS)
+    ]
+    await asyncio.sleep(0.4)
     if has_trouble:
-        await host.process.wait()
-        await host.start()
-    await asyncio.sleep(1.0)
+        worker = deployment.find_last_starters()[0]
+        deployment.note("cut", worker=worker.name)
+        worker.gate.cut()
+        await wait_for_new_starts(deployment)
+        await asyncio.sleep(KILL_S + delay_s)
+        deployment.note("kill", host=owner.name)
+        await owner.kill()
+        await asyncio.sleep(HEAL_S)
+        deployment.note("heal", worker=worker.name)
+        worker.gate.heal()
+        await asyncio.sleep(RESTART_S)
+        await owner.start()
+    await asyncio.gather(*jobs)
     await deployment.wait_until_ready()
     await asyncio.sleep(4.0)
 
@@ -49,50 +65,20 @@
 async def play() -> int:
     """Play the scenario; return the exit status."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    shape = Shape(zones=("olten",), hosts_per_zone=2, workers_per_zone=8)
+    shape = Shape(
+        zones=("olten", "aarau"), hosts_per_zone=2, workers_per_zone=12, has_gates=True
+    )
     async with open_deployment(shape) as deployment:
-        balancer = Balancer(deployment=deployment)
-        probing = asyncio.create_task(balancer.run())
         await asyncio.sleep(4.0)
-        for _ in range(ROUNDS):
-            await play_round(deployment, balancer, has_trouble)
-        probing.cancel()
+        for number in range(ROUNDS):
+            # The kills meet the renewals of the leases at different phases.
+            await play_round(deployment, 0.02 * number, has_trouble)
         events = deployment.read_events()
-    return judge(events)
-
-
-def judge(events: list[dict]) -> int:
-    """Check the rule UNASKED; write the record and return the exit status."""
-    first_s = events[0]["t"]
-    cancels = {
-        e["job"]: e
-        for e in events
-        if e["event"] == "answered"
-        and e["method"] == "DELETE"
-        and e["status"] in (200, 204, 410)
-    }
-    late = [
-        (event, cancels[job])
-        for event in events
-        if event["event"] == "start"
-        and (job := event["task"].partition(".")[0]) in cancels
-        and event["t"] > cancels[job]["t"] + CANCEL_S
-    ]
     summary = [
-        f"acknowledged cancels: {len(cancels)}",
-        f"starts later than {CANCEL_S} s after the acknowledgement: {len(late)}",
+        f"cuts: {sum(e['event'] == 'cut' for e in events)}",
+        f"kills: {sum(e['event'] == 'kill' for e in events)}",
     ]
-    for event, cancel in late:
-        summary.append(
-            f"UNASKED {event['task']}: cancel acknowledged with {cancel['status']} by "
-            f"{cancel['host']} at {cancel['t'] - first_s:.3f}, started on "
-            f"{event['worker']} at {event['t'] - first_s:.3f}, "
-            f"{event['t'] - cancel['t']:.3f} s later"
-        )
-    write_record(Path(__file__).parent, summary, events)
-    if len(cancels) < ROUNDS:
-        return 2
-    return 1 if late else 0
+    return judge_overlaps(Path(__file__).parent, events, summary)
 
 
 if __name__ == "__main__":
