--- a/review/stand_ins/worker.py
+++ b/review/stand_ins/worker.py
@@ -23,6 +23,7 @@
 STOP_S = 0.02
 MAX_LISTED_ENDS = 500
 LATE_S = (2.0, 12.0)
+LATE_PATHS = ("/api/run-start", "/api/run-stop")
 # Time that a life needs until it serves; connections wait at the socket meanwhile.
 START_UP_S = 0.05
 CPU_PER_SLOT = 1000
@@ -46,8 +47,8 @@
 
     `has_told` is set once it has told its `born` to an owner.
 
-    While the file `late_flag` exists, it leaves a share of the orders unanswered and
-    carries them out 2 to 12 s later.
+    While the file `late_flag` exists, it leaves a share of the starts and stops
+    unanswered and carries them out 2 to 12 s later.
     """
 
     name: str
@@ -82,7 +83,8 @@
         if request.headers.get("target-instance", self.name) != self.name:
             return Reply(status=421, content={})
         body = request.decode()
-        is_late_now = self.late_share and os.path.exists(self.late_flag)
+        is_order = self.late_share and request.path in LATE_PATHS
+        is_late_now = is_order and os.path.exists(self.late_flag)
         if is_late_now and self.random.random() < self.late_share:
             delay_s = self.random.uniform(*LATE_S)
             self.record("unanswered", path=request.path, body=body, delay_s=delay_s)
