--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -6,9 +6,9 @@
 import time
 from pathlib import Path
 
-from review.stand_ins.checks import judge_overlaps
-from review.stand_ins.clients import JobShape, hand_in
-from review.stand_ins.deployment import Deployment, Host, Shape, open_deployment
+from review.checks import judge_overlaps
+from review.clients import JobShape, hand_in
+from review.deployment import Deployment, Host, Shape, open_deployment, run_scenario
 
 ROUNDS = 6
 JOBS = 6
@@ -69,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(play()))
+    sys.exit(run_scenario(play))
--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -7,9 +7,9 @@
 from itertools import cycle
 from pathlib import Path
 
-from review.stand_ins.checks import judge_overlaps
-from review.stand_ins.clients import JobShape, hand_in, repeat
-from review.stand_ins.deployment import Shape, open_deployment
+from review.checks import judge_overlaps
+from review.clients import JobShape, hand_in, repeat
+from review.deployment import Shape, open_deployment, run_scenario
 
 LENGTH_S = 48.0
 CRASH_INTERVAL_S = 3.0
@@ -55,4 +55,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(play()))
+    sys.exit(run_scenario(play))
--- a/review/stand_ins/balancer.py
+++ b/review/balancer.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from review.stand_ins.deployment import Deployment, Host
+from review.deployment import Deployment, Host
 
 PROBE_INTERVAL_S = 1.0
 MISSES_UNTIL_OUT = 2
--- a/review/stand_ins/clients.py
+++ b/review/clients.py
@@ -8,13 +8,13 @@
 
 from attrs import frozen
 
-from review.stand_ins.deployment import (
+from review.deployment import (
     QUEUE_HOST,
     QUEUE_PREFIX,
     Deployment,
     Host,
 )
-from review.stand_ins.web import send_request
+from review.web import send_request
 
 RESEND_S = 1.3
 
--- a/review/stand_ins/deployment.py
+++ b/review/deployment.py
@@ -8,22 +8,24 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator
+import traceback
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 from attrs import define, field, frozen
 
-from review.stand_ins.gate import Gate
-from review.stand_ins.store import Store
-from review.stand_ins.web import send_request, start_server
+from review.gate import Gate
+from review.store import Store
+from review.web import send_request, start_server
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HEARTBEAT_S = 1.5
 QUEUE_HOST = "desk.example"
-QUEUE_PREFIX = "/work/"
+QUEUE_PREFIX = "/desk/"
 SERVICE = "desk"
 READY_TIMEOUT_S = 30.0
+START_ATTEMPTS = 5
 # Port of the hosts' metrics, as the deploy file says.
 METRICS_PORT = 9464
 SETTINGS = """
@@ -289,10 +291,26 @@
     return ports
 
 
-async def start_worker(
+def find_free_ips(count: int) -> list[str]:
+    """Return loopback addresses on which the port of the metrics is free."""
+    for base in range(16, 216):
+        ips = [
+            f"127.{16 + (base + os.getpid()) % 200}.0.{number + 2}"
+            for number in range(count)
+        ]
+        try:
+            for ip in ips:
+                socket.create_server((ip, METRICS_PORT)).close()
+        except OSError:
+            continue
+        return ips
+    raise LookupError("no free loopback addresses")
+
+
+async def try_start_worker(
     deployment: Deployment, zone: str, number: int, shape: Shape
-) -> WorkerProcess:
-    """Start a worker and wait until it lives."""
+) -> WorkerProcess | None:
+    """Start a worker and wait until it lives; None if its port was taken meanwhile."""
     address, own_address = (
         ("127.0.0.1", port) for port in find_free_ports("127.0.0.1", 2)
     )
@@ -315,22 +333,35 @@
     }
     settings = json.dumps({"options": options, "address": own_address})
     worker.process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-S", "-m", "review.stand_ins.worker", settings),
+        *(sys.executable, "-S", "-m", "review.worker", settings),
         cwd=ROOT,
         stdout=asyncio.subprocess.PIPE,
     )
     line = await worker.process.stdout.readline()
+    if not line:
+        await worker.process.wait()
+        return None
     worker.pid, worker.born_ms = map(int, line.split())
     if shape.has_gates:
         await worker.gate.start()
     return worker
 
 
+async def start_worker(
+    deployment: Deployment, zone: str, number: int, shape: Shape
+) -> WorkerProcess:
+    """Start a worker; try again with another port if one was taken meanwhile."""
+    for _ in range(START_ATTEMPTS):
+        worker = await try_start_worker(deployment, zone, number, shape)
+        if worker is not None:
+            return worker
+    raise LookupError("no free port for a worker")
+
+
 def plan_hosts(deployment: Deployment, shape: Shape, store: str) -> list[Host]:
     """Choose addresses for the hosts and write their settings."""
     numbers = range(len(shape.zones) * shape.hosts_per_zone)
-    base = 16 + os.getpid() % 200
-    ips = [f"127.{base}.0.{number + 2}" for number in numbers]
+    ips = find_free_ips(len(numbers))
     front, ready, control = find_free_ports(ips[0], 3)
     ports = {"front": front, "ready": ready, "control": control}
     hosts = []
@@ -394,3 +425,19 @@
                 Path(logs).mkdir(parents=True, exist_ok=True)
                 for path in Path(folder).iterdir():
                     (Path(logs) / path.name).write_bytes(path.read_bytes())
+
+
+def run_scenario(play: Callable[[], Awaitable[int]]) -> int:
+    """Return the exit status of a scenario; 2 if it could not be played to its end."""
+    try:
+        return asyncio.run(_play_until_signal(play))
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
+
+
+async def _play_until_signal(play: Callable[[], Awaitable[int]]) -> int:
+    """Play; SIGTERM cancels it, so that the deployment's processes are ended."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await play()
--- a/review/stand_ins/store.py
+++ b/review/store.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from review.stand_ins.web import Reply, Request
+from review.web import Reply, Request
 
 FORBIDDEN_TABLES = ("op", "servers")
 MAX_FEED_WAIT_S = 30.0
--- a/review/stand_ins/worker.py
+++ b/review/worker.py
@@ -17,7 +17,7 @@
 
 from attrs import define, field
 
-from review.stand_ins.web import NO_ANSWER, Reply, Request, start_server
+from review.web import NO_ANSWER, Reply, Request, start_server
 
 HOLD_MAX_MS = 1000
 STOP_S = 0.02
