Renew no lease of runs that no front host has claimed

Cause: a new owner renewed the leases of all runs that it found, before it knew whether a front host wanted them, and for 0.3 s longer. Each owner added a whole lease, so that the life of a run grew with each owner that was lost.

Ruled out: the lease of the first owner alone (it ends 0.85 s after its last renewal), and the first call of a new owner (it carries no lease, as the target's clock is not known).

Change: a target is granted a lease only once it has listed its runs and each of them has been claimed or has a confirmed stop. A claim renews the lease at once, beside the pending renewal. Unclaimed runs are stopped after 0.15 s instead of 0.3 s, because claimed runs beside them get no lease until then. A poll of a silent target is marked as a retry, so that the first call to a target, which grants no lease any more, is still tried twice.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -50,7 +50,7 @@
     The lease ends `lease_s` after `decided_s`, the monotonic time of the decision; it
     stays unchanged if `lease_s` is 0. `acknowledged_end` is the highest number of an
     ended run that the target need not list again. `is_retry` marks a renewal that
-    follows one without an answer.
+    follows one without an answer, and each poll of a silent target.
     """
 
     target: ListedTarget
@@ -64,11 +64,17 @@
 
 @frozen(kw_only=True)
 class ListRuns:
-    """List a target's runs immediately, in parallel with the pending renewal."""
+    """List a target's runs immediately, in parallel with the pending renewal.
+
+    The call also renews the lease, which ends `lease_s` after `decided_s`; it stays
+    unchanged if `lease_s` is 0.
+    """
 
     target: ListedTarget
     term: int
+    decided_s: float
     acknowledged_end: int
+    lease_s: float = 0.0
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -280,7 +280,7 @@
             return
         for target in self.targets.values():
             if task.key in target.orphans:
-                self._adopt_run(task, target, now_s)
+                yield from self._adopt_run(task, target, now_s)
                 return
             if task.key in target.unclaimed_ends:
                 yield from self._end_run(task, target.unclaimed_ends[task.key], now_s)
@@ -291,8 +291,8 @@
             return
         self._push_waiting(task, now_s)
 
-    def _adopt_run(self, task: CellTask, target: TargetState, now_s: float) -> None:
-        number = target.orphans.pop(task.key)
+    def _adopt_run(self, task: CellTask, target: TargetState, now_s: float) -> Iterator:
+        number = target.orphans[task.key]
         run = Run(
             key=task.key,
             number=number,
@@ -304,10 +304,10 @@
             progress_s=now_s,
             is_exclusive=self.suspects.has_to_run_alone(task.key),
         )
-        target.add_run(run)
         task.target, task.last_run = target.name, number
         task.job.possible_runs += 1
         self._started_tasks[task.key] = task
+        yield from self.tracker.adopt_run(target, run, now_s)
 
     def _decline_waiting(self, job: CellJob, keys: list[TaskKey]) -> Iterator:
         declined = [job.tasks[key] for key in keys if job.tasks[key].is_waiting]
@@ -452,7 +452,7 @@
                 case te.StartRefused(target=target, run=run, verdict=verdict):
                     yield from self._handle_refused_start(target, run, verdict, now_s)
                 case te.OrphanFound(target=target, key=key):
-                    self._assign_orphan(target, key, now_s)
+                    yield from self._assign_orphan(target, key, now_s)
                 case te.RunsDiscovered():
                     yield from self._release_blocked(now_s)
                 case _:
@@ -530,13 +530,15 @@
         self._requeue(task, now_s)
         yield from self._release_blocked(now_s)
 
-    def _assign_orphan(self, target: TargetState, key: TaskKey, now_s: float) -> None:
+    def _assign_orphan(
+        self, target: TargetState, key: TaskKey, now_s: float
+    ) -> Iterator:
         """Assign a run of an earlier owner to the blocked task that it belongs to."""
         task = next((t for t in self._blocked if t.key == key), None)
         if task is not None and not task.job.is_cancelled:
             self._blocked.remove(task)
             task.is_blocked = False
-            self._adopt_run(task, target, now_s)
+            yield from self._adopt_run(task, target, now_s)
 
     def _release_blocked(self, now_s: float) -> Iterator:
         """Admit the tasks again that are blocked by possible earlier runs."""
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -43,9 +43,9 @@
 )
 
 # A new owner keeps runs of an earlier one that no front host has claimed for this long.
-# If both hosts are lost, the caller submits again 1.3 s later; the claim may come up to
-# 0.85 s after the loss, and still renew the leases.
-ORPHAN_GRACE_S = 0.3
+# Their targets are granted no lease meanwhile, so that a longer time would also end the
+# claimed runs beside them. Front hosts claim runs within a few hundredths of a second.
+ORPHAN_GRACE_S = 0.15
 # A stop that has not taken effect is sent again after this time.
 STOP_RETRY_S = 0.15
 # A start is answered, refused or times out within this time, s.
@@ -186,7 +186,8 @@
             yield from self._renew(state, now_s)
             return
         if state is None:
-            state = TargetState(entry=target)
+            # An earlier owner may have granted a lease until now.
+            state = TargetState(entry=target, lease_expiry_s=bound_lease_expiry(now_s))
             self.targets[target.name] = state
             yield self._log_decision(
                 "target listed",
@@ -222,37 +223,65 @@
     def _renew(
         self, state: TargetState, now_s: float, is_retry: bool = False
     ) -> Iterator[fx.RenewLease | fx.LogDecision]:
-        """Renew the lease of a target that answers; only poll any other.
+        """Renew the lease of a target whose runs may all go on; only poll any other.
 
-        A target that leaves a stop unanswered is only polled, too: a lease would also
-        be one of the run that has to end.
+        A lease is one of all runs of the target. So none is granted while a run has to
+        end, and none before the target has listed its runs.
         """
-        is_granted = state.phase is not TargetPhase.SILENT
+        is_ready = state.phase is TargetPhase.READY
         overdue = state.find_overdue_stops(now_s)
-        if is_granted and overdue:
+        unclaimed = state.find_unclaimed_runs()
+        if is_ready and (overdue or unclaimed):
             yield self._log_decision(
                 "lease withheld",
                 state.name,
                 overdue=format_task_keys(overdue),
+                unclaimed=format_task_keys(unclaimed),
                 **_describe_runs(state),
             )
-            is_granted = False
-        if is_granted:
-            state.lease_expiry_s = bound_lease_expiry(now_s)
-        is_ready = state.phase is TargetPhase.READY
         yield fx.RenewLease(
             target=state.entry,
             term=self.term,
             decided_s=now_s,
-            lease_s=LEASE_S if is_granted else 0.0,
+            lease_s=self._grant_lease(state, now_s),
             acknowledged_end=state.acknowledged_end,
             wait_s=RENEWAL_WAIT_S if is_ready and not is_retry else 0.0,
-            is_retry=is_retry,
+            is_retry=is_retry or state.phase is TargetPhase.SILENT,
         )
 
-    def _list_runs(self, state: TargetState) -> fx.ListRuns:
+    def adopt_run(self, state: TargetState, run: Run, now_s: float) -> Iterator:
+        """Take over a run of an earlier owner that a front host has claimed.
+
+        The pending renewal grants no lease. Once all runs are claimed, another call
+        does, since the lease of the earlier owner may end before the next renewal.
+        """
+        state.orphans.pop(run.key)
+        state.add_run(run)
+        lease_s = self._grant_lease(state, now_s)
+        if lease_s:
+            yield self._list_runs(state, now_s, lease_s)
+
+    def _grant_lease(self, state: TargetState, now_s: float) -> float:
+        """Return the lease that the target is granted now, s; 0 for none."""
+        is_ready = state.phase is TargetPhase.READY
+        if (
+            not is_ready
+            or state.find_overdue_stops(now_s)
+            or state.find_unclaimed_runs()
+        ):
+            return 0.0
+        state.lease_expiry_s = bound_lease_expiry(now_s)
+        return LEASE_S
+
+    def _list_runs(
+        self, state: TargetState, now_s: float, lease_s: float = 0.0
+    ) -> fx.ListRuns:
         return fx.ListRuns(
-            target=state.entry, term=self.term, acknowledged_end=state.acknowledged_end
+            target=state.entry,
+            term=self.term,
+            decided_s=now_s,
+            lease_s=lease_s,
+            acknowledged_end=state.acknowledged_end,
         )
 
     def _handle_report(self, report: ev.RunsReported, now_s: float) -> Iterator:
@@ -393,7 +422,7 @@
                     yield self._log_decision(
                         "start unanswered", format_task_key(run.key), target=state.name
                     )
-                    yield self._list_runs(state)
+                    yield self._list_runs(state, now_s)
             case verdict:
                 yield self._log_decision(
                     "start refused",
@@ -421,7 +450,7 @@
             return
         if run.confirmed_s == float("inf") and run.stopped_s == float("inf"):
             run.stopped_s = now_s
-            yield self._list_runs(state)
+            yield self._list_runs(state, now_s)
 
     def _retry_stop(
         self, state: TargetState, answer: ev.StopAnswered, now_s: float
@@ -503,7 +532,7 @@
                 case RunPhase.STARTING if now_s > run.sent_s + START_ANSWER_TIMEOUT_S:
                     # The answer is lost with a connection or at a full mailbox.
                     run.phase = RunPhase.UNCERTAIN
-                    yield self._list_runs(state)
+                    yield self._list_runs(state, now_s)
                 case RunPhase.RUNNING if _is_stalled(run, state.last_report_s):
                     yield self._log_decision(
                         "run stalled",
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -126,6 +126,17 @@
         """Return the tasks because of which the target may be granted no lease."""
         return [key for key, stop in self.stops.items() if stop.is_overdue(now_s)]
 
+    def find_unclaimed_runs(self) -> list[TaskKey]:
+        """Return the runs that may go on although no front host is known to want them.
+
+        A run whose stop is confirmed ends within the time of a stop.
+        """
+        return [
+            key
+            for key in self.orphans
+            if key not in self.stops or not self.stops[key].is_confirmed
+        ]
+
     def predict_idle_s(self) -> float:
         """Return the monotonic time at which all present runs should have ended, s."""
         return max(run.sent_s + run.expected_s for run in self.runs.values())
--- a/gentianhub/capacity/tests/leased_targets.py
+++ b/gentianhub/capacity/tests/leased_targets.py
@@ -125,7 +125,9 @@
                 self.last_runs[(name, key)] = max(last_run, run)
                 self.schedule(STOP_S, self.end, name, key, run, ev.RunEnd.STOPPED)
                 answer = self.build_stop_answer(command, is_confirmed=True)
-            case fx.ListRuns():
+            case fx.ListRuns(decided_s=decided_s, lease_s=lease_s):
+                if lease_s:
+                    self.extend_lease(name, decided_s + lease_s)
                 answer = self.build_report(
                     name, self.driver.now_s - ANSWER_S / 2, is_renewal=False
                 )
@@ -204,7 +206,7 @@
 
     def miss_renewal(self, renewal: fx.RenewLease) -> None:
         name = renewal.target.name
-        if (renewal.wait_s or renewal.lease_s) and not renewal.is_retry:
+        if not renewal.is_retry:
             self.feed(ev.RenewalMissed(target=name, reason="time-out"))
             return
         # The greenlet of the renewals pauses before it sends the next one.
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -140,6 +140,7 @@
         silent = ev.TargetSilent(target="t1", reason="time-out")
         (renewal,) = find_renewals(driver.feed(silent))
         self.assertEqual(0.0, renewal.lease_s)
+        self.assertTrue(renewal.is_retry, "a poll that is missed is not retried")
 
     def test_an_unanswered_start_is_stopped_before_the_task_runs_elsewhere(self):
         """A start without an answer may still take effect seconds later."""
--- a/gentianhub/host/target_ports.py
+++ b/gentianhub/host/target_ports.py
@@ -67,10 +67,9 @@
     client = connections.create_client()
     try:
         for renewal in connections.renewals.iterate_messages():
-            is_poll = not renewal.lease_s and not renewal.wait_s
             match client.renew(renewal):
-                case ev.TargetSilent(target=target, reason=reason) if not (
-                    is_poll or renewal.is_retry
+                case ev.TargetSilent(target=target, reason=reason) if (
+                    not renewal.is_retry
                 ):
                     connections.answers.put(
                         ev.RenewalMissed(target=target, reason=reason)
--- a/gentianhub/host/tests/test_target_ports.py
+++ b/gentianhub/host/tests/test_target_ports.py
@@ -44,11 +44,16 @@
         answer = self.miss_renewal(build_renewal(lease_s=0.0))
         self.assertIsInstance(answer, ev.RenewalMissed)
 
+    def test_the_first_call_to_a_target_is_retried(self):
+        """It grants no lease, as the target's runs are not known yet."""
+        answer = self.miss_renewal(build_renewal(lease_s=0.0, wait_s=0.0))
+        self.assertIsInstance(answer, ev.RenewalMissed)
+
     def test_neither_a_retry_nor_a_poll_is_retried(self):
         """A poll of a silent target is repeated after a pause."""
         for renewal in (
             build_renewal(wait_s=0.0, is_retry=True),
-            build_renewal(lease_s=0.0, wait_s=0.0),
+            build_renewal(lease_s=0.0, wait_s=0.0, is_retry=True),
         ):
             with self.subTest(renewal):
                 self.assertIsInstance(self.miss_renewal(renewal), ev.TargetSilent)
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -157,12 +157,12 @@
     def list_runs(
         self, query: fx.ListRuns
     ) -> ev.RunsReported | ev.TargetSilent | ev.FencedByTarget:
-        """Request the target's runs without changing the lease."""
+        """Request the target's runs; renew the lease only if the query has one."""
         renewal = fx.RenewLease(
             target=query.target,
             term=query.term,
-            decided_s=read_monotonic_s(),
-            lease_s=0.0,
+            decided_s=query.decided_s,
+            lease_s=query.lease_s,
             acknowledged_end=query.acknowledged_end,
             wait_s=0.0,
         )
