Bound each lease by the oldest confirmation of the jobs on its target

Cause: the time-outs of independent losses added up. A silent front host is noticed after 0.6 s, an unanswered stop after 0.3 s more, and the last lease takes 0.85 s. Only the lease of a start was bounded by the age of the job's confirmation, and only by that of its own job.

Ruled out: orders that are carried out late (a late start is over with its lease), and runs that the owner does not know.

Change: a lease of a target, of a start or a renewal, ends at most 1.25 s after the oldest confirmation among the jobs that may run there; a run that no front host has claimed has none. So no number of losses adds anything. No task starts beside a run whose job was not confirmed for 0.8 s. The test driver no longer confirms jobs that their front host has withdrawn, which no front host does.

Tests: two deterministic ones, and 40 plays of a simulated cell whose targets, owners and front hosts fail at random.

--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -2,9 +2,10 @@
 
 A target kills all its runs when its lease expires by its own clock, which may be slow.
 A caller whose connection broke resubmits its job after 1.3 s; by then no run of the
-first submission may exist. In the worst case a front host fails, the owner detects it
-after `HOST_SILENCE_TIMEOUT_S`, and a stop takes another 50 ms; or the owner fails as
-well, and the lease expires after `LEASE_S` plus the clock drift.
+first submission may exist. So no lease of a target, of a start or of a renewal, ends
+later than `CONFIRMED_LEASE_S` after the last confirmation of any job that may run
+there. A stop that is confirmed before then takes at most another 50 ms. This bound
+does not depend on how many hosts are lost or orders are left unanswered.
 """
 
 # Lease granted with each start and renewal; the platform allows at most 1 s.
@@ -19,7 +20,7 @@
 # of its lease covers the next renewal and one retry.
 START_WAIT_LIMIT_S = 0.35
 # A target that has not confirmed a stop for this long is granted no lease until it has,
-# so that the run ends with the last lease before a caller that has left submits again.
+# so that the run ends with the last lease and its task can be started elsewhere.
 STOP_CONFIRMATION_S = 0.3
 # A host that has sent no message for this long is considered lost.
 HOST_SILENCE_TIMEOUT_S = 0.6
@@ -31,8 +32,8 @@
 HANDOVER_NOTICE_S = 0.1
 # A task starts only if its front host has confirmed the job within this time.
 START_CONFIRMATION_S = 0.6
-# The lease of a start has expired this long after the last confirmation of its job: a
-# caller that has left submits the job again 1.3 s later.
+# The leases of a target have expired this long after the last confirmation of a job
+# that may run there: a caller that has left submits the job again 1.3 s later.
 CONFIRMED_LEASE_S = 1.25
 # Runs of a job that its front host has not confirmed for this long are stopped. It is
 # longer than the silence time-out of a host by the interval of heartbeats, which the
@@ -40,19 +41,20 @@
 JOB_CONFIRMATION_TIMEOUT_S = 0.8
 
 
-def choose_start_lease_s(confirmed_age_s: float) -> float:
-    """Return the lease of a start whose job was confirmed so long ago, in seconds.
+def choose_lease_s(confirmed_age_s: float) -> float:
+    """Return the longest lease of a target, in seconds; 0 if it may get none.
 
-    An owner or a front host that is some tenths of a second behind serves its callers
-    with shorter leases; without them it would start nothing at all.
+    The jobs of all runs there were confirmed within `confirmed_age_s`. An owner or a
+    front host that is some tenths of a second behind serves its callers with shorter
+    leases; without them it would start nothing at all.
     """
     allowed_s = CONFIRMED_LEASE_S - confirmed_age_s - LEASE_SLACK_S
-    return min(LEASE_S, allowed_s / (1 + CLOCK_DRIFT))
+    return max(0.0, min(LEASE_S, allowed_s / (1 + CLOCK_DRIFT)))
 
 
-def bound_lease_expiry(decided_s: float) -> float:
+def bound_lease_expiry(decided_s: float, lease_s: float = LEASE_S) -> float:
     """Return the time at which a lease granted at `decided_s` has expired for certain.
 
-    A lease ends `LEASE_S` after the decision, however long the order waits.
+    A lease ends `lease_s` after the decision, however long the order waits.
     """
-    return decided_s + LEASE_S * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
+    return decided_s + lease_s * (1 + CLOCK_DRIFT) + LEASE_SLACK_S
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -21,7 +21,7 @@
 )
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
-from gentianhub.capacity.leases import bound_lease_expiry, choose_start_lease_s
+from gentianhub.capacity.leases import choose_lease_s
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.placement import PlacementRound
@@ -296,6 +296,7 @@
         run = Run(
             key=task.key,
             number=number,
+            job=task.job,
             demand=task.step.demand,
             sent_s=now_s,
             expected_s=task.expected_s * target.pace.value,
@@ -609,6 +610,7 @@
         run = Run(
             key=task.key,
             number=task.last_run,
+            job=task.job,
             demand=task.step.demand,
             sent_s=now_s,
             expected_s=task.expected_s
@@ -629,7 +631,8 @@
         if is_exclusive:
             inputs["exclusive"] = True
         state.add_run(run)
-        state.lease_expiry_s = max(state.lease_expiry_s, bound_lease_expiry(now_s))
+        lease_s = choose_lease_s(now_s - state.find_confirmed_s(now_s))
+        state.extend_lease(now_s, lease_s)
         return fx.StartRun(
             inputs=inputs,
             target=state.entry,
@@ -638,7 +641,7 @@
             payload=task.request.payload,
             term=self.term,
             decided_s=now_s,
-            lease_s=choose_start_lease_s(now_s - task.job.confirmed_s),
+            lease_s=lease_s,
         )
 
     # Expiry of finished jobs
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -12,6 +12,7 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import MIN_TIMEOUT_S
+from gentianhub.capacity.confirmations import describe_age
 from gentianhub.capacity.jobs import (
     Cell,
     ListedTarget,
@@ -21,9 +22,9 @@
 )
 from gentianhub.capacity.leases import (
     HANDOVER_NOTICE_S,
-    LEASE_S,
     RENEWAL_WAIT_S,
     bound_lease_expiry,
+    choose_lease_s,
 )
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.targets import Run, RunPhase, Stop, TargetPhase, TargetState
@@ -223,27 +224,23 @@
     def _renew(
         self, state: TargetState, now_s: float, is_retry: bool = False
     ) -> Iterator[fx.RenewLease | fx.LogDecision]:
-        """Renew the lease of a target whose runs may all go on; only poll any other.
-
-        A lease is one of all runs of the target. So none is granted while a run has to
-        end, and none before the target has listed its runs.
-        """
+        """Renew the lease of a target whose runs may all go on; only poll any other."""
         is_ready = state.phase is TargetPhase.READY
-        overdue = state.find_overdue_stops(now_s)
-        unclaimed = state.find_unclaimed_runs()
-        if is_ready and (overdue or unclaimed):
+        lease_s = self._grant_lease(state, now_s)
+        if is_ready and not lease_s:
             yield self._log_decision(
                 "lease withheld",
                 state.name,
-                overdue=format_task_keys(overdue),
-                unclaimed=format_task_keys(unclaimed),
+                overdue=format_task_keys(state.find_overdue_stops(now_s)),
+                unclaimed=format_task_keys(state.find_unclaimed_runs()),
+                confirmed_age_s=describe_age(state.find_confirmed_s(now_s), now_s),
                 **_describe_runs(state),
             )
         yield fx.RenewLease(
             target=state.entry,
             term=self.term,
             decided_s=now_s,
-            lease_s=self._grant_lease(state, now_s),
+            lease_s=lease_s,
             acknowledged_end=state.acknowledged_end,
             wait_s=RENEWAL_WAIT_S if is_ready and not is_retry else 0.0,
             is_retry=is_retry or state.phase is TargetPhase.SILENT,
@@ -262,16 +259,18 @@
             yield self._list_runs(state, now_s, lease_s)
 
     def _grant_lease(self, state: TargetState, now_s: float) -> float:
-        """Return the lease that the target is granted now, s; 0 for none."""
+        """Return the lease that the target is granted now, s; 0 for none.
+
+        A lease is one of all runs of the target. So none is granted before it has
+        listed its runs, and none while a run there has to end.
+        """
         is_ready = state.phase is TargetPhase.READY
-        if (
-            not is_ready
-            or state.find_overdue_stops(now_s)
-            or state.find_unclaimed_runs()
-        ):
+        if not is_ready or state.find_overdue_stops(now_s):
             return 0.0
-        state.lease_expiry_s = bound_lease_expiry(now_s)
-        return LEASE_S
+        lease_s = choose_lease_s(now_s - state.find_confirmed_s(now_s))
+        if lease_s:
+            state.extend_lease(now_s, lease_s)
+        return lease_s
 
     def _list_runs(
         self, state: TargetState, now_s: float, lease_s: float = 0.0
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -8,8 +8,13 @@
 from gentianhub.capacity.events import RunEnd
 from gentianhub.capacity.health import TargetHealth
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
-from gentianhub.capacity.leases import STOP_CONFIRMATION_S
+from gentianhub.capacity.leases import (
+    JOB_CONFIRMATION_TIMEOUT_S,
+    STOP_CONFIRMATION_S,
+    bound_lease_expiry,
+)
 from gentianhub.capacity.resources import Resources
+from gentianhub.capacity.tasks import CellJob
 
 
 class TargetPhase(enum.Enum):
@@ -33,14 +38,16 @@
 class Run:
     """A run that was sent to a target; times are monotonic and in seconds.
 
-    `confirmed_s` is when the target first confirmed the run, `progress_s` when its
-    progress last increased and `stopped_s` when the target confirmed a stop.
+    The confirmations of `job` bound the leases of the target. `confirmed_s` is when the
+    target first confirmed the run, `progress_s` when its progress last increased and
+    `stopped_s` when the target confirmed a stop.
     `expected_s` is the expected run time on this target. An exclusive run shares its
     target with no other.
     """
 
     key: TaskKey
     number: int
+    job: CellJob
     demand: Resources
     sent_s: float
     expected_s: float
@@ -119,6 +126,7 @@
             and self.exclusive_task is None
             and not self.health.is_ejected(now_s)
             and not self.find_overdue_stops(now_s)
+            and now_s <= self.find_confirmed_s(now_s) + JOB_CONFIRMATION_TIMEOUT_S
             and not (self.health.is_suspect and self.runs)
         )
 
@@ -131,11 +139,27 @@
 
         A run whose stop is confirmed ends within the time of a stop.
         """
-        return [
-            key
-            for key in self.orphans
-            if key not in self.stops or not self.stops[key].is_confirmed
-        ]
+        return [key for key in self.orphans if not self._has_confirmed_stop(key)]
+
+    def find_confirmed_s(self, now_s: float) -> float:
+        """Return when the jobs of all runs were last confirmed, monotonic, s.
+
+        A lease is one of all runs of the target, so that the job whose confirmation is
+        the oldest counts. A run that is not known to belong to any job has none.
+        """
+        if self.find_unclaimed_runs():
+            return float("-inf")
+        return min(
+            (
+                run.job.confirmed_s
+                for run in self.runs.values()
+                if not self._has_confirmed_stop(run.key)
+            ),
+            default=now_s,
+        )
+
+    def _has_confirmed_stop(self, key: TaskKey) -> bool:
+        return key in self.stops and self.stops[key].is_confirmed
 
     def predict_idle_s(self) -> float:
         """Return the monotonic time at which all present runs should have ended, s."""
@@ -146,6 +170,11 @@
         self.entry = entry
         self.available = entry.capacity - self.used
 
+    def extend_lease(self, decided_s: float, lease_s: float) -> None:
+        """Note a lease of `lease_s` that is granted at `decided_s`."""
+        expiry_s = bound_lease_expiry(decided_s, lease_s)
+        self.lease_expiry_s = max(self.lease_expiry_s, expiry_s)
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its capacity."""
         assert run.key not in self.runs, f"{run.key} already has a run on {self.name}"
--- a/gentianhub/capacity/tests/builders.py
+++ b/gentianhub/capacity/tests/builders.py
@@ -95,8 +95,9 @@
 
     def _confirm_jobs_at(self, confirmed_s: float):
         jobs: dict[Incarnation, list[str]] = {}
-        for front_host, job in self.scheduler.jobs:
-            jobs.setdefault(front_host, []).append(job)
+        for (front_host, name), job in self.scheduler.jobs.items():
+            if not job.is_withdrawn:
+                jobs.setdefault(front_host, []).append(name)
         for front_host, names in jobs.items():
             message = ev.OpenJobs(cell=CELL, jobs=tuple(names))
             yield from self.scheduler.handle(message, confirmed_s, front_host)
--- a/gentianhub/capacity/tests/test_confirmations.py
+++ b/gentianhub/capacity/tests/test_confirmations.py
@@ -16,7 +16,7 @@
     RENEWAL_WAIT_S,
     START_CONFIRMATION_S,
     bound_lease_expiry,
-    choose_start_lease_s,
+    choose_lease_s,
 )
 from gentianhub.capacity.tests.builders import (
     CELL,
@@ -44,14 +44,14 @@
     def test_a_run_that_starts_at_the_last_moment_ends_before_a_resubmission(self):
         """Its target may be cut off from the owner right after the start."""
         for age_s in (0.0, 0.2, 0.4, START_CONFIRMATION_S):
-            unused_s = LEASE_S - choose_start_lease_s(age_s)
+            unused_s = LEASE_S - choose_lease_s(age_s)
             expiry_s = bound_lease_expiry(age_s - unused_s)
             self.assertLess(expiry_s, RESUBMISSION_S)
-            self.assertGreater(choose_start_lease_s(age_s), RENEWAL_WAIT_S)
+            self.assertGreater(choose_lease_s(age_s), RENEWAL_WAIT_S)
 
     def test_the_lease_of_a_start_with_a_recent_confirmation_is_not_shortened(self):
         """Each lost renewal would end runs whose callers wait."""
-        self.assertEqual(LEASE_S, choose_start_lease_s(0.35))
+        self.assertEqual(LEASE_S, choose_lease_s(0.35))
 
     def test_a_run_without_confirmation_is_stopped_before_a_resubmission(self):
         detected_s = JOB_CONFIRMATION_TIMEOUT_S + TICK_S
--- a/gentianhub/capacity/tests/test_successive_owners.py
+++ b/gentianhub/capacity/tests/test_successive_owners.py
@@ -1,23 +1,37 @@
-"""Owners of a cell that are lost one after another.
+"""Runs whose front host is lost, beside further losses.
 
 A caller whose connection broke submits its job again after 1.3 s, at any host. By then
-no run of its first submission may be alive, however many owners were lost meanwhile.
+no run of its first submission may be alive, however many owners were lost meanwhile,
+and however many stops were left unanswered.
 """
 
 import unittest
 
+from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.leases import LEASE_S
+from gentianhub.capacity.leases import (
+    HOST_SILENCE_TIMEOUT_S,
+    JOB_CONFIRMATION_TIMEOUT_S,
+    LEASE_S,
+    bound_lease_expiry,
+)
 from gentianhub.capacity.target_tracker import ORPHAN_GRACE_S
 from gentianhub.capacity.tests.builders import (
     SchedulerDriver,
+    build_host,
     build_key,
     build_request,
     build_target,
     find_list_requests,
     find_renewals,
+    find_starts,
     find_stops,
 )
+from gentianhub.capacity.tests.simulated_cell import (
+    CALLER_RETURN_S,
+    TICK_S,
+    SimulatedCell,
+)
 
 CLAIMED, UNCLAIMED = build_key("a"), build_key("z")
 
@@ -85,5 +99,98 @@
         self.assertEqual(LEASE_S, renewal.lease_s)
 
 
+class TestUnconfirmedRuns(unittest.TestCase):
+    """Guards against leases that outlast the interest in any run of their target.
+
+    Job a is not confirmed any more, and its target leaves the stops unanswered. Job b,
+    which runs beside it, is confirmed by another front host.
+    """
+
+    OTHER_FRONT_HOST = build_host("e2", "b")
+
+    def setUp(self):
+        self.driver = SchedulerDriver([build_target("t1", cores=90)])
+        (start,) = find_starts(self.driver.feed(build_request("a", deadline_in_s=9.0)))
+        self.driver.answer(start)
+        self.driver.confirms_jobs = False
+        self.feed(build_request("b", deadline_in_s=9.0))
+        self.driver.list_targets(build_target("t1", cores=90))
+
+    def feed(self, event) -> list:
+        return self.driver.feed(event, front_host=self.OTHER_FRONT_HOST)
+
+    def build_row(self, job: str) -> ev.RunReport:
+        """Return a row of a run that makes progress."""
+        percent = int(50 * self.driver.now_s)
+        return ev.RunReport(key=build_key(job), run=1, percent=percent)
+
+    def advance(self) -> list:
+        """Pass one tick, with all that the owner hears in it."""
+        self.driver.now_s += TICK_S
+        rows = [self.build_row("a"), self.build_row("b")]
+        effects = self.feed(ev.OpenJobs(cell=self.driver.scheduler.cell, jobs=("b",)))
+        effects += self.driver.report("t1", running=rows)
+        for stop in find_stops(effects):
+            effects += self.feed(
+                ev.StopAnswered(
+                    target="t1", key=stop.key, run=stop.run, is_confirmed=False
+                )
+            )
+        return effects + self.feed(ev.Tick())
+
+    def test_no_lease_outlasts_the_last_confirmation_by_the_time_of_a_resubmission(
+        self,
+    ):
+        """Silence, unanswered stops and a last lease added up to more than 1.3 s."""
+        expiries_s = []
+        while self.driver.now_s < CALLER_RETURN_S:
+            effects = self.advance()
+            if self.driver.now_s > HOST_SILENCE_TIMEOUT_S:
+                lost = ev.FrontLost(front_host=build_host("e1"))
+                effects += self.driver.feed(lost)
+            expiries_s += [
+                bound_lease_expiry(effect.decided_s, effect.lease_s)
+                for effect in effects
+                if isinstance(effect, fx.RenewLease | fx.StartRun | fx.ListRuns)
+                and effect.lease_s
+            ]
+        self.assertTrue(expiries_s)
+        self.assertLess(max(expiries_s), CALLER_RETURN_S)
+
+    def test_no_task_starts_beside_a_run_that_is_not_confirmed(self):
+        """Its lease would be one of that run, or too short to be of use."""
+        while self.driver.now_s < JOB_CONFIRMATION_TIMEOUT_S + TICK_S:
+            self.advance()
+        end = ev.EndReport(number=1, key=build_key("b"), run=1, end=ev.RunEnd.DONE)
+        self.driver.report("t1", running=(self.build_row("a"),), ended=(end,))
+        self.assertEqual([], find_starts(self.feed(build_request("c"))))
+
+
+class TestSuccessiveLosses(unittest.TestCase):
+    """Guards against a life of runs that grows with each further loss."""
+
+    def play(self, seed: int, unanswered_probability: float) -> SimulatedCell:
+        """Lose three front hosts, and owners shortly before or after them."""
+        cell = SimulatedCell(seed=seed)
+        cell.submit_jobs(end_s=12.0, per_s=5)
+        cell.unanswered_probability = unanswered_probability
+        for front_host in cell.front_hosts[:3]:
+            lost_s = cell.random.uniform(2.0, 9.0)
+            cell.schedule(lost_s, cell.lose_front_host, front_host)
+            for _ in range(cell.random.randint(0, 3)):
+                delay_s = cell.random.uniform(-0.2, 2.0)
+                cell.schedule(lost_s + delay_s, cell.lose_owner)
+        cell.run(until_s=20.0)
+        return cell
+
+    def test_each_run_ends_before_its_caller_comes_again(self):
+        for unanswered_probability in (0.0, 0.5):
+            for seed in range(1, 21):
+                with self.subTest(seed=seed, unanswered=unanswered_probability):
+                    cell = self.play(seed, unanswered_probability)
+                    self.assertTrue(cell.overtimes_s)
+                    self.assertLessEqual(max(cell.overtimes_s), CALLER_RETURN_S)
+
+
 if __name__ == "__main__":
     unittest.main()
