Let the latest run of a task decide after a change of owner

Cause: a new owner went through its targets in order and took the first thing that it found about a task: an old end that was not done, listed by the target that had been cut off, counted more than the later run on another target, and more than the lists that had not come yet.

Ruled out: targets that the new owner did not know, and the fencing of the killed one.

Change: all that the targets tell about a task is compared each time that it is about to be queued, also after a lost, refused or ended run. A run at work has to end first, done is final, of other ends that of the highest run counts, once, and the task waits for the lists of all targets. The next run has a higher number than any known one.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -19,6 +19,7 @@
     is_given_up,
     is_recent,
 )
+from gentianhub.capacity.earlier_runs import RunAtWork, RunOver, find_earlier_run
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.leases import choose_lease_s
@@ -278,18 +279,23 @@
             self._blocked.append(task)
             yield from self._cancel_job(earlier.job, now_s)
             return
-        for target in self.targets.values():
-            if task.key in target.orphans:
+        match find_earlier_run(task.key, self.targets.values()):
+            case RunAtWork(target=target):
                 yield from self._adopt_run(task, target, now_s)
-                return
-            if task.key in target.unclaimed_ends:
-                yield from self._end_run(task, target.unclaimed_ends[task.key], now_s)
-                return
-        if task.request.is_repeat and not self.tracker.has_discovered_runs(now_s):
-            task.is_blocked = True
-            self._blocked.append(task)
-            return
-        self._push_waiting(task, now_s)
+            case RunOver(end=ev.EndReport(end=ev.RunEnd.DONE)):
+                yield from self._end_run(task, ev.RunEnd.DONE, now_s)
+            case _ if self._may_have_later_run(task, now_s):
+                task.is_blocked = True
+                self._blocked.append(task)
+            case RunOver(end=end) if end.run > task.last_run:
+                task.last_run = end.run
+                yield from self._end_run(task, end.end, now_s)
+            case _:
+                self._push_waiting(task, now_s)
+
+    def _may_have_later_run(self, task: CellTask, now_s: float) -> bool:
+        """Whether a target that has not listed its runs may have a run of the task."""
+        return task.request.is_repeat and not self.tracker.has_discovered_runs(now_s)
 
     def _adopt_run(self, task: CellTask, target: TargetState, now_s: float) -> Iterator:
         number = target.orphans[task.key]
@@ -305,7 +311,7 @@
             progress_s=now_s,
             is_exclusive=self.suspects.has_to_run_alone(task.key),
         )
-        task.target, task.last_run = target.name, number
+        task.target, task.last_run = target.name, max(task.last_run, number)
         task.job.possible_runs += 1
         self._started_tasks[task.key] = task
         yield from self.tracker.adopt_run(target, run, now_s)
@@ -500,9 +506,9 @@
                 if task.failures >= task.request.max_attempts:
                     yield from self._end_task(task, ev.TaskEnd.FAILED, now_s)
                 else:
-                    self._requeue(task, now_s)
+                    yield from self._requeue(task, now_s)
             case ev.RunEnd.STOPPED | ev.RunEnd.LEASE_EXPIRED | ev.RunEnd.BROKEN:
-                self._requeue(task, now_s)
+                yield from self._requeue(task, now_s)
         yield from self._release_blocked(now_s)
 
     def _end_task(self, task: CellTask, end: ev.TaskEnd, now_s: float) -> Iterator:
@@ -511,11 +517,12 @@
         if not task.job.is_cancelled:
             yield self.reporter.build_end_report([task], end)
 
-    def _requeue(self, task: CellTask, now_s: float) -> None:
+    def _requeue(self, task: CellTask, now_s: float) -> Iterator:
+        """Queue a task again whose run has ended or was not started."""
         if task.job.is_cancelled:
             task.is_blocked = True
         else:
-            self._push_waiting(task, now_s)
+            yield from self._admit_task(task, now_s)
 
     def _handle_refused_start(
         self, target: TargetState, run: Run, verdict: ev.StartVerdict, now_s: float
@@ -528,7 +535,7 @@
             task.avoid(target.name)
         if verdict is ev.StartVerdict.UNHEALTHY:
             target.health.record_failure(task.key.job, now_s)
-        self._requeue(task, now_s)
+        yield from self._requeue(task, now_s)
         yield from self._release_blocked(now_s)
 
     def _assign_orphan(
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -358,7 +358,7 @@
             run = state.runs.get(ended.key)
             if run is None or run.number != ended.run:
                 if run is None and (is_first or was_orphan):
-                    state.unclaimed_ends[ended.key] = ended.end
+                    state.unclaimed_ends[ended.key] = ended
                 continue
             state.remove_run(ended.key)
             yield RunEnded(target=state, run=run, end=ended.end)
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from gentianhub.capacity.estimates import TargetPace
-from gentianhub.capacity.events import RunEnd
+from gentianhub.capacity.events import EndReport
 from gentianhub.capacity.health import TargetHealth
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
 from gentianhub.capacity.leases import (
@@ -104,7 +104,7 @@
     runs: dict[TaskKey, Run] = field(factory=dict)
     orphans: dict[TaskKey, int] = field(factory=dict)
     stops: dict[TaskKey, Stop] = field(factory=dict)
-    unclaimed_ends: dict[TaskKey, RunEnd] = field(factory=dict)
+    unclaimed_ends: dict[TaskKey, EndReport] = field(factory=dict)
     health: TargetHealth = field(factory=lambda: TargetHealth())
     pace: TargetPace = field(factory=lambda: TargetPace())
     exclusive_task: TaskKey | None = field(init=False, default=None)
