Note all runs of a list before one of them renews the lease

Cause: when the next owner read the list of a target, a run that a front host had claimed before was adopted, and renewed the lease, while the rows behind it were not noted yet. Ruled out: the leases of the first owner (the last one ended 1.16 s after the loss).

Change: the rows are noted first.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -369,12 +369,14 @@
         listed = {row.key: row for row in report.running}
         for key in [key for key in state.orphans if key not in listed]:
             state.remove_orphan(key)
-        for key, row in listed.items():
-            run = state.runs.get(key)
-            if run is None:
-                yield from self._handle_unknown_run(state, row, now_s)
-            elif run.number == row.run:
-                _update_progress(run, row, now_s)
+        unknown = [row for key, row in listed.items() if key not in state.runs]
+        # All are noted before any is claimed, since a claim may renew the lease.
+        state.orphans.update((row.key, row.run) for row in unknown)
+        for row in unknown:
+            yield from self._handle_unknown_run(state, row, now_s)
+        for key, run in state.runs.items():
+            if key in listed and listed[key].run == run.number:
+                _update_progress(run, listed[key], now_s)
         for run in list(state.runs.values()):
             if run.key in listed or run.sent_s >= report.sent_s:
                 continue
@@ -403,7 +405,6 @@
         not start elsewhere before, and it uses capacity of the target.
         """
         is_assigned = any(row.key in other.runs for other in self.targets.values())
-        state.orphans[row.key] = row.run
         if now_s < self.owner_since_s + ORPHAN_GRACE_S and not is_assigned:
             yield OrphanFound(target=state, key=row.key)
         elif row.key not in state.stops:
--- a/gentianhub/capacity/tests/test_successive_owners.py
+++ b/gentianhub/capacity/tests/test_successive_owners.py
@@ -86,6 +86,14 @@
         (renewal,) = find_renewals(self.report(CLAIMED, UNCLAIMED))
         self.assertEqual(0.0, renewal.lease_s)
 
+    def test_no_lease_is_granted_before_all_rows_of_a_list_are_known(self):
+        """The claim of the first listed run renewed the lease of the others."""
+        self.claim(CLAIMED)
+        effects = self.report(CLAIMED, UNCLAIMED)
+        self.assertEqual([], find_list_requests(effects))
+        (renewal,) = find_renewals(effects)
+        self.assertEqual(0.0, renewal.lease_s)
+
     def test_the_lease_is_renewed_once_the_stop_of_an_unclaimed_run_is_confirmed(self):
         """Until the run has ended, the claimed one beside it would lose its lease."""
         self.report(CLAIMED, UNCLAIMED)
