Use no target between a broken connection and its next report

A simulated target that had restarted was sent starts in an endless loop: its clock was unknown after its connections had broken, so that each start was answered as not sent at once, and the task was placed there again. In a process the loop passes through the mailbox, until the next renewal is answered.

Cause: the clock was forgotten by the connection, and the scheduler did not know of it. Any connection counted, although only that of the renewals has a call under way at all times.

Change: a renewal whose connection broke, unlike one that is only late, forgets the clock and tells the tracker, which uses the target again after its next report.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -295,22 +295,29 @@
 
 @frozen(kw_only=True)
 class RenewalMissed:
-    """A lease renewal had no usable answer and has not been retried."""
+    """A lease renewal had no usable answer and has not been retried.
+
+    `is_broken` is set if its connection broke: the target may have restarted, so that
+    nothing of what it has reported is certain any more.
+    """
 
     target: str
     reason: str
+    is_broken: bool = False
 
 
 @frozen(kw_only=True)
 class TargetSilent:
     """A target did not answer the retry of a renewal, or is unreachable.
 
-    `is_refused` is set if it refused the connection, so that it is not only late.
+    `is_refused` is set if it refused the connection, so that it is not only late, and
+    `is_broken` if the connection was refused or broke.
     """
 
     target: str
     reason: str
     is_refused: bool = False
+    is_broken: bool = False
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -301,10 +301,15 @@
             yield from self._begin_life(state, report, now_s)
         state.last_report_s = now_s
         is_first = state.phase is TargetPhase.AWAITING_REPORT
-        was_unusable = state.phase is not TargetPhase.READY or bool(state.orphans)
+        was_unusable = (
+            state.phase is not TargetPhase.READY
+            or state.is_restarting
+            or bool(state.orphans)
+        )
         state.incarnation = report.incarnation
         state.phase = TargetPhase.READY
         state.has_listed_runs, state.is_lost = True, False
+        state.is_restarting = False
         yield from self._process_ended_runs(state, report, is_first)
         if report.sent_s >= state.last_request_s:
             # Answers may arrive out of order; an older list would revive ended runs.
@@ -419,6 +424,7 @@
         state = self.targets.get(missed.target)
         if state is not None:
             yield self._log_decision("renewal missed", state.name, reason=missed.reason)
+            state.is_restarting = state.is_restarting or missed.is_broken
             yield from self._renew(state, now_s, is_retry=True)
 
     def _handle_silence(self, event: ev.TargetSilent, now_s: float) -> Iterator:
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -86,7 +86,8 @@
     its latest list of running tasks was sent. `lease_expiry_s` is when all its runs
     have ended for certain if no lease is renewed any more. `available` is the capacity
     that no known run uses. `has_listed_runs` is set once it has listed its runs to this
-    owner, and `is_lost` while it is silent for longer than its leases. `orphans` are
+    owner, `is_restarting` from when a connection broke until the next report, and
+    `is_lost` while it is silent for longer than its leases. `orphans` are
     runs of an earlier owner that no front host has claimed, and `unclaimed_ends` the
     ends of such runs. `stops` has the runs and the orphans that are being stopped.
     """
@@ -100,6 +101,7 @@
     last_request_s: float = float("-inf")
     missing_since_s: float | None = None
     has_listed_runs: bool = False
+    is_restarting: bool = False
     is_lost: bool = False
     runs: dict[TaskKey, Run] = field(factory=dict)
     orphans: dict[TaskKey, int] = field(factory=dict)
@@ -123,6 +125,7 @@
         """Whether the target may get a task."""
         return (
             self.phase is TargetPhase.READY
+            and not self.is_restarting
             and not self.entry.is_leaving
             and not self.orphans
             and self.exclusive_task is None
--- a/gentianhub/capacity/tests/test_restarted_targets.py
+++ b/gentianhub/capacity/tests/test_restarted_targets.py
@@ -96,6 +96,16 @@
         (again,) = self.report()
         self.assertEqual((KEY, 2), (again.key, again.run))
 
+    def test_no_task_starts_after_a_connection_broke_until_the_next_report(self):
+        """Its start would not be sent, and be placed there again and again."""
+        for name in ("t1", "t2"):
+            missed = ev.RenewalMissed(target=name, reason="reset", is_broken=True)
+            self.driver.feed(missed)
+        self.assertEqual([], find_starts(self.driver.feed(build_request("b"))))
+        self.driver.now_s += 0.05
+        starts = self.report(KEY)
+        self.assertEqual(["b"], [start.key.job for start in starts])
+
     def test_a_late_report_of_the_earlier_life_restarts_nothing(self):
         """Answers on different connections may overtake each other."""
         self.driver.now_s += 0.05
--- a/gentianhub/host/target_ports.py
+++ b/gentianhub/host/target_ports.py
@@ -67,12 +67,19 @@
     client = connections.create_client()
     try:
         for renewal in connections.renewals.iterate_messages():
-            match client.renew(renewal):
-                case ev.TargetSilent(target=target, reason=reason) if (
-                    not renewal.is_retry
-                ):
+            answer = client.renew(renewal)
+            match answer:
+                case ev.TargetSilent(is_broken=True):
+                    # A target that has restarted has a new clock.
+                    connections.clock.forget()
+            match answer:
+                case ev.TargetSilent() as silent if not renewal.is_retry:
                     connections.answers.put(
-                        ev.RenewalMissed(target=target, reason=reason)
+                        ev.RenewalMissed(
+                            target=silent.target,
+                            reason=silent.reason,
+                            is_broken=silent.is_broken,
+                        )
                     )
                 case ev.RunsReported() as report:
                     connections.answers.put(report)
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -203,14 +203,15 @@
                 return self._build_target_silent(f"status {status}")
             return self._decode_report(answer, sent_s)
         except HTTP_ERRORS as error:
-            is_refused = isinstance(error, ConnectionRefusedError)
-            return self._build_target_silent(repr(error), is_refused)
+            return self._build_target_silent(
+                repr(error),
+                is_refused=isinstance(error, ConnectionRefusedError),
+                is_broken=not isinstance(error, TimeoutError),
+            )
 
-    def _build_target_silent(
-        self, reason: str, is_refused: bool = False
-    ) -> ev.TargetSilent:
+    def _build_target_silent(self, reason: str, **options) -> ev.TargetSilent:
         return ev.TargetSilent(
-            target=self.target.name, reason=f"{reason:.120}", is_refused=is_refused
+            target=self.target.name, reason=f"{reason:.120}", **options
         )
 
     def _decode_report(self, answer: dict, sent_s: float) -> ev.RunsReported:
@@ -248,10 +249,8 @@
                 )
                 body = bytes(response.read())
             answer = decode_json(body) if body else {}
-        except HTTP_ERRORS as error:
+        except HTTP_ERRORS:
             self._connection.reset()
-            if not isinstance(error, TimeoutError):
-                self.clock.forget()
             raise
         reading_ms = read_field(answer, "clock_ms", int, None)
         if reading_ms is not None:
