Start no task where the lease of the target outlasts its confirmation

Cause: the target's lease had been renewed for 0.8 s just before the start of a job that was confirmed 0.51 s earlier. The lease of the start was short enough, but a lease is never shortened, and it is one of all runs of the target. Ruled out: the restart of the target a few milliseconds before (its old lease is gone).

Change: a task starts only on a target whose lease, too, ends at most 1.25 s after the confirmation of its job. If it fits only where that is not so, its front host is asked for its open jobs at once.

--- a/gentianhub/capacity/placement.py
+++ b/gentianhub/capacity/placement.py
@@ -30,12 +30,14 @@
     Under overload most tasks fit on no target. Once a task did not fit, tasks that need
     as much are not compared with the targets again: otherwise each event would cost the
     product of waiting tasks and targets, and an overloaded owner would become slower
-    with the load.
+    with the load. `needs_confirmation` is set if the last task fitted only on targets
+    whose leases are too long for the confirmation of its job.
     """
 
     targets: Iterable[TargetState]
     now_s: float
     usable: list[TargetState] = field(init=False)
+    needs_confirmation: bool = field(init=False, default=False)
     _exclusive_left: int = field(init=False)
     _too_large: list[tuple[str, Resources]] = field(init=False, factory=list)
 
@@ -47,13 +49,19 @@
         self._exclusive_left = limit - in_use
 
     def choose_exclusive_target(
-        self, step: JobStep, service: str, avoided: frozenset[str]
+        self,
+        step: JobStep,
+        service: str,
+        avoided: frozenset[str],
+        confirmed_s: float,
     ) -> TargetState | None:
         """Return the best idle target for a task that has to run alone, or None.
 
-        If none is idle, the one that will be soonest gets no other task in this round,
-        so that the task does not wait for as long as there is load.
+        Its job was confirmed at `confirmed_s`. If none is idle, the one that will be
+        soonest gets no other task in this round, so that the task does not wait for as
+        long as there is load.
         """
+        self.needs_confirmation = False
         if self._exclusive_left <= 0:
             return None
         suitable = [
@@ -63,6 +71,7 @@
             and step.demand.fits_in(target.entry.capacity)
             and has_required_label(target, step)
         ]
+        suitable = self._filter_by_lease(suitable, confirmed_s)
         if not suitable:
             return None
         self._exclusive_left -= 1
@@ -75,9 +84,17 @@
         return chosen if idle else None
 
     def choose_target(
-        self, step: JobStep, service: str, avoided: frozenset[str]
+        self,
+        step: JobStep,
+        service: str,
+        avoided: frozenset[str],
+        confirmed_s: float,
     ) -> TargetState | None:
-        """Return the best target that can run a task of the step now, or None."""
+        """Return the best target that can run a task of the step now, or None.
+
+        Its job was confirmed at `confirmed_s`.
+        """
+        self.needs_confirmation = False
         if any(
             service == other and demand.fits_in(step.demand)
             for other, demand in self._too_large
@@ -90,14 +107,22 @@
         ]
         if not fitting:
             self._too_large.append((service, step.demand))
-        usable = (
+        usable = [
             target
             for target in fitting
             if meets_constraints(target, step)
             and not (target.health.is_suspect and target.runs)
-        )
+        ]
+        usable = self._filter_by_lease(usable, confirmed_s)
         return min(usable, key=lambda t: rank_target(t, step, avoided), default=None)
 
+    def _filter_by_lease(
+        self, targets: list[TargetState], confirmed_s: float
+    ) -> list[TargetState]:
+        allowed = [target for target in targets if target.may_start(confirmed_s)]
+        self.needs_confirmation = bool(targets) and not allowed
+        return allowed
+
 
 def meets_constraints(target: TargetState, step: JobStep) -> bool:
     """Whether a target has the step's label and is below its limit of tasks."""
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -95,6 +95,7 @@
     _started_tasks: dict[TaskKey, CellTask] = field(init=False, factory=dict)
     _blocked: list[CellTask] = field(init=False, factory=list)
     _may_start: bool = field(init=False, default=False)
+    _awaits_confirmation: bool = field(init=False, default=False)
 
     def __attrs_post_init__(self):
         self.reporter = Reporter(cell=self.cell, term=self.term)
@@ -378,6 +379,8 @@
                 yield self._log_withdrawal(job, "not open")
                 yield from self._cancel_job(job, now_s)
             job.is_withdrawn = True
+        self._may_start = self._may_start or self._awaits_confirmation
+        self._awaits_confirmation = False
         for task in self.confirmations.release_tasks(now_s):
             self._push_waiting(task, now_s)
         for held in self.confirmations.release_requests(front_host):
@@ -593,10 +596,17 @@
                 if is_suspect
                 else placement.choose_target
             )
-            target = choose_target(task.step, task.request.service, task.avoided)
+            confirmed_s = task.job.confirmed_s
+            target = choose_target(
+                task.step, task.request.service, task.avoided, confirmed_s
+            )
             if target is not None:
                 yield self._start_task(task, target, now_s, is_suspect)
                 continue
+            if placement.needs_confirmation:
+                self._awaits_confirmation = True
+                front_host = task.job.front_host
+                yield from self.confirmations.request_open_jobs(front_host, now_s)
             (skipped_suspects if is_suspect else skipped).append(task)
             if len(skipped) >= MAX_SKIPPED_TASKS:
                 break
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -9,6 +9,7 @@
 from gentianhub.capacity.health import TargetHealth
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
 from gentianhub.capacity.leases import (
+    CONFIRMED_LEASE_S,
     JOB_CONFIRMATION_TIMEOUT_S,
     MAX_LEASE_S,
     STOP_CONFIRMATION_S,
@@ -135,6 +136,13 @@
             and not (self.health.is_suspect and self.runs)
         )
 
+    def may_start(self, confirmed_s: float) -> bool:
+        """Whether a task may start here whose job was confirmed at `confirmed_s`.
+
+        The lease that the target has already is one of the new run as well.
+        """
+        return self.lease_expiry_s <= confirmed_s + CONFIRMED_LEASE_S
+
     def find_overdue_stops(self, now_s: float) -> list[TaskKey]:
         """Return the tasks because of which the target may be granted no lease."""
         return [key for key, stop in self.stops.items() if stop.is_overdue(now_s)]
--- a/gentianhub/capacity/tests/test_successive_owners.py
+++ b/gentianhub/capacity/tests/test_successive_owners.py
@@ -17,6 +17,7 @@
 )
 from gentianhub.capacity.target_tracker import ORPHAN_GRACE_S
 from gentianhub.capacity.tests.builders import (
+    FRONT_HOST,
     SchedulerDriver,
     build_host,
     build_key,
@@ -174,6 +175,42 @@
         self.assertEqual([], find_starts(self.feed(build_request("c"))))
 
 
+class TestLeasesOfTargets(unittest.TestCase):
+    """Guards against a start on a target whose lease outlasts the job's confirmation.
+
+    The lease of the start itself is short enough, but a lease is never shortened.
+    """
+
+    AGE_S = 0.5
+
+    def setUp(self):
+        self.driver = SchedulerDriver([build_target("t1")])
+        self.driver.confirms_jobs = False
+
+    def submit(self) -> list:
+        request = build_request("a", deadline_in_s=9.0)
+        confirmed_s = self.driver.now_s - self.AGE_S
+        scheduler = self.driver.scheduler
+        return list(
+            scheduler.handle(request, self.driver.now_s, FRONT_HOST, confirmed_s)
+        )
+
+    def test_a_task_waits_for_a_confirmation_if_the_lease_has_just_been_renewed(self):
+        """Its run lived for 1.322 s after the loss of its front host."""
+        effects = self.submit()
+        self.assertEqual([], find_starts(effects))
+        requests = [e for e in effects if isinstance(e, fx.RequestOpenJobs)]
+        self.assertEqual([FRONT_HOST], [request.front_host for request in requests])
+        message = ev.OpenJobs(cell=self.driver.scheduler.cell, jobs=("a",))
+        self.assertEqual(1, len(find_starts(self.driver.feed(message))))
+
+    def test_a_task_starts_with_a_short_lease_where_the_last_renewal_is_older(self):
+        """A front host that is somewhat behind would get nothing started otherwise."""
+        self.driver.now_s += 0.15
+        (start,) = find_starts(self.submit())
+        self.assertGreater(LEASE_S, start.lease_s)
+
+
 class TestSuccessiveLosses(unittest.TestCase):
     """Guards against a life of runs that grows with each further loss."""
 
