Request the report of a restarted target after the start in a test

test_a_loss_is_announced_to_successors_and_other_owners fails since: its report of the new life was requested at 0 s, before the task was started at 0.1 s, so that it tells nothing of that run any more. It is requested at 0.15 s now; what the test checks is unchanged.

--- a/gentianhub/host/tests/test_cells.py
+++ b/gentianhub/host/tests/test_cells.py
@@ -161,7 +161,8 @@
         self.cells.handle_answer("t1", build_report("t1", incarnation=1), 0.1)
         request = build_request("a")
         self.cells.handle_task_request(request, SUCCESSOR, 0.1)
-        self.cells.handle_answer("t1", build_report("t1", incarnation=2), 0.2)
+        report = build_report("t1", incarnation=2, sent_s=0.15)
+        self.cells.handle_answer("t1", report, 0.2)
         self.assertEqual({SUCCESSOR, OTHER_OWNER}, set(self.find_announced()))
 
     def test_an_owner_passes_new_losses_on_to_its_successors(self):
@@ -215,9 +216,9 @@
         self.assertIs(ev.TaskEnd.CRASHED, ended.end)
 
 
-def build_report(target: str, incarnation: int) -> ev.RunsReported:
+def build_report(target: str, incarnation: int, sent_s: float = 0.0) -> ev.RunsReported:
     return ev.RunsReported(
-        target=target, incarnation=incarnation, sent_s=0.0, running=(), ended=()
+        target=target, incarnation=incarnation, sent_s=sent_s, running=(), ended=()
     )
 
 
