Use a restarted target only once its new life is listed

Cause: its entry in the list, with the labels and the capacity, was used although a report had told that the target had restarted since.

Change: a target is used while its entry and its reports name the same life; the list is read at once when a report names another. A target that names no life is taken as listed.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -84,6 +84,11 @@
     target: str
 
 
+@frozen(kw_only=True)
+class ReadTargets:
+    """Read the list of targets now, because an entry is that of an earlier life."""
+
+
 @frozen(kw_only=True)
 class AnnounceTargets:
     """Announce a change of the cell's targets to the hosts that may succeed the owner.
@@ -164,6 +169,7 @@
     | RenewLease
     | ListRuns
     | CloseTarget
+    | ReadTargets
     | AnnounceTargets
     | AnnounceLoss
     | RequestOpenJobs
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -291,7 +291,8 @@
             yield self._log_decision("target answers", state.name, runs=len(state.runs))
         if state.phase is not TargetPhase.READY:
             yield TargetAnswered(target=state, incarnation=report.incarnation or 0)
-        if state.incarnation not in (None, report.incarnation):
+        is_new_life = state.incarnation not in (None, report.incarnation)
+        if is_new_life:
             if report.sent_s < state.last_request_s:
                 # It was overtaken by an answer of the present life.
                 yield self._log_decision("report of an earlier life", state.name)
@@ -304,10 +305,13 @@
         was_unusable = (
             state.phase is not TargetPhase.READY
             or state.is_restarting
+            or is_new_life
             or bool(state.orphans)
         )
         state.incarnation = report.incarnation
         state.phase = TargetPhase.READY
+        if is_new_life and not state.has_current_entry():
+            yield fx.ReadTargets()
         state.has_listed_runs, state.is_lost = True, False
         state.is_restarting = False
         yield from self._process_ended_runs(state, report, is_first)
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -127,6 +127,7 @@
         return (
             self.phase is TargetPhase.READY
             and not self.is_restarting
+            and self.has_current_entry()
             and not self.entry.is_leaving
             and not self.orphans
             and self.exclusive_task is None
@@ -136,6 +137,18 @@
             and not (self.health.is_suspect and self.runs)
         )
 
+    def has_current_entry(self) -> bool:
+        """Whether the entry describes the present life of the target.
+
+        The next life may be of another kind. A target that does not tell its life is
+        taken as it is listed.
+        """
+        return (
+            not self.entry.incarnation
+            or not self.incarnation
+            or self.entry.incarnation == self.incarnation
+        )
+
     def may_start(self, confirmed_s: float) -> bool:
         """Whether a task may start here whose job was confirmed at `confirmed_s`.
 
--- a/gentianhub/capacity/tests/simulated_cell.py
+++ b/gentianhub/capacity/tests/simulated_cell.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -40,6 +40,8 @@
 LATE_S = (2.0, 12.0)
 # Time from the crash of a target until its next life serves. Connections wait.
 RESTART_S = 0.05
+# Time until the owner has read the entry of a new life.
+LIST_S = (0.01, 0.4)
 FAILURE_PROBABILITY = 0.03
 FRONT_HOST_COUNT = 4
 CONFIRMATION_INTERVAL_S = (0.05, 0.15)
@@ -84,6 +86,7 @@
     def restart(self, life: int) -> None:
         """Begin a new life, which knows nothing of the last one."""
         self.life, self.is_up = life, True
+        self.entry = evolve(self.entry, incarnation=life)
         self.fence, self.lease_end_s = 0, 0.0
         for memory in (self.runs, self.last_runs, self.ends):
             memory.clear()
@@ -255,7 +258,7 @@
         )
         for target in self.targets.values():
             target.known_life = 0
-        self.feed(ev.TargetsListed(targets=entries))
+        self.list_targets()
         for job in self.jobs:
             self.schedule(self.random.uniform(0, REPEAT_S), self.repeat, job)
 
@@ -547,6 +550,12 @@
             target.poll = None
             self.schedule(self.draw_latency_s(), self.break_poll, target, renewal)
         self.schedule(RESTART_S, target.restart, target.life + 1)
+        self.schedule(RESTART_S + self.random.uniform(*LIST_S), self.list_targets)
+
+    def list_targets(self) -> None:
+        """Tell the owner the targets as they are listed now."""
+        entries = tuple(target.entry for target in self.targets.values())
+        self.feed(ev.TargetsListed(targets=entries))
 
     def break_poll(self, target: SimulatedTarget, renewal: fx.RenewLease) -> None:
         """Tell the owner that a connection broke: the clock is unknown from now on."""
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -38,6 +38,8 @@
         Returns the linked hosts that may succeed this one as owner.
     find_other_owners : callable
         Returns the hosts that own the other cells.
+    read_targets : callable
+        Has the list of targets read from the store now.
     """
 
     answers: Mailbox
@@ -45,6 +47,7 @@
     metrics: HostMetrics
     find_successors: Callable[[], tuple[Incarnation, ...]]
     find_other_owners: Callable[[], tuple[Incarnation, ...]] = lambda: ()
+    read_targets: Callable[[], None] = lambda: None
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -303,6 +306,8 @@
                 self.connections.get_connections(target).enqueue(effect)
             case fx.CloseTarget(target=name):
                 self.connections.close_target(name)
+            case fx.ReadTargets():
+                self.read_targets()
             case fx.AnnounceTargets(message=message):
                 for successor in self.find_successors():
                     self.outbox.send(successor, message)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -112,6 +112,7 @@
             metrics=self.metrics,
             find_successors=lambda: self.membership.find_successors(),
             find_other_owners=self._find_other_owners,
+            read_targets=self._read_targets,
         )
         self.membership = Membership(
             local_host=self.local_host,
@@ -258,9 +259,12 @@
             handover=handover.kind.value,
             announced=len(handover.targets),
         )
-        self.target_polls.try_put(ms.PollTargets())
+        self._read_targets()
         self.cells.acquire(claimed.cell, claimed.term, now_s, handover)
 
+    def _read_targets(self) -> None:
+        self.target_polls.try_put(ms.PollTargets())
+
     def _find_other_owners(self) -> tuple[Incarnation, ...]:
         owners = {known.owner for known in self.requests.job_registry.owners.values()}
         return tuple(owners - {self.local_host})
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -68,7 +68,10 @@
 
 @frozen(kw_only=True)
 class PollTargets:
-    """Read the list of targets now, because a cell has been taken over."""
+    """Read the list of targets now.
+
+    A cell has been taken over, or a target has restarted and may be of another kind.
+    """
 
 
 @frozen(kw_only=True)
