Cancel a job whichever host its caller has asked

Cause: a host looked into its own jobs only. Ruled out: the cancel at the host of the job, which ends its tasks at once.

Change: the host asks all hosts that it has a link to, which include the owners of all cells; an owner passes the question on to the front host that has sent it tasks of the job. 200 once one has cancelled it, 410 once all have said no, 503 if one with a link does not answer within 1 s. Answers are counted by outcome.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -51,6 +51,29 @@
     job: str
 
 
+@frozen(kw_only=True)
+class CancelRequest:
+    """Request to cancel a job wherever it is open, on behalf of its caller.
+
+    `number` counts the requests of `asked_by`, the host that the caller has asked.
+    `is_passed_on` is set by an owner that sends it to the job's front host.
+    """
+
+    job: str
+    asked_by: Incarnation
+    number: int
+    is_passed_on: bool = False
+
+
+@frozen(kw_only=True)
+class CancelReply:
+    """Reply to a `CancelRequest`: whether the job was open, and has been cancelled."""
+
+    asked_by: Incarnation
+    number: int
+    was_open: bool
+
+
 @frozen(kw_only=True)
 class OpenJobs:
     """All open jobs of a front host that have tasks in a cell.
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -169,6 +169,11 @@
             job.has_open_tasks() for job in self.jobs.values() if not job.is_cancelled
         )
 
+    def find_front_host(self, name: str) -> Incarnation | None:
+        """Return the host that has sent tasks of an open job, or None."""
+        job = self.jobs.get((self._front_hosts.get(name), name))
+        return job.front_host if job is not None and not job.is_withdrawn else None
+
     def find_unconfirmed_hosts(self, now_s: float) -> Iterator[Incarnation]:
         """Yield the front hosts that should confirm their open jobs."""
         yield from self.confirmations.find_waiting_hosts()
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -43,7 +43,6 @@
     """A caller cancels a job."""
 
     job_id: str
-    reply_to: Any
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/tests/test_restarted_targets.py
+++ b/gentianhub/capacity/tests/test_restarted_targets.py
@@ -159,7 +159,7 @@
 class TestListedLife(RestartTest):
     """Guards against tasks on a target for the labels of its earlier life.
 
-    A target that restarted as another kind got tasks for its old labels for up to 0.4 s.
+    One that restarted as another kind got tasks for its old labels for up to 0.4 s.
     """
 
     def setUp(self):
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -212,6 +212,11 @@
         """Return the scheduler of the cell that holds a target, if it is owned."""
         return next((s for s in self._schedulers.values() if target in s.targets), None)
 
+    def find_front_host(self, job: str) -> Incarnation | None:
+        """Return the host that has sent tasks of an open job, or None."""
+        found = (s.find_front_host(job) for s in self._schedulers.values())
+        return next((host for host in found if host is not None), None)
+
     def remove_front_host(self, front_host: Incarnation, now_s: float) -> None:
         """Stop the tasks that a lost front host has requested."""
         self._dispatch_to_all(ev.FrontLost(front_host=front_host), now_s)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -12,6 +12,7 @@
 from gentianhub.capacity.succession import TargetAnnouncements
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
 from gentianhub.host import messages as ms
+from gentianhub.host.cancellations import Cancellations
 from gentianhub.host.cells import OwnedCells
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.decision_log import log_decision
@@ -102,6 +103,12 @@
             outbox=self.outbox,
             configuration=self.configuration,
             metrics=self.metrics,
+            cancellations=Cancellations(
+                local_host=self.local_host,
+                outbox=self.outbox,
+                find_linked=self.links.find_linked,
+                find_front_host=lambda job: self.cells.find_front_host(job),
+            ),
             find_heard_heartbeat=lambda owner: self.open_jobs.progress.find_heartbeat(
                 owner
             ),
@@ -325,6 +332,8 @@
                 self._handle_task_request(message, sender, now_s)
             case ev.TasksEnded():
                 self.requests.handle_event(message, now_s)
+            case ev.CancelRequest() | ev.CancelReply():
+                self.requests.handle_cancel_message(message, sender, now_s)
             case ev.ConfigurationOffer(content=content):
                 self.configuration.adopt(content, str(sender))
             case ev.ConfigurationRequest():
@@ -467,6 +476,7 @@
                 self.membership.ownership.update_claims(now_s), now_s
             )
         self.requests.handle_event(ev.Tick(), now_s)
+        self.requests.end_overdue_cancels(now_s)
         self._send_due_heartbeats(now_s)
         self._request_targets(now_s)
         if self._tick_count % HOUSEKEEPING_TICKS == 0:
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -13,7 +13,14 @@
 from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget, TaskKey
 from gentianhub.capacity.resources import Resources
 from gentianhub.linking.frames import MalformedMessage
-from gentianhub.linking.handshake import Hello, build_hello, fill_struct, read_hello
+from gentianhub.linking.handshake import (
+    Hello,
+    build_hello,
+    build_incarnation,
+    fill_struct,
+    read_hello,
+    read_incarnation,
+)
 from gentianhub.linking.links import LinkCodec
 
 capnp.remove_import_hook()
@@ -67,6 +74,10 @@
             return {"runTasks": _build_task_request(message)}
         case ev.CancelTasks(cell=cell, job=job):
             return {"cancelTasks": {"cell": _build_cell(cell), "job": job}}
+        case ev.CancelRequest():
+            return {"cancelRequest": _build_cancel_request(message)}
+        case ev.CancelReply():
+            return {"cancelReply": _build_cancel_reply(message)}
         case ev.OpenJobs():
             return {"openJobs": _build_open_jobs(message)}
         case ev.TasksEnded():
@@ -204,6 +215,23 @@
     }
 
 
+def _build_cancel_request(request: ev.CancelRequest) -> dict:
+    return {
+        "job": request.job,
+        "askedBy": build_incarnation(request.asked_by),
+        "number": request.number,
+        "isPassedOn": request.is_passed_on,
+    }
+
+
+def _build_cancel_reply(reply: ev.CancelReply) -> dict:
+    return {
+        "askedBy": build_incarnation(reply.asked_by),
+        "number": reply.number,
+        "wasOpen": reply.was_open,
+    }
+
+
 def _build_open_jobs(message: ev.OpenJobs) -> dict:
     return {
         "cell": _build_cell(message.cell),
@@ -353,6 +381,23 @@
     return ev.CancelTasks(cell=_read_cell(content.cell), job=content.job)
 
 
+def _read_cancel_request(content) -> ev.CancelRequest:
+    return ev.CancelRequest(
+        job=content.job,
+        asked_by=read_incarnation(content.askedBy),
+        number=content.number,
+        is_passed_on=content.isPassedOn,
+    )
+
+
+def _read_cancel_reply(content) -> ev.CancelReply:
+    return ev.CancelReply(
+        asked_by=read_incarnation(content.askedBy),
+        number=content.number,
+        was_open=content.wasOpen,
+    )
+
+
 def _read_open_jobs(content) -> ev.OpenJobs:
     return ev.OpenJobs(
         cell=_read_cell(content.cell),
@@ -406,6 +451,8 @@
     "hostBeat": _read_heartbeat,
     "runTasks": _read_task_request,
     "cancelTasks": _read_cancel_tasks,
+    "cancelRequest": _read_cancel_request,
+    "cancelReply": _read_cancel_reply,
     "openJobs": _read_open_jobs,
     "tasksEnded": _read_tasks_ended,
     "configurationOffer": _read_configuration_offer,
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -32,6 +32,9 @@
         yield _build_family(
             "target_losses", "Losses of targets", "outcome", metrics.losses
         )
+        yield _build_family(
+            "cancels", "Answers to cancellations", "outcome", metrics.cancels
+        )
         yield GaugeMetricFamily(
             "gentianhub_host_longest_mailbox_lag_s",
             "Longest wait of a message in the coordinator's mailbox",
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -50,6 +50,19 @@
   job @1 :Text;
 }
 
+struct CancelRequest {
+  job @0 :Text;
+  askedBy @1 :Entry.Incarnation;
+  number @2 :UInt64;
+  isPassedOn @3 :Bool;
+}
+
+struct CancelReply {
+  askedBy @0 :Entry.Incarnation;
+  number @1 :UInt64;
+  wasOpen @2 :Bool;
+}
+
 struct OpenJobs {
   cell @0 :Cell;
   jobs @1 :List(Text);
@@ -166,5 +179,7 @@
     targetLosses @9 :TargetLosses;
     targetsRequest @10 :TargetsRequest;
     openJobs @11 :OpenJobs;
+    cancelRequest @12 :CancelRequest;
+    cancelReply @13 :CancelReply;
   }
 }
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -21,6 +21,7 @@
     answers: Counter = field(factory=Counter)
     ends: Counter = field(factory=Counter)
     losses: Counter = field(factory=Counter)
+    cancels: Counter = field(factory=Counter)
     longest_mailbox_lag_s: float = 0.0
     response_ms: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(create_response_histogram)
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -18,6 +18,13 @@
 )
 from gentianhub.core import Incarnation, Mailbox
 from gentianhub.host import messages as ms
+from gentianhub.host.cancellations import (
+    Cancellations,
+    CancelOutcome,
+    JobCancelled,
+    NoSuchJob,
+    NotKnown,
+)
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.metrics import HostMetrics
@@ -50,6 +57,7 @@
     outbox: Outbox
     configuration: ConfigurationCache
     metrics: HostMetrics
+    cancellations: Cancellations
     find_heard_heartbeat: Callable[[Incarnation], int] = lambda owner: 0
     rejects_jobs: bool = False
     _pending_requests: dict[Any, PendingRequest] = field(init=False, factory=dict)
@@ -162,13 +170,51 @@
         return callers.encode_state(200, "running" if job.has_started else "queued")
 
     def _cancel(self, request: ms.CallerRequest, job_id: str, now_s: float) -> None:
+        if self._cancel_here(job_id, now_s):
+            self._answer_cancel(JobCancelled(reply_to=request.reply_to))
+            return
+        outcomes = self.cancellations.send(job_id, request.reply_to, now_s)
+        for outcome in outcomes:
+            self._answer_cancel(outcome)
+
+    def _cancel_here(self, job_id: str, now_s: float) -> bool:
+        """Cancel a job of this host; return whether it was open."""
         is_open = job_id in self.job_registry.jobs
-        self.handle_event(
-            CancelCapacityJob(job_id=job_id, reply_to=request.reply_to), now_s
-        )
+        self.handle_event(CancelCapacityJob(job_id=job_id), now_s)
         log_decision("cancel", job_id, is_open=is_open)
-        state = callers.encode_state(200 if is_open else 410, "cancelled")
-        self._reply(request.reply_to, state)
+        return is_open
+
+    def _answer_cancel(self, outcome: CancelOutcome) -> None:
+        match outcome:
+            case JobCancelled():
+                name, response = "cancelled", callers.encode_state(200, "cancelled")
+            case NoSuchJob():
+                name, response = "no_such_job", callers.encode_error(410, "no such job")
+            case NotKnown():
+                reason = "a host that may have the job does not answer"
+                name, response = "not_known", callers.encode_error(503, reason, 0.0)
+        self.metrics.cancels[name] += 1
+        self._reply(outcome.reply_to, response)
+
+    def handle_cancel_message(
+        self,
+        message: ev.CancelRequest | ev.CancelReply,
+        sender: Incarnation,
+        now_s: float,
+    ) -> None:
+        """Handle another host's request to cancel a job, or its reply to one."""
+        match message:
+            case ev.CancelRequest(job=job):
+                was_open = self._cancel_here(job, now_s)
+                self.cancellations.answer(message, sender, was_open)
+            case ev.CancelReply():
+                for outcome in self.cancellations.handle_reply(message, sender):
+                    self._answer_cancel(outcome)
+
+    def end_overdue_cancels(self, now_s: float) -> None:
+        """Answer callers whose jobs other hosts have not cancelled in time."""
+        for outcome in self.cancellations.end_overdue(now_s):
+            self._answer_cancel(outcome)
 
     def _answer(self, answer: fx.AnswerCaller, now_s: float) -> None:
         pending = self._pending_requests.get(answer.reply_to)
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -204,12 +204,19 @@
             "best_effort": True,
             "phases": [{"count": 1, "cpu": cores * 1000, "mem_mb": 1}],
         }
+        return self._request("POST", job, json.dumps(body).encode())
+
+    def cancel(self, job: str) -> Mailbox:
+        """Cancel a job; return the mailbox for the answer."""
+        return self._request("DELETE", job)
+
+    def _request(self, method: str, job: str, body: bytes = b"") -> Mailbox:
         replies = Mailbox(limit=2)
         request = ms.CallerRequest(
-            method="POST",
+            method=method,
             host="queue.example",
             path=f"/queue/{job}",
-            body=json.dumps(body).encode(),
+            body=body,
             wait_s=20.0,
             reply_to=replies,
         )
--- a/gentianhub/host/tests/test_departed_callers.py
+++ b/gentianhub/host/tests/test_departed_callers.py
@@ -4,8 +4,10 @@
 import unittest
 
 from gentianhub.capacity.front import FrontJobRegistry
+from gentianhub.capacity.tests.builders import build_host
 from gentianhub.core import Mailbox
 from gentianhub.host import messages as ms
+from gentianhub.host.cancellations import Cancellations
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.request_handler import RequestHandler
@@ -24,6 +26,9 @@
             outbox=FakeOutbox(),
             configuration=configuration,
             metrics=HostMetrics(),
+            cancellations=Cancellations(
+                local_host=build_host("e1"), outbox=FakeOutbox()
+            ),
         )
 
     def test_nothing_is_kept_of_a_submission_whose_caller_has_left(self):
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -26,6 +26,10 @@
     ev.HostHeartbeat(number=6, claims=(), configuration_version=0, is_idle=True),
     build_request("a", build_step(count=3, after=(0,), data_rack="r1"), is_repeat=True),
     ev.CancelTasks(cell=CELL, job="a"),
+    ev.CancelRequest(
+        job="a", asked_by=build_host("e1"), number=2**40, is_passed_on=True
+    ),
+    ev.CancelReply(asked_by=build_host("e1", "f"), number=7, was_open=True),
     ev.TasksEnded(
         cell=CELL,
         term=3,
--- a/gentianhub/host/tests/test_metrics.py
+++ b/gentianhub/host/tests/test_metrics.py
@@ -36,12 +36,14 @@
         metrics.count_answer(JobVerdict.COMPLETED, 0.12)
         metrics.count_end(next(iter(TaskEnd)))
         metrics.losses["crashed"] += 1
+        metrics.cancels["no_such_job"] += 1
         text = metrics.render_text().decode()
         self.assertTrue(text.startswith(EXPECTED), text)
         for part in (
             'gentianhub_host_answers_total{verdict="completed"} 1.0',
             "gentianhub_host_task_reports_total{end=",
             'gentianhub_host_target_losses_total{outcome="crashed"} 1.0',
+            'gentianhub_host_cancels_total{outcome="no_such_job"} 1.0',
             "gentianhub_host_longest_mailbox_lag_s 0.25",
             'gentianhub_host_response_ms{quantile="0.99",verdict="completed"} 120.0',
         ):
