Ask no more hosts to cancel a job from an owner than from any other host

An owner has a link to each host of the deployment, so that a cancel of a job that it did not know went to all of them. It asks the other owners, the hosts of its data centre and the front host that has sent it tasks of the job now, as hosts without a cell do. The new test counts who is asked.

--- a/gentianhub/host/cancellations.py
+++ b/gentianhub/host/cancellations.py
@@ -1,9 +1,9 @@
 """Cancellation of jobs that are open at another host than the one that was asked.
 
 A caller's new connection may reach any host. Only the front host of a job can cancel
-it. The host that was asked passes the request on to all hosts that it has a link to,
-which include the owners of all cells, and an owner to the front host that has sent it
-tasks of the job. "No such job" is answered only once all of them have said so.
+it. The host that was asked passes the request on to the owners of all cells and to the
+hosts of its data centre, and an owner to the front host that has sent it tasks of the
+job. "No such job" is answered only once all of them have said so.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -60,6 +60,8 @@
     ----------
     find_linked : callable
         Returns the hosts with a link.
+    find_owners : callable
+        Returns the owners of all cells.
     find_front_host : callable
         Returns the front host that has sent this host, as an owner, tasks of a job.
     """
@@ -67,18 +69,19 @@
     local_host: Incarnation
     outbox: Outbox
     find_linked: Callable[[], Iterable[Incarnation]] = tuple
+    find_owners: Callable[[], Iterable[Incarnation]] = tuple
     find_front_host: Callable[[str], Incarnation | None] = lambda job: None
     _open: dict[int, _OpenRequest] = field(init=False, factory=dict)
     _count: int = field(init=False, default=0)
 
     def send(self, job: str, reply_to: Any, now_s: float) -> Iterator[CancelOutcome]:
-        """Ask all linked hosts to cancel a job; yield the outcome if there are none."""
+        """Ask other hosts to cancel a job; yield the outcome if there are none."""
         self._count += 1
         message = ev.CancelRequest(
             job=job, asked_by=self.local_host, number=self._count
         )
         awaited = {
-            peer for peer in self.find_linked() if self.outbox.send(peer, message)
+            peer for peer in self._find_asked(job) if self.outbox.send(peer, message)
         }
         log_decision("cancel passed on", job, hosts=len(awaited))
         if not awaited:
@@ -91,6 +94,19 @@
             awaited=awaited,
         )
 
+    def _find_asked(self, job: str) -> set[Incarnation]:
+        """Return the linked hosts that may have a job open or know its front host.
+
+        An owner has a link to each host, but asks no more hosts than any other one.
+        """
+        owners = {*self.find_owners(), self.find_front_host(job)}
+        data_centre = self.local_host.name.data_centre
+        return {
+            peer
+            for peer in self.find_linked()
+            if peer in owners or peer.name.data_centre == data_centre
+        }
+
     def answer(self, request: ev.CancelRequest, sender: Incarnation, was_open: bool):
         """Answer a request, or pass it on to the front host that has the job open.
 
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -107,6 +107,7 @@
                 local_host=self.local_host,
                 outbox=self.outbox,
                 find_linked=self.links.find_linked,
+                find_owners=self._find_other_owners,
                 find_front_host=lambda job: self.cells.find_front_host(job),
             ),
             find_heard_heartbeat=lambda owner: self.open_jobs.progress.find_heartbeat(
--- a/gentianhub/host/tests/test_cancellations.py
+++ b/gentianhub/host/tests/test_cancellations.py
@@ -6,8 +6,10 @@
 
 import json
 import unittest
+from unittest import mock
 
-from gentianhub.host.cancellations import REPLY_TIMEOUT_S
+from gentianhub.capacity.tests.builders import build_host
+from gentianhub.host.cancellations import REPLY_TIMEOUT_S, Cancellations
 from gentianhub.host.tests.simulated_hosts import (
     STOP_S,
     SimulatedDeployment,
@@ -74,6 +76,29 @@
         self.assert_cancelled()
 
 
+class TestAskedHosts(unittest.TestCase):
+    """Guards against a request to each host of the deployment, as an owner has links."""
+
+    def test_owners_hosts_of_the_data_centre_and_the_front_host_are_asked(self):
+        owner, neighbour, front = (
+            build_host("o2", "b", data_centre="bern"),
+            build_host("o3", "c", data_centre="olten"),
+            build_host("f1", "d", data_centre="aarau"),
+        )
+        others = tuple(build_host(f"f{n}", "e", data_centre="bern") for n in range(9))
+        outbox = mock.Mock()
+        cancellations = Cancellations(
+            local_host=build_host("o1", "a", data_centre="olten"),
+            outbox=outbox,
+            find_linked=lambda: (owner, neighbour, front, *others),
+            find_owners=lambda: (owner,),
+            find_front_host=lambda job: front,
+        )
+        self.assertEqual([], list(cancellations.send(JOB, None, 0.0)))
+        asked = {call.args[0] for call in outbox.send.call_args_list}
+        self.assertEqual({owner, neighbour, front}, asked)
+
+
 class TestMissingJobs(CancellationTest):
     """Guards against a "no such job" that some host has not confirmed."""
 
