--- a/gentianhub/host/target_ports.py
+++ b/gentianhub/host/target_ports.py
@@ -67,13 +67,11 @@
     client = connections.create_client()
     try:
         for renewal in connections.renewals.iterate_messages():
-            answer = client.renew(renewal)
-            match answer:
-                case ev.TargetSilent(is_broken=True):
-                    # A target that has restarted has a new clock.
-                    connections.clock.forget()
-            match answer:
+            match client.renew(renewal):
+                case ev.RunsReported() as report:
+                    connections.answers.put(report)
                 case ev.TargetSilent() as silent if not renewal.is_retry:
+                    _forget_broken_clock(connections, silent)
                     connections.answers.put(
                         ev.RenewalMissed(
                             target=silent.target,
@@ -81,15 +79,23 @@
                             is_broken=silent.is_broken,
                         )
                     )
-                case ev.RunsReported() as report:
-                    connections.answers.put(report)
                 case failure:
+                    _forget_broken_clock(connections, failure)
                     connections.answers.put(failure)
                     gevent.sleep(UNRESPONSIVE_DELAY_S)
     finally:
         client.close()
 
 
+def _forget_broken_clock(
+    connections: TargetConnections, failure: ev.TargetSilent | ev.FencedByTarget
+) -> None:
+    """Forget the clock of a target that may have restarted, with a new clock."""
+    match failure:
+        case ev.TargetSilent(is_broken=True):
+            connections.clock.forget()
+
+
 def run_orders(connections: TargetConnections) -> None:
     """Send the queued starts, stops and listings to the target, one at a time."""
     client = connections.create_client()
--- a/gentianhub/host/tests/test_cancellations.py
+++ b/gentianhub/host/tests/test_cancellations.py
@@ -77,7 +77,7 @@
 
 
 class TestAskedHosts(unittest.TestCase):
-    """Guards against a request to each host of the deployment, as an owner has links."""
+    """Guards against a request to each host: an owner has links to all of them."""
 
     def test_owners_hosts_of_the_data_centre_and_the_front_host_are_asked(self):
         owner, neighbour, front = (
