Decide a loss that is told later by the next answer of its target

Cause: an owner recorded a target as lost that had only been cut off, and was itself lost. The next owner had heard of the target before it was told of the loss, so that no answer "again after a silence" followed. When the target restarted later, the open loss was taken for a crash of the life that had answered since. Ruled out: the task itself; it ran twice, once on a target that was cut off and once on one that was restarted from outside.

Change: each answer of a target decides its open losses. One whose request was sent before the loss tells nothing, nor does one of an earlier incarnation.

--- a/gentianhub/capacity/losses.py
+++ b/gentianhub/capacity/losses.py
@@ -96,19 +96,25 @@
         return Suspicion.SUSPECT
 
     def resolve_by_report(
-        self, target: str, incarnation: int, now_s: float
+        self, target: str, incarnation: int, sent_s: float, now_s: float
     ) -> Iterator[TargetLoss]:
         """Yield the losses of a target that are decided because it answers again.
 
-        `incarnation` is 0 if the target does not tell it.
+        `incarnation` is 0 if the target does not tell it. Of what became of the target
+        after the request was sent, at `sent_s`, the answer tells nothing.
         """
+        if not self._open_ids:
+            return
         for loss in self._find_open():
             if loss.target != target:
                 continue
-            if loss.incarnation == incarnation:
-                yield from self._resolve(loss, LossOutcome.SURVIVED, now_s)
-            elif loss.incarnation and incarnation:
+            if 0 < loss.incarnation < incarnation:
                 yield from self._resolve(loss, LossOutcome.CRASHED, now_s)
+            elif (
+                loss.incarnation == incarnation
+                and self._losses[loss.loss_id].lost_s <= sent_s
+            ):
+                yield from self._resolve(loss, LossOutcome.SURVIVED, now_s)
 
     def resolve_by_list(
         self, targets: Iterable[ListedTarget], cells: Container[Cell], now_s: float
--- a/gentianhub/capacity/suspects.py
+++ b/gentianhub/capacity/suspects.py
@@ -83,7 +83,7 @@
     ) -> Iterator[fx.AnnounceLoss]:
         """Announce the outcome of the earlier losses of a target that answers again."""
         resolved = self.losses.resolve_by_report(
-            answered.target.name, answered.incarnation, now_s
+            answered.target.name, answered.incarnation, answered.sent_s, now_s
         )
         for loss in resolved:
             yield fx.AnnounceLoss(loss=loss)
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -289,8 +289,10 @@
             return
         if state.phase is TargetPhase.SILENT:
             yield self._log_decision("target answers", state.name, runs=len(state.runs))
-        if state.phase is not TargetPhase.READY:
-            yield TargetAnswered(target=state, incarnation=report.incarnation or 0)
+        # Other owners may tell of a loss after the target has answered this one.
+        yield TargetAnswered(
+            target=state, incarnation=report.incarnation or 0, sent_s=report.sent_s
+        )
         is_new_life = state.incarnation not in (None, report.incarnation)
         if is_new_life:
             if report.sent_s < state.last_request_s:
--- a/gentianhub/capacity/tests/test_crashing_tasks.py
+++ b/gentianhub/capacity/tests/test_crashing_tasks.py
@@ -64,7 +64,7 @@
         self.cell.submit("deadly", 1, OTHER_FRONT_HOST)
         losses = self.cell.driver.scheduler.losses
         for loss in losses.find_losses(build_key("deadly")):
-            list(losses.resolve_by_report(loss.target, loss.incarnation, 2.6))
+            list(losses.resolve_by_report(loss.target, loss.incarnation, 2.6, 2.6))
         self.cell.executed.clear()
         self.cell.submit("deadly", 1, OTHER_FRONT_HOST)
         self.cell.run(until_s=2.8)
--- a/gentianhub/capacity/tests/test_losses.py
+++ b/gentianhub/capacity/tests/test_losses.py
@@ -78,15 +78,26 @@
 
     def test_a_target_that_answers_again_has_not_crashed(self):
         self.record(build_loss(1, TASK))
-        (loss,) = self.ledger.resolve_by_report("t1", 1, 1.0)
+        (loss,) = self.ledger.resolve_by_report("t1", 1, 1.0, 1.0)
         self.assertIs(ev.LossOutcome.SURVIVED, loss.outcome)
         self.assertIs(Suspicion.NONE, self.ledger.assess(TASK))
 
     def test_a_target_that_answers_as_another_incarnation_has_crashed(self):
         self.record(build_loss(1, TASK))
-        (loss,) = self.ledger.resolve_by_report("t1", 2, 1.0)
+        (loss,) = self.ledger.resolve_by_report("t1", 2, 1.0, 1.0)
         self.assertIs(ev.LossOutcome.CRASHED, loss.outcome)
 
+    def test_an_answer_from_before_the_loss_decides_nothing(self):
+        """The target may have crashed after it, as another owner saw."""
+        self.record(build_loss(1, TASK), now_s=1.0)
+        resolved = self.ledger.resolve_by_report("t1", 1, 0.9, 1.1)
+        self.assertEqual([], list(resolved))
+
+    def test_a_late_answer_of_an_earlier_incarnation_decides_nothing(self):
+        self.record(build_loss(1, TASK, incarnation=2))
+        resolved = self.ledger.resolve_by_report("t1", 1, 1.0, 1.0)
+        self.assertEqual([], list(resolved))
+
     def test_a_new_target_at_the_same_address_proves_the_crash(self):
         old = build_target("t1", port=8001)
         list(self.ledger.resolve_by_list([old], {CELL}, 0.0))
--- a/gentianhub/capacity/tests/test_restarted_targets.py
+++ b/gentianhub/capacity/tests/test_restarted_targets.py
@@ -157,7 +157,7 @@
 
 
 class TestListedLife(RestartTest):
-    """Guards against tasks on a target for the labels of its earlier life.
+    """Guards against tasks on a target for labels of its earlier life.
 
     One that restarted as another kind got tasks for its old labels for up to 0.4 s.
     """
--- a/gentianhub/capacity/tracker_events.py
+++ b/gentianhub/capacity/tracker_events.py
@@ -53,13 +53,14 @@
 
 @frozen(kw_only=True)
 class TargetAnswered:
-    """A target answers for the first time, or again after a silence.
+    """A target has answered a request that was sent at `sent_s`.
 
     `incarnation` is 0 if it tells none.
     """
 
     target: TargetState
     incarnation: int
+    sent_s: float
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/tests/test_cells.py
+++ b/gentianhub/host/tests/test_cells.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from attrs import evolve
+
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.succession import Handover, HandoverKind
@@ -165,6 +167,26 @@
         self.cells.handle_answer("t1", report, 0.2)
         self.assertEqual({SUCCESSOR, OTHER_OWNER}, set(self.find_announced()))
 
+    def test_a_loss_that_is_told_later_is_decided_by_the_next_answer(self):
+        """A target that had only been cut off counted as crashed once it restarted.
+
+        It had answered the new owner before the loss was told, and not been silent.
+        """
+        self.cells.handle_answer("t1", build_report("t1", incarnation=1), 0.1)
+        (loss,) = build_losses(1)
+        loss = evolve(loss, outcome=ev.LossOutcome.OPEN, age_s=0.5)
+        self.cells.record_losses(ev.TargetLosses(losses=(loss,)), 0.2)
+        self.outbox.sent.clear()
+        report = build_report("t1", incarnation=1, sent_s=0.3)
+        self.cells.handle_answer("t1", report, 0.4)
+        outcomes = {
+            loss.outcome
+            for _, message in self.outbox.sent
+            if isinstance(message, ev.TargetLosses)
+            for loss in message.losses
+        }
+        self.assertEqual({ev.LossOutcome.SURVIVED}, outcomes)
+
     def test_an_owner_passes_new_losses_on_to_its_successors(self):
         """Otherwise the owner that follows it would start the task again."""
         message = ev.TargetLosses(losses=build_losses(1))
