Take two crashes of one target as no proof against a task

Cause: two losses of any targets, one of them while the task ran alone, proved that the task was their cause. A target that crashes by itself and gets the task again, as the only one with room, gives two losses as well. Ruled out: the crash of another task on the target (it ran alone).

Change: the losses have to be of two targets, or three of one. The new test failed before; a deadly task that meets one target only crashes it once more.

--- a/gentianhub/capacity/losses.py
+++ b/gentianhub/capacity/losses.py
@@ -21,8 +21,10 @@
 LOSS_RETENTION_S = 120.0
 # Bounds the memory after the loss of many targets; the oldest losses are dropped.
 MAX_LOSSES = 5000
-# A task is given up after this many crashes, one of them while it ran alone.
-MAX_CRASHES = 2
+# A task is given up after crashes of this many targets, one of them while it ran alone.
+MAX_CRASHED_TARGETS = 2
+# The same if all crashes are of one target, which may be their cause itself.
+MAX_CRASHES_OF_ONE_TARGET = 3
 # Outcomes in the order in which they replace each other: a restart is proof of a crash.
 _PRECEDENCE = (LossOutcome.OPEN, LossOutcome.SURVIVED, LossOutcome.CRASHED)
 
@@ -178,7 +180,11 @@
     A neighbour of two tasks that crash their targets has two losses as well, but none
     of them while it ran alone.
     """
-    return len(losses) >= MAX_CRASHES and any(loss.is_alone for loss in losses)
+    has_enough = (
+        len({loss.target for loss in losses}) >= MAX_CRASHED_TARGETS
+        or len(losses) >= MAX_CRASHES_OF_ONE_TARGET
+    )
+    return has_enough and any(loss.is_alone for loss in losses)
 
 
 def _has_restarted(listed: ListedTarget, loss: TargetLoss) -> bool:
--- a/gentianhub/capacity/tests/test_losses.py
+++ b/gentianhub/capacity/tests/test_losses.py
@@ -57,6 +57,17 @@
         self.crash(2, OTHER, NEIGHBOUR)
         self.assertIs(Suspicion.SUSPECT, self.ledger.assess(NEIGHBOUR))
 
+    def test_two_crashes_of_one_target_are_no_proof(self):
+        """A target that crashes again may be the cause itself.
+
+        Seed 5004 of the soak: a job failed since a target had restarted twice.
+        """
+        self.crash(1, TASK, NEIGHBOUR)
+        self.crash(2, TASK, target="t1")
+        self.assertIs(Suspicion.SUSPECT, self.ledger.assess(TASK))
+        self.crash(3, TASK, target="t1")
+        self.assertIs(Suspicion.PROVEN, self.ledger.assess(TASK))
+
     def test_one_crash_alone_is_no_proof(self):
         """Targets crash by themselves as well."""
         self.crash(1, TASK)
