Repeat no task after a pause in which its owner may have forgotten its end

Cause: the host repeated its open tasks on the new link as after any loss of a link. Ruled out: a longer memory of owners, which no pause is bounded by.

Change: after a pause of more than 2 s a host does not repeat the tasks that it had sent. Owners took it as lost after 0.6 s and have given them up; their jobs end as interrupted 0.3 s later, unless the ends had arrived meanwhile.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -105,7 +105,9 @@
         """After a pause, take open tasks as started: their ends may be forgotten."""
         if now_s > self._handled_s + MAX_PAUSE_S:
             for job in self.jobs.values():
-                job.has_started = job.has_started or bool(job.requested_cells)
+                if job.requested_cells:
+                    job.has_started = True
+                    job.resumed_s = now_s
         self._handled_s = now_s
 
     def collect_working_owners(self) -> frozenset[Incarnation]:
@@ -490,6 +492,9 @@
             if cell in job.unconfirmed_cells:
                 yield self._address(cell, ev.CancelTasks(cell=cell, job=job.job_id))
             return
+        if job.resumed_s is not None:
+            # An owner that has forgotten a task that is done would run it again.
+            return
         steps: dict[int, list[TaskKey]] = {}
         for key, assigned in job.assigned_cells.items():
             if assigned == cell:
@@ -507,6 +512,8 @@
                     yield from self._close_job(
                         job, fx.JobVerdict.INTERRUPTED, job.end_reason
                     )
+            elif _is_forgotten(job, now_s):
+                yield from self._abandon_job(job, "this host was frozen", now_s)
             elif now_s > job.deadline_s:
                 yield from self._abandon_job(job, "the caller's deadline passed", now_s)
             else:
@@ -535,3 +542,11 @@
             job.ownerless_since_s = now_s
         elif now_s > job.ownerless_since_s + OWNERLESS_TIMEOUT_S:
             yield from self._abandon_job(job, "no owner of the tasks' cell", now_s)
+
+
+def _is_forgotten(job: FrontJob, now_s: float) -> bool:
+    """Whether a job ends because its owners took this host as lost during a pause.
+
+    Reports of its tasks that had arrived meanwhile are handled first.
+    """
+    return job.resumed_s is not None and now_s > job.resumed_s + CONFIRMATION_TIMEOUT_S
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -85,7 +85,8 @@
     `released_steps` are the steps whose tasks have been sent.
     `binding_keys` are the tasks whose last request the owner may not decline.
     `unconfirmed_cells` are the cells that have yet to confirm a cancellation, or None
-    if none has been requested.
+    if none has been requested. `resumed_s` is when this host handled an event again
+    after a pause for which owners may have forgotten the job, or None.
     """
 
     job_id: str
@@ -106,6 +107,7 @@
     confirmation_deadline_s: float = 0.0
     end_reason: str = ""
     ownerless_since_s: float | None = None
+    resumed_s: float | None = None
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/tests/test_forgotten_ends.py
+++ b/gentianhub/capacity/tests/test_forgotten_ends.py
@@ -6,10 +6,13 @@
 import unittest
 
 from gentianhub.capacity import effects as fx
+from gentianhub.capacity import events as ev
+from gentianhub.capacity.front import CONFIRMATION_TIMEOUT_S
 from gentianhub.capacity.scheduler import END_RETENTION_S
 from gentianhub.capacity.tests import test_lost_ends
 from gentianhub.capacity.tests.builders import (
     CELL,
+    TERM,
     build_step,
     find_ends,
     find_starts,
@@ -58,6 +61,28 @@
             starts += find_starts(self.feed_owner(repeat.message))
         self.assertEqual([], starts)
 
+    def test_its_caller_is_told_that_the_outcome_is_unknown(self):
+        """It would wait until its deadline for tasks that nobody runs any more."""
+        self.forget()
+        list(self.front.resend_requests(CELL, self.now_s))
+        self.now_s += CONFIRMATION_TIMEOUT_S + 0.05
+        (answer,) = find_answers(self.feed_front(ev.Tick()))
+        self.assertIs(fx.JobVerdict.INTERRUPTED, answer.verdict)
+
+    def test_an_end_that_had_arrived_meanwhile_still_counts(self):
+        self.forget()
+        done = ev.TasksEnded(
+            cell=CELL,
+            term=TERM,
+            job="a",
+            step_number=0,
+            indexes=(0,),
+            end=ev.TaskEnd.DONE,
+            has_started=True,
+        )
+        (answer,) = find_answers(self.feed_front(done))
+        self.assertIs(fx.JobVerdict.COMPLETED, answer.verdict)
+
 
 if __name__ == "__main__":
     unittest.main()
