Send no start that was decided before a connection of its target broke

Cause, as read in the code: a start waits in the queue of the target's connections for up to 0.35 s, behind orders that wait for the target, and is sent once the new life answers and the clock is known again.

Change: an order that was decided before the last break of a connection carries no lease, so that such a start is not sent and its task is placed again. The new test failed before.

--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -44,15 +44,17 @@
 class TargetClock:
     """The last reading of a target's clock; shared by the target's connections.
 
-    `read_at_s` is the monotonic time at which the reading arrived.
+    `read_at_s` is the monotonic time at which the reading arrived, and `broken_s` that
+    of the last break of a connection, with which a life of the target may have ended.
     """
 
     reading_ms: int | None = None
     read_at_s: float = 0.0
+    broken_s: float = float("-inf")
 
     def forget(self) -> None:
         """Forget the reading: the target may have restarted with a new clock."""
-        self.reading_ms = None
+        self.reading_ms, self.broken_s = None, read_monotonic_s()
 
     def update(self, reading_ms: int) -> None:
         """Record a reading of the target's clock that has just arrived."""
@@ -61,10 +63,16 @@
     def compute_lease_end_ms(self, lease: fx.StartRun | fx.RenewLease) -> int | None:
         """Return the end of a lease on the target's clock, ms.
 
-        It is None if the clock is unknown or the lease has ended.
+        It is None if the clock is unknown, if the lease has ended, or if the order was
+        decided for a life of the target that may have ended since.
         """
         end_s = lease.decided_s + lease.lease_s
-        if self.reading_ms is None or end_s <= read_monotonic_s():
+        is_for_earlier_life = lease.decided_s < self.broken_s
+        if (
+            self.reading_ms is None
+            or is_for_earlier_life
+            or end_s <= read_monotonic_s()
+        ):
             return None
         return round(self.reading_ms + (end_s - self.read_at_s) * 1000)
 
--- a/gentianhub/platform/tests/test_targets.py
+++ b/gentianhub/platform/tests/test_targets.py
@@ -148,6 +148,15 @@
         self.assertIs(ev.StartVerdict.NOT_SENT, answer.verdict)
         self.assertEqual([], self.connection.bodies)
 
+    def test_no_start_is_sent_that_was_decided_before_a_connection_broke(self):
+        """It reached the next life, of another kind, behind other orders."""
+        self.now_s += 0.1
+        self.client.clock.forget()
+        self.client.clock.update(40)
+        answer = self.client.start(self.start)
+        self.assertIs(ev.StartVerdict.NOT_SENT, answer.verdict)
+        self.assertEqual([], self.connection.bodies)
+
     def test_a_broken_connection_is_told_from_an_answer_that_is_only_late(self):
         renewal = find_renewals(self.driver.effects)[-1]
         for error, is_broken in (
