--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -127,14 +127,14 @@
         return (
             self.phase is TargetPhase.READY
             and not self.is_restarting
-            and self.has_current_entry()
             and not self.entry.is_leaving
             and not self.orphans
             and self.exclusive_task is None
             and not self.health.is_ejected(now_s)
-            and not self.find_overdue_stops(now_s)
-            and now_s <= self.find_confirmed_s(now_s) + JOB_CONFIRMATION_TIMEOUT_S
+            and not (self.stops and self.find_overdue_stops(now_s))
             and not (self.health.is_suspect and self.runs)
+            and self.has_current_entry()
+            and now_s <= self.find_confirmed_s(now_s) + JOB_CONFIRMATION_TIMEOUT_S
         )
 
     def has_current_entry(self) -> bool:
@@ -171,18 +171,17 @@
         """Return when the jobs of all runs were last confirmed, monotonic, s.
 
         A lease is one of all runs of the target, so that the job whose confirmation is
-        the oldest counts. A run that is not known to belong to any job has none.
+        the oldest counts. A run that is not known to belong to any job has none. Each
+        pass over the waiting tasks calls this for all targets.
         """
-        if self.find_unclaimed_runs():
+        if self.orphans and self.find_unclaimed_runs():
             return float("-inf")
-        return min(
-            (
-                run.job.confirmed_s
-                for run in self.runs.values()
-                if not self._has_confirmed_stop(run.key)
-            ),
-            default=now_s,
-        )
+        oldest_s = now_s
+        for run in self.runs.values():
+            confirmed_s = run.job.confirmed_s
+            if confirmed_s < oldest_s and not self._has_confirmed_stop(run.key):
+                oldest_s = confirmed_s
+        return oldest_s
 
     def _has_confirmed_stop(self, key: TaskKey) -> bool:
         return key in self.stops and self.stops[key].is_confirmed
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -266,8 +266,8 @@
             testbed=testbed,
             crashing_fraction=plan.crashing_fraction,
             departing_fraction=plan.departing_fraction,
-            # Tasks wait only under more load than the targets can serve afterwards.
             changes_data_centre=plan.with_losses,
+            # Tasks wait only under more load than the targets can serve afterwards.
             is_extra=plan.is_overloaded and number % 4 > 0,
         )
         for number in range(plan.callers)
