Log why a run is stopped, how a caller's connection ended, and pauses of a host

The users' record has a run that ended as stopped 1.3 s after links were lost. Nothing told why its owner had stopped it: a withdrawal, a list of open jobs without it, a missing confirmation and a later submission of the job looked alike, and these are what tells the hypotheses apart. stop has a reason now, and the metric stops_by_reason counts it.

caller left says whether the connection was closed or reset and how long the caller had waited. process paused says how late the timer of a host was and for how long its machine was suspended, the difference of CLOCK_BOOTTIME and the steady clock; no line told either.

No decision changes. Tests: test_departures (reason, suspension), test_server (closed and reset), test_metrics.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -33,6 +33,20 @@
     inputs: dict[str, Any]
 
 
+class StopReason(enum.Enum):
+    """Why a run is stopped, for log lines and metrics."""
+
+    CANCELLED = "cancelled"
+    NOT_OPEN = "not open"
+    SUBMITTED_AGAIN = "submitted again"
+    NOT_CONFIRMED = "not confirmed"
+    FRONT_HOST_LOST = "front host lost"
+    JOB_ENDED = "job ended"
+    STALLED = "stalled"
+    NOT_CLAIMED = "not claimed"
+    START_UNANSWERED = "start unanswered"
+
+
 @frozen(kw_only=True)
 class StopRun:
     """Stop a run on a target."""
@@ -41,6 +55,7 @@
     key: TaskKey
     run: int
     term: int
+    reason: StopReason
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -20,6 +20,7 @@
     is_recent,
 )
 from gentianhub.capacity.earlier_runs import RunAtWork, RunOver, find_earlier_run
+from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.leases import choose_lease_s
@@ -139,7 +140,7 @@
                 job = self.jobs.get((front_host, job_id))
                 if job is not None:
                     yield self._log_withdrawal(job, "cancelled")
-                    yield from self._cancel_job(job, now_s)
+                    yield from self._cancel_job(job, StopReason.CANCELLED, now_s)
                     job.is_withdrawn = True
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
             case ev.FrontLost(front_host=lost):
@@ -201,7 +202,7 @@
         if end is not None:
             yield self.suspects.log_given_up(keys, end)
             yield self.reporter.build_refusal(request, front_host, end, True)
-            yield from self._cancel_job(job, now_s)
+            yield from self._cancel_job(job, StopReason.JOB_ENDED, now_s)
             return
         if job is None or job.is_withdrawn:
             job = CellJob(
@@ -219,11 +220,11 @@
             if other is not None:
                 # The other front host may not have noticed that the caller has left it.
                 yield self._log_withdrawal(other, "submitted again")
-                yield from self._give_up_job(other, now_s)
+                yield from self._give_up_job(other, StopReason.SUBMITTED_AGAIN, now_s)
             self.jobs[(front_host, job.name)] = job
             self._front_hosts[job.name] = front_host
         if is_given_up(job, now_s):
-            yield from self._give_up_job(job, now_s)
+            yield from self._give_up_job(job, StopReason.NOT_CONFIRMED, now_s)
         job.confirmed_s = max(job.confirmed_s, confirmed_s)
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
@@ -283,7 +284,7 @@
             task.is_blocked = True
             task.last_run = max(task.last_run, earlier.last_run)
             self._blocked.append(task)
-            yield from self._cancel_job(earlier.job, now_s)
+            yield from self._cancel_job(earlier.job, StopReason.SUBMITTED_AGAIN, now_s)
             return
         match find_earlier_run(task.key, self.targets.values()):
             case RunAtWork(target=target):
@@ -330,7 +331,9 @@
         if declined:
             yield self.reporter.build_end_report(declined, ev.TaskEnd.DECLINED)
 
-    def _cancel_job(self, job: CellJob | None, now_s: float) -> Iterator:
+    def _cancel_job(
+        self, job: CellJob | None, reason: StopReason, now_s: float
+    ) -> Iterator:
         if job is None or job.is_cancelled:
             return
         job.is_cancelled = True
@@ -342,7 +345,7 @@
             target = self.targets.get(task.target)
             run = target.runs.get(task.key) if target is not None else None
             if run is not None and run.phase is not RunPhase.STOPPING:
-                yield self.tracker.stop_run(target, run, now_s)
+                yield self.tracker.stop_run(target, run, reason, now_s)
 
     def _give_up_front_host(self, lost: Incarnation, now_s: float) -> Iterator:
         """Cancel the jobs of a front host that is considered lost, and report this.
@@ -352,11 +355,11 @@
         yield from self._refuse_requests(self.confirmations.release_requests(lost))
         for job in [job for job in self.jobs.values() if job.front_host == lost]:
             if not job.is_cancelled and job.has_open_tasks():
-                yield from self._give_up_job(job, now_s)
+                yield from self._give_up_job(job, StopReason.FRONT_HOST_LOST, now_s)
 
-    def _give_up_job(self, job: CellJob, now_s: float) -> Iterator:
+    def _give_up_job(self, job: CellJob, reason: StopReason, now_s: float) -> Iterator:
         open_tasks = [task for task in job.tasks.values() if task.end is None]
-        yield from self._cancel_job(job, now_s)
+        yield from self._cancel_job(job, reason, now_s)
         steps: dict[int, list[CellTask]] = {}
         for task in open_tasks:
             steps.setdefault(task.key.step, []).append(task)
@@ -377,12 +380,12 @@
         for job in [job for job in self.jobs.values() if job.front_host == front_host]:
             if job.name in listed:
                 if is_given_up(job, now_s):
-                    yield from self._give_up_job(job, now_s)
+                    yield from self._give_up_job(job, StopReason.NOT_CONFIRMED, now_s)
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
                 yield self._log_withdrawal(job, "not open")
-                yield from self._cancel_job(job, now_s)
+                yield from self._cancel_job(job, StopReason.NOT_OPEN, now_s)
             job.is_withdrawn = True
         self._may_start = self._may_start or self._awaits_confirmation
         self._awaits_confirmation = False
@@ -410,7 +413,7 @@
                     "age_s": round(now_s - job.confirmed_s, 3),
                 },
             )
-            yield from self._give_up_job(job, now_s)
+            yield from self._give_up_job(job, StopReason.NOT_CONFIRMED, now_s)
         yield from self._refuse_requests(self.confirmations.release_expired(now_s))
 
     def _refuse_requests(self, refused: list[HeldRequest]) -> Iterator:
@@ -483,7 +486,7 @@
             is_open = task.end is None and not task.job.is_cancelled
             if is_open and task.is_too_late(target.lease_expiry_s):
                 yield from self._end_task(task, ev.TaskEnd.LOST, now_s)
-                yield from self._cancel_job(task.job, now_s)
+                yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
 
     def _detach_run(self, run: Run) -> CellTask:
         task = self._started_tasks.pop(run.key)
@@ -584,13 +587,13 @@
         for task in self.waiting.pop_ordered(now_s):
             if task.is_too_late(now_s):
                 yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
-                yield from self._cancel_job(task.job, now_s)
+                yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
                 continue
             end = self.suspects.find_end([task.key])
             if end is not None:
                 yield self.suspects.log_given_up([task.key], end)
                 yield from self._end_task(task, end, now_s)
-                yield from self._cancel_job(task.job, now_s)
+                yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
                 continue
             if not is_recent(task.job.confirmed_s, now_s):
                 yield from self.confirmations.hold_task(task, now_s)
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -13,6 +13,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import MIN_TIMEOUT_S
 from gentianhub.capacity.confirmations import describe_age
+from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.jobs import (
     Cell,
     ListedTarget,
@@ -134,20 +135,38 @@
         paces = [state.pace.value for state in self.targets.values()]
         return sum(paces) / len(paces)
 
-    def stop_run(self, state: TargetState, run: Run, now_s: float) -> fx.StopRun:
+    def stop_run(
+        self, state: TargetState, run: Run, reason: StopReason, now_s: float
+    ) -> fx.StopRun:
         """Stop a run; its capacity becomes free when the target lists its end."""
         run.phase = RunPhase.STOPPING
-        return self._send_stop(state, run.key, run.number, now_s)
-
-    def _send_stop(
-        self, state: TargetState, key: TaskKey, run: int, now_s: float
+        return self._stop(state, run.key, run.number, reason, now_s)
+
+    def _stop(
+        self,
+        state: TargetState,
+        key: TaskKey,
+        run: int,
+        reason: StopReason,
+        now_s: float,
     ) -> fx.StopRun:
         stop = state.stops.get(key)
         if stop is None or stop.run != run:
-            stop = Stop(run=run, decided_s=now_s, sent_s=now_s)
+            stop = Stop(run=run, reason=reason, decided_s=now_s, sent_s=now_s)
             state.stops[key] = stop
+        return self._send_stop(state, key, stop, now_s)
+
+    def _send_stop(
+        self, state: TargetState, key: TaskKey, stop: Stop, now_s: float
+    ) -> fx.StopRun:
         stop.sent_s = now_s
-        return fx.StopRun(target=state.entry, key=key, run=run, term=self.term)
+        return fx.StopRun(
+            target=state.entry,
+            key=key,
+            run=stop.run,
+            term=self.term,
+            reason=stop.reason,
+        )
 
     # The list of targets
 
@@ -394,7 +413,7 @@
             if run.phase is RunPhase.UNCERTAIN:
                 # The target has not started it; a stop keeps a delayed start from
                 # taking effect.
-                yield self.stop_run(state, run, now_s)
+                yield self.stop_run(state, run, StopReason.START_UNANSWERED, now_s)
             elif run.stopped_s < report.sent_s:
                 # A start that was executed would be listed as running or ended, unless
                 # an earlier life of the target has executed it.
@@ -419,7 +438,7 @@
         if now_s < self.owner_since_s + ORPHAN_GRACE_S and not is_assigned:
             yield OrphanFound(target=state, key=row.key)
         elif row.key not in state.stops:
-            yield self._send_stop(state, row.key, row.run, now_s)
+            yield self._stop(state, row.key, row.run, StopReason.NOT_CLAIMED, now_s)
 
     def _retry_renewal(self, missed: ev.RenewalMissed, now_s: float) -> Iterator:
         """Retry a renewal immediately, since a single answer may be lost or late.
@@ -511,7 +530,7 @@
             and stop.run == answer.run
             and now_s >= stop.sent_s + MIN_TIMEOUT_S
         ):
-            yield self._send_stop(state, answer.key, answer.run, now_s)
+            yield self._send_stop(state, answer.key, stop, now_s)
 
     def _mark_target_lost(self, state: TargetState, cause: LossCause) -> Iterator:
         """Mark all runs of a target as lost, those of earlier owners included."""
@@ -559,10 +578,10 @@
         if now_s >= self.owner_since_s + ORPHAN_GRACE_S:
             for key, run in state.orphans.items():
                 if key not in state.stops:
-                    yield self._send_stop(state, key, run, now_s)
+                    yield self._stop(state, key, run, StopReason.NOT_CLAIMED, now_s)
         for key, stop in list(state.stops.items()):
             if now_s > stop.sent_s + STOP_RETRY_S:
-                yield self._send_stop(state, key, stop.run, now_s)
+                yield self._send_stop(state, key, stop, now_s)
 
     def _end_expired_runs(self, state: TargetState, now_s: float) -> Iterator:
         """End the runs that have outlasted the last lease without a confirmed stop.
@@ -594,7 +613,7 @@
                     )
                     state.health.record_stall(now_s)
                     yield RunStalled(target=state, run=run)
-                    yield self.stop_run(state, run, now_s)
+                    yield self.stop_run(state, run, StopReason.STALLED, now_s)
 
     def _log_decision(self, decision: str, subject: str, **inputs) -> fx.LogDecision:
         return fx.LogDecision(
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -2,8 +2,9 @@
 
 import enum
 
-from attrs import define, field
+from attrs import define, evolve, field
 
+from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.estimates import TargetPace
 from gentianhub.capacity.events import EndReport
 from gentianhub.capacity.health import TargetHealth
@@ -70,6 +71,7 @@
     """
 
     run: int
+    reason: StopReason
     decided_s: float
     sent_s: float
     is_confirmed: bool = False
@@ -205,7 +207,9 @@
         self.health, self.pace = TargetHealth(), TargetPace()
         self.extend_lease(now_s, MAX_LEASE_S)
         for key, stop in self.stops.items():
-            self.stops[key] = Stop(run=stop.run, decided_s=now_s, sent_s=float("-inf"))
+            self.stops[key] = evolve(
+                stop, decided_s=now_s, sent_s=float("-inf"), is_confirmed=False
+            )
         for run in self.runs.values():
             run.stopped_s = float("inf")
 
--- a/gentianhub/core/__init__.py
+++ b/gentianhub/core/__init__.py
@@ -1,6 +1,6 @@
 """Types shared by all packages: ids, jobs, outcomes, messages and mailboxes."""
 
-from gentianhub.core.clock import read_monotonic_s
+from gentianhub.core.clock import read_monotonic_s, read_suspended_s
 from gentianhub.core.errors import (
     GentianhubError,
     PlatformError,
@@ -79,6 +79,7 @@
     "create_incarnation",
     "parse_job_id",
     "read_monotonic_s",
+    "read_suspended_s",
     "send_message",
     "spawn_greenlet",
 ]
--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -14,10 +14,11 @@
 from gentianhub.platform.settings import Address
 from gentianhub.web import (
     BodyError,
+    ConnectionEnd,
     Request,
     Response,
     build_application,
-    is_closed,
+    find_end,
     open_server,
     watch_disconnect,
 )
@@ -40,6 +41,7 @@
 class _Departure:
     """The caller has left; its departure is reported unless the mailbox was full."""
 
+    message: ms.CallerConnectionClosed
     is_reported: bool
 
 
@@ -55,7 +57,7 @@
 
     def handle(self, request: Request) -> Response:
         """Return the response to one request."""
-        if request.method == "POST" and is_closed(request.connection):
+        if request.method == "POST" and find_end(request.connection):
             return _refuse_departed(request)
         replies = Mailbox(limit=2)
         message = ms.CallerRequest(
@@ -68,18 +70,18 @@
         )
         if not self.coordinator.try_put(message):
             return encode_error(503, "the coordinator's mailbox is full", 1.0)
-        left = ms.CallerConnectionClosed(reply_to=replies)
 
-        def report_departure() -> None:
+        def report_departure(end: ConnectionEnd) -> None:
+            left = ms.CallerConnectionClosed(reply_to=replies, end=end)
             # A departure has to be in the mailbox before anything is handled that has
             # arrived with it, so that it is put there by the event loop itself.
             is_reported = self.coordinator.try_put(left)
-            replies.try_put(_Departure(is_reported=is_reported))
+            replies.try_put(_Departure(message=left, is_reported=is_reported))
 
         with watch_disconnect(request.connection, report_departure):
             reply = replies.get()
         match reply:
-            case _Departure(is_reported=is_reported):
+            case _Departure(message=left, is_reported=is_reported):
                 if not is_reported:
                     # The report of a full mailbox may be late, but not lost.
                     self.coordinator.put(left)
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -299,12 +299,13 @@
                 if not self.connections.get_connections(target).enqueue(effect):
                     self._reject_start(effect, now_s)
             case fx.StopRun(target=target):
-                self.metrics.stops += 1
+                self.metrics.stops[effect.reason.value] += 1
                 log_decision(
                     "stop",
                     format_task_key(effect.key),
                     run=effect.run,
                     target=target.name,
+                    reason=effect.reason.value,
                 )
                 self.connections.get_connections(target).enqueue(effect)
             case fx.ListRuns(target=target):
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -47,6 +47,8 @@
 DRAIN_NOTICE_S = 2.5
 # Messages that wait until all that had arrived is read.
 READ_MARK_LIMIT = 64
+# Pauses of the process that are shorter are not logged, s.
+LOGGED_PAUSE_S = 0.2
 # Messages that wait longer than this in the mailbox are logged, once a second, s.
 LOGGED_MAILBOX_LAG_S = 0.2
 
@@ -161,8 +163,8 @@
             case ms.CallerRequest():
                 self._report_own_loads(now_s)
                 self.requests.handle_request(message, now_s)
-            case ms.CallerConnectionClosed(reply_to=reply_to):
-                self.requests.handle_disconnect(reply_to, now_s)
+            case ms.CallerConnectionClosed(reply_to=reply_to, end=end):
+                self.requests.handle_disconnect(reply_to, end, now_s)
             case ev.RunsReported() | ev.RenewalMissed() | ev.TargetSilent():
                 self.cells.handle_answer(message.target, message, now_s)
             case ev.StartAnswered() | ev.StopAnswered():
@@ -173,6 +175,7 @@
                 if self.links.record_received(link, now_s):
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
+                self._record_pause(message)
                 self._record_mailbox_lag(now_s - sent_s, now_s)
                 heard = self.membership.list_heard_heartbeats()
                 self.open_jobs.progress.begin(sent_s, heard, now_s)
@@ -441,6 +444,19 @@
 
     # Timer and drain
 
+    def _record_pause(self, tick: ms.TimerTick) -> None:
+        """Log for how long the process or its whole machine did not run."""
+        if max(tick.late_s, tick.suspended_s) < LOGGED_PAUSE_S:
+            return
+        self.metrics.record_pause(tick.late_s, tick.suspended_s)
+        log_decision(
+            "process paused",
+            str(self.local_host),
+            late_s=round(tick.late_s, 3),
+            suspended_s=round(tick.suspended_s, 3),
+            open_jobs=len(self.requests.job_registry.jobs),
+        )
+
     def _record_mailbox_lag(self, lag_s: float, now_s: float) -> None:
         """Record how long a tick has waited in the mailbox; log long waits."""
         self.metrics.record_mailbox_lag(lag_s)
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -25,7 +25,9 @@
         yield _build_family(
             "start_answers", "Answers to starts", "verdict", metrics.start_answers
         )
-        yield _build_family("stops", "Runs stopped", "kind", {"stop": metrics.stops})
+        yield _build_family(
+            "stops", "Runs stopped", "kind", {"stop": metrics.stops.total()}
+        )
         yield _build_family("jobs", "Jobs submitted", "route", metrics.submissions)
         yield _build_family("answers", "Answers to callers", "verdict", metrics.answers)
         yield _build_family("task_reports", "Reports of tasks", "end", metrics.ends)
@@ -35,6 +37,22 @@
         yield _build_family(
             "cancels", "Answers to cancellations", "outcome", metrics.cancels
         )
+        yield _build_family(
+            "stops_by_reason", "Runs stopped, by reason", "reason", metrics.stops
+        )
+        yield _build_family(
+            "departures", "Callers that have left", "end", metrics.departures
+        )
+        yield GaugeMetricFamily(
+            "gentianhub_host_suspended_s",
+            "Time for which the machine was suspended since the host started",
+            value=metrics.suspended_s,
+        )
+        yield GaugeMetricFamily(
+            "gentianhub_host_longest_pause_s",
+            "Longest time for which the process did not run",
+            value=metrics.longest_pause_s,
+        )
         yield GaugeMetricFamily(
             "gentianhub_host_longest_mailbox_lag_s",
             "Longest wait of a message in the coordinator's mailbox",
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -7,6 +7,7 @@
 from gentianhub.capacity.jobs import Cell, ListedTarget
 from gentianhub.core import Incarnation
 from gentianhub.host.registry import HostEntry
+from gentianhub.web import ConnectionEnd
 
 
 @frozen(kw_only=True)
@@ -40,11 +41,15 @@
 class TimerTick:
     """The timer has reached a multiple of its period; `count` is that multiple.
 
-    `sent_s` is the monotonic time at which the tick was put into the mailbox.
+    `sent_s` is the monotonic time at which the tick was put into the mailbox, and
+    `late_s` the time since it was due. The machine was suspended for `suspended_s`
+    since the tick before.
     """
 
     count: int
     sent_s: float
+    late_s: float = 0.0
+    suspended_s: float = 0.0
 
 
 @frozen(kw_only=True)
@@ -106,6 +111,7 @@
     """The connection of an open request has closed."""
 
     reply_to: Any
+    end: ConnectionEnd
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -15,14 +15,17 @@
     """Counters owned by the coordinator; read through `render_text`."""
 
     starts: int = 0
-    stops: int = 0
+    stops: Counter = field(factory=Counter)
     start_answers: Counter = field(factory=Counter)
     submissions: Counter = field(factory=Counter)
     answers: Counter = field(factory=Counter)
     ends: Counter = field(factory=Counter)
     losses: Counter = field(factory=Counter)
     cancels: Counter = field(factory=Counter)
+    departures: Counter = field(factory=Counter)
     longest_mailbox_lag_s: float = 0.0
+    longest_pause_s: float = 0.0
+    suspended_s: float = 0.0
     response_ms: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(create_response_histogram)
     )
@@ -44,6 +47,11 @@
         """Record how long a message has waited in the coordinator's mailbox, s."""
         self.longest_mailbox_lag_s = max(self.longest_mailbox_lag_s, lag_s)
 
+    def record_pause(self, paused_s: float, suspended_s: float) -> None:
+        """Record a pause of the process, and for how long its machine was suspended."""
+        self.longest_pause_s = max(self.longest_pause_s, paused_s)
+        self.suspended_s += suspended_s
+
     def render_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         # The library imports web servers, which takes time at each start of a host.
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -31,7 +31,7 @@
 from gentianhub.host.outbox import Outbox
 from gentianhub.platform import callers
 from gentianhub.platform.fields import FieldError
-from gentianhub.web import Response
+from gentianhub.web import ConnectionEnd, Response
 
 # Applies if neither the request nor the route sets a wait, s.
 DEFAULT_WAIT_S = 30.0
@@ -89,11 +89,19 @@
             case _:
                 self._reply(request.reply_to, callers.encode_error(405, "unknown"))
 
-    def handle_disconnect(self, reply_to: Any, now_s: float) -> None:
+    def handle_disconnect(
+        self, reply_to: Any, end: ConnectionEnd, now_s: float
+    ) -> None:
         """Abandon the job of a caller whose connection has closed."""
         pending = self._pending_requests.pop(reply_to, None)
         if pending is not None:
-            log_decision("caller left", pending.job_id)
+            self.metrics.departures[end.value] += 1
+            log_decision(
+                "caller left",
+                pending.job_id,
+                end=end.value,
+                waited_s=round(now_s - pending.accepted_s, 4),
+            )
             self.handle_event(
                 CallerDisconnected(job_id=pending.job_id, reply_to=reply_to), now_s
             )
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -20,6 +20,7 @@
 from gentianhub.linking.handshake import Hello
 from gentianhub.linking.link_events import LinkClosed, LinkOpened, MessageReceived
 from gentianhub.linking.links import Link, LinkContext
+from gentianhub.web import ConnectionEnd
 
 STOP_S = 0.05
 # A long objective lets a task wait in the queue for as long as its caller waits.
@@ -225,7 +226,8 @@
 
     def leave(self, reply_to: Mailbox) -> None:
         """Close the connection of a caller."""
-        self.receive(ms.CallerConnectionClosed(reply_to=reply_to))
+        closed = ms.CallerConnectionClosed(reply_to=reply_to, end=ConnectionEnd.CLOSED)
+        self.receive(closed)
 
 
 class SimulatedLink:
--- a/gentianhub/host/tests/test_callers.py
+++ b/gentianhub/host/tests/test_callers.py
@@ -8,7 +8,7 @@
 from gentianhub.core import Mailbox
 from gentianhub.host import messages as ms
 from gentianhub.host.callers import MAX_WAIT_S, CallerHandler, parse_wait_s
-from gentianhub.web import Request
+from gentianhub.web import ConnectionEnd, Request
 
 # Time for an event of a socket on loopback to be handled, s.
 NOTICE_S = 0.5
@@ -79,9 +79,10 @@
         gevent.sleep(0.05)
         handler.coordinator.get()
         departure = handler.coordinator.get(timeout_s=NOTICE_S)
-        self.assertEqual(
-            ms.CallerConnectionClosed(reply_to=request.reply_to), departure
+        expected = ms.CallerConnectionClosed(
+            reply_to=request.reply_to, end=ConnectionEnd.CLOSED
         )
+        self.assertEqual(expected, departure)
 
     def test_a_departure_is_handled_before_what_has_arrived_with_it(self):
         """An owner's question for the open jobs was answered with the job of a caller
@@ -137,7 +138,9 @@
         self.caller.close()
         response = greenlet.get(timeout=NOTICE_S)
         self.assertEqual("close", response.headers.get("Connection"))
-        departure = ms.CallerConnectionClosed(reply_to=request.reply_to)
+        departure = ms.CallerConnectionClosed(
+            reply_to=request.reply_to, end=ConnectionEnd.CLOSED
+        )
         self.assertEqual(departure, handler.coordinator.get(timeout_s=NOTICE_S))
 
 
--- a/gentianhub/host/tests/test_departed_callers.py
+++ b/gentianhub/host/tests/test_departed_callers.py
@@ -13,6 +13,7 @@
 from gentianhub.host.request_handler import RequestHandler
 from gentianhub.host.tests.host_processes import CONFIGURATION
 from gentianhub.host.tests.test_cells import FakeOutbox
+from gentianhub.web import ConnectionEnd
 
 JOB = {"spec": "text", "best_effort": True, "phases": [{"count": 1, "cpu": 1000}]}
 
@@ -44,7 +45,7 @@
         )
         self.handler.handle_request(request, 0.1)
         self.assertEqual(1, len(self.handler.job_registry.jobs))
-        self.handler.handle_disconnect(replies, 0.2)
+        self.handler.handle_disconnect(replies, ConnectionEnd.CLOSED, 0.2)
         self.assertEqual({}, self.handler.job_registry.jobs)
         self.assertEqual({}, self.handler._pending_requests)
 
--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -27,7 +27,7 @@
     DepartureTest,
 )
 from gentianhub.linking.link_events import MessageReceived
-from gentianhub.web.server import watch_disconnect
+from gentianhub.web import ConnectionEnd, watch_disconnect
 
 JOB_2 = "00000000000000b2"
 
@@ -54,7 +54,7 @@
             handling = gevent.spawn(handler.handle, request)
             gevent.sleep(0)
             # The request still fills the mailbox when the connection closes.
-            gevent.spawn(reports[0])
+            gevent.spawn(reports[0], ConnectionEnd.CLOSED)
             gevent.sleep(0)
             self.assertIsInstance(mailbox.get(0.1), ms.CallerRequest)
             received = mailbox.get(0.5)
@@ -89,7 +89,13 @@
         self.enterContext(mock.patch(base + "HttpConnection.connect"))
         for number in range(MAX_COMMAND_CONNECTIONS):
             key = build_key("b", number)
-            stop = fx.StopRun(target=connections.target, key=key, run=1, term=1)
+            stop = fx.StopRun(
+                target=connections.target,
+                key=key,
+                run=1,
+                term=1,
+                reason=fx.StopReason.CANCELLED,
+            )
             connections.enqueue(stop)
             gevent.sleep(0)
         decided_s = read_monotonic_s()
@@ -196,8 +202,11 @@
             self.front.coordinator.run()
 
     def watch(self, connection, reply_to) -> None:
-        closed = ms.CallerConnectionClosed(reply_to=reply_to)
-        with watch_disconnect(connection, lambda: self.front.mailbox.put(closed)):
+        def report(end: ConnectionEnd) -> None:
+            closed = ms.CallerConnectionClosed(reply_to=reply_to, end=end)
+            self.front.mailbox.put(closed)
+
+        with watch_disconnect(connection, report):
             gevent.sleep(10)
 
     def test_jobs_of_callers_that_left_during_a_pause_are_not_confirmed(self):
@@ -282,11 +291,11 @@
         connection, peer = gevent.socket.socketpair()
         self.addCleanup(connection.close)
         reports = Mailbox(limit=2)
-        with watch_disconnect(connection, lambda: reports.try_put("left")):
+        with watch_disconnect(connection, reports.try_put):
             peer.sendall(b"POST")
             gevent.sleep(0.02)
             peer.close()
-            self.assertEqual("left", reports.get(0.3))
+            self.assertEqual(ConnectionEnd.CLOSED, reports.get(0.3))
 
 
 class TestLaggingOwner(DepartureTest):
--- a/gentianhub/host/tests/test_departures.py
+++ b/gentianhub/host/tests/test_departures.py
@@ -105,6 +105,28 @@
         lost = [r for r in logs.records if r.getMessage() == "link lost"]
         self.assertGreaterEqual(lost[0].unsent, 1)
 
+    def test_the_reason_of_a_stop_is_logged(self):
+        """A stop because of a later submission looked like any other one."""
+        job = OCCUPANTS[0]
+        with self.assertLogs("gentianhub.host") as logs:
+            self.other_front.leave(self.occupants[0])
+            self.deployment.run(0.2)
+        stops = [
+            r for r in logs.records if r.getMessage() == "stop" and r.id.startswith(job)
+        ]
+        self.assertEqual(["cancelled"], [r.reason for r in stops])
+
+    def test_the_suspension_of_a_machine_is_logged(self):
+        """No line told that a machine had been suspended."""
+        tick = ms.TimerTick(
+            count=4, sent_s=self.deployment.now_s, late_s=0.0, suspended_s=1.9
+        )
+        self.front.receive(tick)
+        with self.assertLogs("gentianhub.host") as logs:
+            self.deployment.run(0.1)
+        (paused,) = (r for r in logs.records if r.getMessage() == "process paused")
+        self.assertEqual(1.9, paused.suspended_s)
+
     def test_the_lag_of_a_mailbox_is_logged(self):
         """A host that was seconds behind looked like any other in its log."""
         self.front.slow_down(0.5)
--- a/gentianhub/host/tests/test_metrics.py
+++ b/gentianhub/host/tests/test_metrics.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 import unittest
+from collections import Counter
 
 from gentianhub.capacity.effects import JobVerdict
 from gentianhub.capacity.events import TaskEnd
@@ -28,7 +29,7 @@
     """Guards against metrics that change their names or slow down each start."""
 
     def test_counters_are_rendered(self):
-        metrics = HostMetrics(starts=3, stops=1)
+        metrics = HostMetrics(starts=3, stops=Counter({"not open": 1}))
         metrics.start_answers["started"] += 2
         metrics.record_mailbox_lag(0.25)
         metrics.count_submission("r0")
@@ -37,6 +38,8 @@
         metrics.count_end(next(iter(TaskEnd)))
         metrics.losses["crashed"] += 1
         metrics.cancels["no_such_job"] += 1
+        metrics.departures["reset"] += 1
+        metrics.record_pause(0.5, suspended_s=1.9)
         text = metrics.render_text().decode()
         self.assertTrue(text.startswith(EXPECTED), text)
         for part in (
@@ -45,6 +48,10 @@
             'gentianhub_host_target_losses_total{outcome="crashed"} 1.0',
             'gentianhub_host_cancels_total{outcome="no_such_job"} 1.0',
             "gentianhub_host_longest_mailbox_lag_s 0.25",
+            'gentianhub_host_stops_by_reason_total{reason="not open"} 1.0',
+            'gentianhub_host_departures_total{end="reset"} 1.0',
+            "gentianhub_host_longest_pause_s 0.5",
+            "gentianhub_host_suspended_s 1.9",
             'gentianhub_host_response_ms{quantile="0.99",verdict="completed"} 120.0',
         ):
             self.assertIn(part, text)
--- a/gentianhub/web/__init__.py
+++ b/gentianhub/web/__init__.py
@@ -7,10 +7,11 @@
 )
 from gentianhub.web.server import (
     BodyError,
+    ConnectionEnd,
     Request,
     Response,
     build_application,
-    is_closed,
+    find_end,
     open_server,
     watch_disconnect,
 )
@@ -18,11 +19,12 @@
 __all__ = [
     "HTTP_ERRORS",
     "BodyError",
+    "ConnectionEnd",
     "HttpConnection",
     "Request",
     "Response",
     "build_application",
-    "is_closed",
+    "find_end",
     "open_connection",
     "open_server",
     "watch_disconnect",
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -1,5 +1,6 @@
 """HTTP server shared by the caller port, the operator port and the stand-ins."""
 
+import enum
 import logging
 import re
 import select
@@ -81,6 +82,13 @@
     headers: Mapping[str, str] = Factory(dict)
 
 
+class ConnectionEnd(enum.Enum):
+    """How a peer has ended a connection."""
+
+    CLOSED = "closed"
+    RESET = "reset"
+
+
 @frozen(kw_only=True)
 class BodyError:
     """Error status and reason of a request body that could not be read."""
@@ -268,7 +276,9 @@
 
 
 @contextmanager
-def watch_disconnect(connection, report: Callable[[], None]) -> Iterator[None]:
+def watch_disconnect(
+    connection, report: Callable[[ConnectionEnd], None]
+) -> Iterator[None]:
     """Call `report` once if the peer closes the connection within the context.
 
     It is called by the event loop, so that it must not block.
@@ -279,9 +289,10 @@
 
     def check() -> None:
         readable.stop()
-        if is_closed(connection):
+        end = find_end(connection)
+        if end is not None:
             interval.stop()
-            report()
+            report(end)
         elif not interval.active:
             interval.start(check)
 
@@ -294,11 +305,18 @@
             watcher.close()
 
 
-def is_closed(connection) -> bool:
-    """Whether the peer has closed the connection, also behind bytes not read yet."""
+def find_end(connection) -> ConnectionEnd | None:
+    """Return how the peer has ended the connection, also behind bytes not read yet.
+
+    None if it is open.
+    """
     poller = select.poll()
     poller.register(connection.fileno(), select.POLLRDHUP)
-    return bool(poller.poll(0))
+    events = poller.poll(0)
+    if not events:
+        return None
+    is_reset = events[0][1] & select.POLLERR
+    return ConnectionEnd.RESET if is_reset else ConnectionEnd.CLOSED
 
 
 @contextmanager
--- a/gentianhub/web/tests/test_server.py
+++ b/gentianhub/web/tests/test_server.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent import socket
 
-from gentianhub.web import watch_disconnect
+from gentianhub.web import ConnectionEnd, watch_disconnect
 
 # Time for an event of a socket on loopback to be handled, s.
 NOTICE_S = 0.5
@@ -24,9 +24,11 @@
         self.addCleanup(self.peer.close)
         self.addCleanup(self.connection.close)
         self.reports = 0
+        self.end: ConnectionEnd | None = None
 
-    def count_report(self) -> None:
+    def count_report(self, end: ConnectionEnd) -> None:
         self.reports += 1
+        self.end = end
 
     def wait_for_report(self) -> None:
         with gevent.Timeout(NOTICE_S, False):
@@ -38,6 +40,7 @@
             self.peer.close()
             gevent.sleep(NOTICE_S)
         self.assertEqual(1, self.reports)
+        self.assertEqual(ConnectionEnd.CLOSED, self.end)
 
     def test_a_close_after_another_request_is_reported(self):
         """The bytes of the next request had ended the observation."""
@@ -58,6 +61,7 @@
             self.peer.close()
             self.wait_for_report()
         self.assertEqual(1, self.reports)
+        self.assertEqual(ConnectionEnd.RESET, self.end)
 
     def test_a_request_and_a_close_that_arrive_together_are_a_close(self):
         """A process that was frozen reads both at once."""
