Ask the kernel for the callers that have left before a job is confirmed

A front host names a heartbeat to an owner once the departures that had arrived with it are handled. It waited for the event loop to be idle, 0.05 s at most, and took everything as read then. A process that gets no processor time meanwhile, as under a quota, handles the time-out together with the first 64 sockets; the departures behind them were handled after the message, and their jobs confirmed although the callers had left. So was the job of a caller that had sent further bytes, whose end is looked for every 0.1 s only.

One poll of the callers' connections now tells which have ended, and their departures go into the mailbox ahead of the message. A message that finds no room there is dropped, as it would pass a departure that found none; the owner asks again.

Ruled out: the order of timers and sockets within one call of the event loop; the time-out has the lower priority. Answers no longer wait for an idle loop, which took up to 0.05 s on a busy host.

--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import evolve, frozen
+from attrs import evolve, field, frozen
 
 from gentianhub.core import Mailbox
 from gentianhub.host import messages as ms
@@ -15,12 +15,12 @@
 from gentianhub.web import (
     BodyError,
     ConnectionEnd,
+    ConnectionWatches,
     Request,
     Response,
     build_application,
     find_end,
     open_server,
-    watch_disconnect,
 )
 
 # Most concurrent connections of callers; the host may open 4,100 file descriptors.
@@ -50,10 +50,12 @@
     """Passes callers' requests to the coordinator and waits for their responses.
 
     While `is_draining` returns true, connections are closed after each response.
+    `watches` are the connections of open requests.
     """
 
     coordinator: Mailbox
     is_draining: Callable[[], bool]
+    watches: ConnectionWatches = field(factory=lambda: ConnectionWatches())
 
     def handle(self, request: Request) -> Response:
         """Return the response to one request."""
@@ -71,20 +73,22 @@
         if not self.coordinator.try_put(message):
             return encode_error(503, "the coordinator's mailbox is full", 1.0)
 
-        def report_departure(end: ConnectionEnd) -> None:
+        def report_departure(end: ConnectionEnd) -> bool:
             left = ms.CallerConnectionClosed(reply_to=replies, end=end)
             # A departure has to be in the mailbox before anything is handled that has
             # arrived with it, so that it is put there by the event loop itself.
             is_reported = self.coordinator.try_put(left)
             replies.try_put(_Departure(message=left, is_reported=is_reported))
+            return is_reported
 
-        with watch_disconnect(request.connection, report_departure):
+        with self.watches.watch(request.connection, report_departure):
             reply = replies.get()
-        match reply:
-            case _Departure(message=left, is_reported=is_reported):
-                if not is_reported:
+            match reply:
+                case _Departure(message=left, is_reported=False):
                     # The report of a full mailbox may be late, but not lost.
                     self.coordinator.put(left)
+        match reply:
+            case _Departure():
                 # There is no answer for a caller that has left.
                 return _add_close(encode_error(504, CALLER_LEFT))
             case response:
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -45,7 +45,7 @@
 # Time after the start of a drain during which jobs on open connections are still
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
-# Messages that wait until all that had arrived is read.
+# Messages that wait until the departures that had arrived are read.
 READ_MARK_LIMIT = 64
 # Pauses of the process that are shorter are not logged, s.
 LOGGED_PAUSE_S = 0.2
@@ -66,7 +66,7 @@
     target_polls : Mailbox
         Receives requests to read the list of targets from the store now.
     read_marks : Mailbox
-        Receives messages that come back once all that had arrived has been read.
+        Receives messages that come back behind all departures that had arrived.
     """
 
     local_host: Incarnation
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -56,7 +56,7 @@
 class AnswerHeartbeat:
     """Tell an owner which jobs are open, and name its heartbeat of this number.
 
-    The coordinator gets it back once all that arrived with the heartbeat is read.
+    The coordinator gets it back behind all departures that arrived with the heartbeat.
     """
 
     owner: Incarnation
@@ -66,7 +66,7 @@
 
 @frozen(kw_only=True)
 class InputRead:
-    """All that had arrived before the tick that was sent at `sent_s` has been read."""
+    """All departures that had arrived when the tick was sent, at `sent_s`, are read."""
 
     sent_s: float
 
--- a/gentianhub/host/open_jobs.py
+++ b/gentianhub/host/open_jobs.py
@@ -25,7 +25,7 @@
     Parameters
     ----------
     read_marks : Mailbox
-        Receives messages that come back once all that had arrived has been read.
+        Receives messages that come back behind all departures that had arrived.
     sent_heartbeats : SentHeartbeats
         The heartbeats of this host, which front hosts name.
     """
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -59,6 +59,7 @@
     mailbox: Mailbox = field(init=False, factory=lambda: Mailbox(limit=MAILBOX_LIMIT))
     registry_commands: Mailbox = field(init=False, factory=lambda: Mailbox(limit=16))
     coordinator: Coordinator = field(init=False)
+    callers: CallerHandler = field(init=False)
     _stop: Event = field(init=False, factory=Event)
     _has_crashed: bool = field(init=False, default=False)
 
@@ -71,6 +72,9 @@
             target_polls=Mailbox(limit=1),
             links=self._build_links(),
         )
+        self.callers = CallerHandler(
+            coordinator=self.mailbox, is_draining=lambda: self.coordinator.is_draining
+        )
 
     def _build_links(self) -> HostLinks:
         link_address = self.settings.link_address
@@ -135,7 +139,12 @@
                 lambda: self.coordinator.timer_period_ticks,
                 self.coordinator.read_marks,
             ),
-            spawn_greenlet(return_when_read, self.coordinator.read_marks, self.mailbox),
+            spawn_greenlet(
+                return_when_read,
+                self.coordinator.read_marks,
+                self.mailbox,
+                self.callers.watches.report_ended,
+            ),
             spawn_greenlet(
                 followers.follow_configuration,
                 store,
@@ -181,9 +190,6 @@
             lambda sock, _: accept_link(sock, context),
         )
         link_server.start()
-        handler = CallerHandler(
-            coordinator=self.mailbox, is_draining=lambda: self.coordinator.is_draining
-        )
         try:
             with (
                 serve_operations(
@@ -196,7 +202,7 @@
                     self.mailbox,
                     lambda: self.coordinator.is_ready,
                 ),
-                serve_callers(self.settings.caller_address, handler),
+                serve_callers(self.settings.caller_address, self.callers),
             ):
                 yield
         finally:
--- a/gentianhub/host/progress.py
+++ b/gentianhub/host/progress.py
@@ -2,18 +2,17 @@
 
 A departure of a caller and an owner's heartbeat may be read in any order after a pause
 of the process, and one call of the event loop returns a part of the sockets only. So a
-host names a heartbeat to its owner, or confirms its own jobs, only once everything that
-had arrived before has been read and handled.
+host names a heartbeat to its owner, or confirms its own jobs, only once the kernel has
+been asked for all connections of callers that had ended by then, and these departures
+are handled.
 """
 
-import gevent
+from collections.abc import Callable
+
 from attrs import define, field
 
 from gentianhub.core import Incarnation, Mailbox
 
-# Longest wait for the event loop to be idle. A busy one reads all sockets that were
-# ready within this time.
-IDLE_TIMEOUT_S = 0.05
 # Names no heartbeat: the owner takes the message as one of unknown age.
 NO_HEARTBEAT = 2**64 - 1
 # A host that is further behind names the last settled heartbeat at once; the
@@ -23,7 +22,7 @@
 
 @define(kw_only=True, eq=False)
 class ReadProgress:
-    """The last point in time before which everything has been read and handled.
+    """The last point in time before which all departures have been handled.
 
     `handled_until_s` is that time, and `heartbeats` are the last ones of each host that
     were handled before it.
@@ -43,7 +42,7 @@
         self._lag_s = now_s - begun_s
 
     def complete(self, begun_s: float) -> None:
-        """Record that what had arrived before the tick has been handled as well."""
+        """Record that the departures before the tick have been handled as well."""
         if begun_s == self._begun_s:
             self.handled_until_s = begun_s
             self.heartbeats = self._begun_heartbeats
@@ -57,11 +56,16 @@
         return self._lag_s > SETTLED_ANSWER_LAG_S
 
 
-def return_when_read(messages: Mailbox, coordinator: Mailbox) -> None:
-    """Return messages to the coordinator once all that had arrived has been read."""
+def return_when_read(
+    messages: Mailbox, coordinator: Mailbox, report_departures: Callable[[], bool]
+) -> None:
+    """Return messages to the coordinator behind all departures that have arrived.
+
+    `report_departures` puts these into the coordinator's mailbox, and returns whether
+    it had room. If it has none, the messages are dropped: they would pass a departure.
+    """
     for message in messages.iterate_messages():
-        with gevent.Timeout(IDLE_TIMEOUT_S, False):
-            gevent.idle()
-        coordinator.put(message)
-        while len(messages):
-            coordinator.put(messages.get())
+        waiting = [message, *(messages.get() for _ in range(len(messages)))]
+        if report_departures():
+            for message in waiting:
+                coordinator.try_put(message)
--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -27,7 +27,7 @@
     DepartureTest,
 )
 from gentianhub.linking.link_events import MessageReceived
-from gentianhub.web import ConnectionEnd, watch_disconnect
+from gentianhub.web import ConnectionEnd, ConnectionWatches
 
 JOB_2 = "00000000000000b2"
 
@@ -50,7 +50,9 @@
         request = SimpleNamespace(
             method="POST", headers={}, path="/q/1", body=b"", connection=connection
         )
-        with mock.patch.object(callers, "watch_disconnect", watch):
+        with mock.patch.object(
+            ConnectionWatches, "watch", lambda _, *arguments: watch(*arguments)
+        ):
             handling = gevent.spawn(handler.handle, request)
             gevent.sleep(0)
             # The request still fills the mailbox when the connection closes.
@@ -201,12 +203,12 @@
             self.front.mailbox._queue.peek()
             self.front.coordinator.run()
 
-    def watch(self, connection, reply_to) -> None:
-        def report(end: ConnectionEnd) -> None:
+    def watch(self, watches: ConnectionWatches, connection, reply_to) -> None:
+        def report(end: ConnectionEnd) -> bool:
             closed = ms.CallerConnectionClosed(reply_to=reply_to, end=end)
-            self.front.mailbox.put(closed)
+            return self.front.mailbox.try_put(closed)
 
-        with watch_disconnect(connection, report):
+        with watches.watch(connection, report):
             gevent.sleep(10)
 
     def test_jobs_of_callers_that_left_during_a_pause_are_not_confirmed(self):
@@ -229,16 +231,20 @@
             socket.recv(1)
             self.front.mailbox.put(message)
 
+        watches = ConnectionWatches()
         greenlets = [
             gevent.spawn(self.serve_front_host),
             gevent.spawn(read_link),
             gevent.spawn(
-                return_when_read, self.front.coordinator.read_marks, self.front.mailbox
+                return_when_read,
+                self.front.coordinator.read_marks,
+                self.front.mailbox,
+                watches.report_ended,
             ),
         ]
         connections = [gevent.socket.socketpair() for _ in callers_]
         for (connection, _), reply_to in zip(connections, callers_, strict=True):
-            greenlets.append(gevent.spawn(self.watch, connection, reply_to))
+            greenlets.append(gevent.spawn(self.watch, watches, connection, reply_to))
         self.addCleanup(gevent.killall, greenlets)
         gevent.sleep(0.05)
         # All of it arrives while the event loop does not run.
@@ -291,7 +297,7 @@
         connection, peer = gevent.socket.socketpair()
         self.addCleanup(connection.close)
         reports = Mailbox(limit=2)
-        with watch_disconnect(connection, reports.try_put):
+        with ConnectionWatches().watch(connection, reports.try_put):
             peer.sendall(b"POST")
             gevent.sleep(0.02)
             peer.close()
--- a/gentianhub/web/__init__.py
+++ b/gentianhub/web/__init__.py
@@ -8,18 +8,19 @@
 from gentianhub.web.server import (
     BodyError,
     ConnectionEnd,
+    ConnectionWatches,
     Request,
     Response,
     build_application,
     find_end,
     open_server,
-    watch_disconnect,
 )
 
 __all__ = [
     "HTTP_ERRORS",
     "BodyError",
     "ConnectionEnd",
+    "ConnectionWatches",
     "HttpConnection",
     "Request",
     "Response",
@@ -27,5 +28,4 @@
     "find_end",
     "open_connection",
     "open_server",
-    "watch_disconnect",
 ]
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -275,34 +275,79 @@
     )
 
 
-@contextmanager
-def watch_disconnect(
-    connection, report: Callable[[ConnectionEnd], None]
-) -> Iterator[None]:
-    """Call `report` once if the peer closes the connection within the context.
+@define(kw_only=True, eq=False)
+class _Watch:
+    """One connection; its end is reported once, by the event loop or by a check.
 
-    It is called by the event loop, so that it must not block.
+    `is_refused` is set if the report was not taken.
     """
-    loop = get_hub().loop
-    readable = loop.io(connection.fileno(), 1)
-    interval = loop.timer(CLOSE_CHECK_INTERVAL_S, CLOSE_CHECK_INTERVAL_S)
 
-    def check() -> None:
-        readable.stop()
-        end = find_end(connection)
+    connection: Any
+    report: Callable[[ConnectionEnd], bool]
+    has_ended: bool = False
+    is_refused: bool = False
+
+    def check(self) -> bool:
+        """Report the end of the connection, if it has one; return whether it has."""
+        if self.has_ended:
+            return True
+        end = find_end(self.connection)
         if end is not None:
-            interval.stop()
-            report(end)
-        elif not interval.active:
-            interval.start(check)
+            self.has_ended = True
+            self.is_refused = not self.report(end)
+        return self.has_ended
 
-    readable.start(check)
-    try:
-        yield
-    finally:
-        for watcher in (readable, interval):
-            watcher.stop()
-            watcher.close()
+
+@define(kw_only=True, eq=False)
+class ConnectionWatches:
+    """Connections whose ends are reported while their requests are open.
+
+    The event loop reports an end when it comes to its socket. `report_ended` asks the
+    kernel instead, so that no end that has arrived is left behind it.
+    """
+
+    _watches: dict[int, _Watch] = field(init=False, factory=dict)
+    _poller: Any = field(init=False, factory=select.poll)
+
+    @contextmanager
+    def watch(
+        self, connection, report: Callable[[ConnectionEnd], bool]
+    ) -> Iterator[None]:
+        """Call `report` once if the peer ends the connection within the context.
+
+        The event loop or `report_ended` calls it, so that it must not block. It returns
+        whether the report was taken; if not, the context has to last until it is.
+        """
+        loop, descriptor = get_hub().loop, connection.fileno()
+        watch = _Watch(connection=connection, report=report)
+        readable = loop.io(descriptor, 1)
+        interval = loop.timer(CLOSE_CHECK_INTERVAL_S, CLOSE_CHECK_INTERVAL_S)
+
+        def check() -> None:
+            readable.stop()
+            if watch.check():
+                interval.stop()
+            elif not interval.active:
+                interval.start(check)
+
+        readable.start(check)
+        self._watches[descriptor] = watch
+        self._poller.register(descriptor, select.POLLRDHUP)
+        try:
+            yield
+        finally:
+            self._poller.unregister(descriptor)
+            del self._watches[descriptor]
+            for watcher in (readable, interval):
+                watcher.stop()
+                watcher.close()
+
+    def report_ended(self) -> bool:
+        """Report all connections that have ended by now; whether all were taken."""
+        ended = [descriptor for descriptor, _ in self._poller.poll(0)]
+        for descriptor in ended:
+            self._watches[descriptor].check()
+        return not any(self._watches[descriptor].is_refused for descriptor in ended)
 
 
 def find_end(connection) -> ConnectionEnd | None:
--- a/gentianhub/web/tests/test_server.py
+++ b/gentianhub/web/tests/test_server.py
@@ -6,13 +6,13 @@
 import gevent
 from gevent import socket
 
-from gentianhub.web import ConnectionEnd, watch_disconnect
+from gentianhub.web import ConnectionEnd, ConnectionWatches
 
 # Time for an event of a socket on loopback to be handled, s.
 NOTICE_S = 0.5
 
 
-class WatchDisconnectTest(unittest.TestCase):
+class ConnectionWatchesTest(unittest.TestCase):
     """Guards against jobs of callers that have left and that nobody withdraws."""
 
     def setUp(self):
@@ -23,12 +23,14 @@
             self.connection, _ = listener.accept()
         self.addCleanup(self.peer.close)
         self.addCleanup(self.connection.close)
+        self.watches = ConnectionWatches()
         self.reports = 0
         self.end: ConnectionEnd | None = None
 
-    def count_report(self, end: ConnectionEnd) -> None:
+    def count_report(self, end: ConnectionEnd) -> bool:
         self.reports += 1
         self.end = end
+        return True
 
     def wait_for_report(self) -> None:
         with gevent.Timeout(NOTICE_S, False):
@@ -36,7 +38,7 @@
                 gevent.sleep(0.005)
 
     def test_a_close_is_reported_once(self):
-        with watch_disconnect(self.connection, self.count_report):
+        with self.watches.watch(self.connection, self.count_report):
             self.peer.close()
             gevent.sleep(NOTICE_S)
         self.assertEqual(1, self.reports)
@@ -44,7 +46,7 @@
 
     def test_a_close_after_another_request_is_reported(self):
         """The bytes of the next request had ended the observation."""
-        with watch_disconnect(self.connection, self.count_report):
+        with self.watches.watch(self.connection, self.count_report):
             self.peer.sendall(b"GET / HTTP/1.1\r\n")
             gevent.sleep(0.02)
             self.assertEqual(0, self.reports)
@@ -53,7 +55,7 @@
         self.assertEqual(1, self.reports)
 
     def test_a_reset_after_another_request_is_reported(self):
-        with watch_disconnect(self.connection, self.count_report):
+        with self.watches.watch(self.connection, self.count_report):
             self.peer.sendall(b"GET / HTTP/1.1\r\n")
             gevent.sleep(0.02)
             linger = struct.pack("ii", 1, 0)
@@ -67,18 +69,45 @@
         """A process that was frozen reads both at once."""
         self.peer.sendall(b"GET / HTTP/1.1\r\n")
         self.peer.close()
-        with watch_disconnect(self.connection, self.count_report):
+        with self.watches.watch(self.connection, self.count_report):
             self.wait_for_report()
         self.assertEqual(1, self.reports)
 
     def test_an_open_connection_is_not_reported(self):
-        with watch_disconnect(self.connection, self.count_report):
+        with self.watches.watch(self.connection, self.count_report):
             self.peer.sendall(b"GET / HTTP/1.1\r\n")
             gevent.sleep(NOTICE_S)
         self.peer.close()
         gevent.sleep(0.02)
         self.assertEqual(0, self.reports)
 
+    def test_an_end_is_reported_to_who_asks_before_the_event_loop_comes_to_it(self):
+        """A job was confirmed after its caller had left and before that was read."""
+        with self.watches.watch(self.connection, self.count_report):
+            self.peer._sock.close()
+            self.assertTrue(self.watches.report_ended())
+            self.assertEqual(1, self.reports)
+            gevent.sleep(0.02)
+            self.assertTrue(self.watches.report_ended())
+        self.assertEqual(1, self.reports)
+
+    def test_an_end_behind_unread_bytes_is_reported_to_who_asks(self):
+        with self.watches.watch(self.connection, self.count_report):
+            self.peer.sendall(b"GET / HTTP/1.1\r\n")
+            gevent.sleep(0.02)
+            self.peer.close()
+            self.watches.report_ended()
+            self.assertEqual(1, self.reports)
+
+    def test_a_report_that_is_not_taken_is_told(self):
+        """A message behind it would pass the departure, which is still to come."""
+        with self.watches.watch(self.connection, lambda end: False):
+            self.assertTrue(self.watches.report_ended())
+            self.peer._sock.close()
+            self.assertFalse(self.watches.report_ended())
+            self.assertFalse(self.watches.report_ended())
+        self.assertTrue(self.watches.report_ended())
+
 
 if __name__ == "__main__":
     unittest.main()
