Suspend simulated hosts, and test that they wake without stale confirmations

A machine may be suspended for seconds. Its steady clock leaves the time out, so that an owner that wakes takes confirmations from before for new ones, and starts tasks of callers that have left.

Each simulated host has a clock of its own now, which a test stops by suspending it. The coordinators read the boot-time clock or the steady one, as the deployment is told; targets end their runs with the last lease.

--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -1,11 +1,14 @@
 """Hosts with their real coordinators, in simulated time and without sockets.
 
 Links, targets and clocks are simulated, so that a test decides when a message arrives,
-how far a host is behind, and when a run ends.
+how far a host is behind, when it is suspended, and when a run ends.
 """
 
+import enum
 import json
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 from unittest import mock
 
 from gentianhub.capacity import effects as fx
@@ -43,6 +46,16 @@
 ).encode()
 
 
+class Clock(enum.Enum):
+    """Which clock of a machine the coordinators read.
+
+    Both advance alike, but the steady one stands still while the machine is suspended.
+    """
+
+    BOOT = "CLOCK_BOOTTIME"
+    STEADY = "CLOCK_MONOTONIC"
+
+
 class _FiniteMailbox(Mailbox):
     """Mailbox whose consumer returns when it is empty."""
 
@@ -52,11 +65,15 @@
 
 
 class SimulatedTargets:
-    """Targets that accept all commands; runs last until the test ends them."""
+    """Targets that accept all commands; runs last until the test ends them.
+
+    All runs of a target also end with its last lease.
+    """
 
     def __init__(self, host: "SimulatedHost"):
         self.host = host
         self.starts: list[tuple[float, str]] = []
+        self._lease_ends_s: dict[str, float] = {}
         self.running: dict[tuple[str, object], tuple[int, float]] = {}
         self._ends: dict[str, list[ev.EndReport]] = {}
         self._pending_renewals: dict[str, float] = {}
@@ -68,13 +85,23 @@
         """Keep the runs: closing a connection does not end them."""
 
     def renew(self, renewal: fx.RenewLease) -> None:
+        self._extend_lease(renewal)
         due_s = self.host.world.now_s + renewal.wait_s
         self._pending_renewals[renewal.target.name] = due_s
 
+    def _extend_lease(self, order: fx.StartRun | fx.RenewLease | fx.ListRuns) -> None:
+        """Extend a lease, which counts from the decision by the clock of the owner."""
+        if order.lease_s:
+            remaining_s = order.decided_s + order.lease_s - self.host.read_clock_s()
+            end_s = self.host.world.now_s + remaining_s
+            name = order.target.name
+            self._lease_ends_s[name] = max(self._lease_ends_s.get(name, 0.0), end_s)
+
     def enqueue(self, command) -> bool:
         now_s = self.host.world.now_s
         match command:
             case fx.StartRun(target=target, key=key, run=run):
+                self._extend_lease(command)
                 self.starts.append((now_s, key.job))
                 self.running[target.name, key] = (run, float("inf"))
                 answer = ev.StartAnswered(
@@ -82,7 +109,7 @@
                     key=key,
                     run=run,
                     verdict=ev.StartVerdict.STARTED,
-                    sent_s=now_s,
+                    sent_s=self.host.read_clock_s(),
                 )
                 self.host.receive(answer)
             case fx.StopRun(target=target, key=key, run=run):
@@ -93,6 +120,7 @@
                 )
                 self.host.receive(answer)
             case fx.ListRuns(target=target):
+                self._extend_lease(command)
                 self._report(target.name, is_renewal=False)
         return True
 
@@ -106,10 +134,13 @@
         return sum(key.job == job for _, key in self.running)
 
     def advance(self) -> None:
-        """End the stopped runs and answer the renewals that have waited long enough."""
+        """End the stopped and the lapsed runs; answer renewals that waited enough."""
+        now_s = self.host.world.now_s
         for (target, key), (run, end_s) in list(self.running.items()):
-            if self.host.world.now_s >= end_s:
+            if now_s >= end_s:
                 self._end(target, key, run, ev.RunEnd.STOPPED)
+            elif now_s >= self._lease_ends_s[target]:
+                self._end(target, key, run, ev.RunEnd.LEASE_EXPIRED)
         for target, due_s in list(self._pending_renewals.items()):
             if self.host.world.now_s >= due_s:
                 del self._pending_renewals[target]
@@ -131,7 +162,7 @@
         report = ev.RunsReported(
             target=target,
             incarnation=1,
-            sent_s=self.host.world.now_s,
+            sent_s=self.host.read_clock_s(),
             running=running,
             ended=tuple(self._ends.get(target, ())),
             is_renewal=is_renewal,
@@ -140,7 +171,11 @@
 
 
 class SimulatedHost:
-    """A coordinator with its mailbox; `speed` below 1 lets it fall behind."""
+    """A coordinator with its mailbox; `speed` below 1 lets it fall behind.
+
+    While its machine is suspended the host handles and sends nothing, and its timer
+    does not tick. What arrives meanwhile waits.
+    """
 
     def __init__(self, world: "SimulatedDeployment", incarnation: Incarnation):
         self.world = world
@@ -148,6 +183,9 @@
         self.hello = Hello(sender=incarnation, started_ms=0, host="h", port=1)
         self.mailbox = _FiniteMailbox(limit=20_000)
         self.codec = build_codec()
+        self.is_suspended = False
+        self._suspended_at_s = 0.0
+        self._time_suspended_s = 0.0
         context = LinkContext(
             hello=self.hello,
             codec=self.codec,
@@ -160,7 +198,7 @@
             registry_commands=Mailbox(limit=100),
             target_polls=Mailbox(limit=1),
             links=HostLinks(local_host=incarnation.name, context=context),
-            started_s=world.now_s,
+            started_s=self.read_clock_s(),
         )
         self.targets = SimulatedTargets(self)
         self.coordinator.cells.connections = self.targets
@@ -168,6 +206,32 @@
         self._slow_since_s = 0.0
         self._arrived: deque[tuple[float, object]] = deque()
 
+    def read_clock_s(self) -> float:
+        """Return the reading of the clock that the coordinators of the world read."""
+        match self.world.clock:
+            case Clock.BOOT:
+                return self.world.now_s
+            case Clock.STEADY:
+                now_s = self._suspended_at_s if self.is_suspended else self.world.now_s
+                return now_s - self._time_suspended_s
+
+    def suspend(self) -> None:
+        """Suspend the host's machine."""
+        self.is_suspended, self._suspended_at_s = True, self.world.now_s
+
+    def resume(self, first: type | tuple[type, ...] = ()) -> None:
+        """Let the machine go on, and handle what has arrived meanwhile.
+
+        The sockets are read in any order. Messages of the types `first` are handled
+        before the others.
+        """
+        self._time_suspended_s += self.world.now_s - self._suspended_at_s
+        self.is_suspended = False
+        waiting = [message for _, message in self._arrived]
+        self._arrived.clear()
+        for message in sorted(waiting, key=lambda m: not isinstance(m, first)):
+            self.receive(message)
+
     def receive(self, message) -> None:
         """Put a message into the mailbox, behind those that arrived before."""
         self._arrived.append((self.world.now_s, message))
@@ -177,10 +241,13 @@
 
     def handle_messages(self) -> None:
         """Handle the messages whose turn has come, as one batch."""
+        if self.is_suspended:
+            return
         while self._arrived and self._compute_turn_s() <= self.world.now_s + 1e-9:
             while self._arrived and self._compute_turn_s() <= self.world.now_s + 1e-9:
                 self.mailbox.put(self._arrived.popleft()[1])
-            self.coordinator.run()
+            with self.world.run_on(self):
+                self.coordinator.run()
             # All that has arrived is read before these come back.
             while len(self.coordinator.read_marks):
                 self.receive(self.coordinator.read_marks.get())
@@ -245,11 +312,11 @@
         if self.is_held:
             return
         (first, first_link), (second, second_link) = self.ends
-        for link, receiver, receiving_link in (
-            (first_link, second, second_link),
-            (second_link, first, first_link),
+        for sender, link, receiver, receiving_link in (
+            (first, first_link, second, second_link),
+            (second, second_link, first, first_link),
         ):
-            while len(link.outgoing_queue):
+            while not sender.is_suspended and len(link.outgoing_queue):
                 message = receiver.codec.decode(link.outgoing_queue.get())
                 receiver.receive(MessageReceived(link=receiving_link, message=message))
 
@@ -269,11 +336,18 @@
     """Two owners of one cell each, and two front hosts without targets of their own.
 
     Each cell has one target that runs one task at a time. Use it in a context, in which
-    the coordinators read the simulated clock.
+    the coordinators read the simulated clock of their host.
+
+    Parameters
+    ----------
+    clock : Clock
+        The clock that the coordinators read.
     """
 
-    def __init__(self):
+    def __init__(self, clock: Clock = Clock.BOOT):
+        self.clock = clock
         self.now_s = 100.0
+        self._host_at_work: SimulatedHost | None = None
         self._tick = 0
         self._step = 0
         self.owners = (
@@ -287,9 +361,24 @@
         self.hosts = (*self.owners, *self.fronts)
         self.links: dict[tuple[SimulatedHost, SimulatedHost], SimulatedLink] = {}
         self._clock = mock.patch(
-            "gentianhub.host.coordinator.read_monotonic_s", lambda: self.now_s
+            "gentianhub.host.coordinator.read_monotonic_s", self._read_clock_s
         )
 
+    def _read_clock_s(self) -> float:
+        """Return the reading of the host at work, s.
+
+        A test that runs a coordinator itself suspends no host.
+        """
+        host = self._host_at_work
+        return self.now_s if host is None else host.read_clock_s()
+
+    @contextmanager
+    def run_on(self, host: SimulatedHost) -> Iterator[None]:
+        """Let coordinators read the clock of a host in the block."""
+        self._host_at_work = host
+        yield
+        self._host_at_work = None
+
     def __enter__(self) -> "SimulatedDeployment":
         self._clock.start()
         targets = (
@@ -298,7 +387,8 @@
         )
         for host in self.hosts:
             host.receive(ms.ConfigurationRead(content=CONFIGURATION))
-            read = ms.TargetsRead(targets=targets, rows=(), sent_s=self.now_s)
+            sent_s = host.read_clock_s()
+            read = ms.TargetsRead(targets=targets, rows=(), sent_s=sent_s)
             host.receive(read)
         for owner in self.owners:
             owner.receive(ms.LayoutRead(cells=1))
@@ -326,10 +416,12 @@
             if self._step % 5 == 0:
                 self._tick += 1
                 for host in self.hosts:
-                    tick = ms.TimerTick(count=self._tick, sent_s=self.now_s)
-                    host.receive(tick)
+                    if host.is_suspended:
+                        continue
+                    sent_s = host.read_clock_s()
+                    host.receive(ms.TimerTick(count=self._tick, sent_s=sent_s))
                     if self._tick % READ_MARK_TICKS == 0:
-                        mark = ms.InputRead(sent_s=self.now_s)
+                        mark = ms.InputRead(sent_s=sent_s)
                         host.coordinator.read_marks.try_put(mark)
             for host in self.hosts:
                 host.targets.advance()
