End the jobs from before a suspension that may have hidden a departure

It receives nothing, and the end of a caller's connection that is lost meanwhile is repeated by TCP after 0.2, 0.6 and 1.4 s. Until then a front host that had woken up went on confirming the job, later than the caller, who comes again after 1.3 s at another host. Suspensions over 0.8 s ended such jobs already, since their confirmations were too old; those between 0.5 and 0.8 s did not.

A host that finds on its next message that its machine was suspended for more than 0.5 s cancels its open jobs, and answers each caller whether its job has run, as for any other job that it can't complete. A shorter suspension ends before the second repetition. A frozen process is no such case: its kernel has received what arrived.

test_suspended_hosts (departure lost) fails without the change: a start 0.65 s after the caller had left, after a suspension of 0.6 s; TestSuspendedHost in test_front fails too. Weighed: closing the callers' connections, which would not tell them whether their jobs have run. Open: a request that was read from the socket only after the suspension, of a caller that had left during it.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -25,6 +25,7 @@
     InterruptJobs,
     KeptAnswer,
     LoadsReported,
+    MachineSuspended,
     OwnersChanged,
     RequestNotSent,
     SubmitCapacityJob,
@@ -48,6 +49,10 @@
 # A submission that is repeated within this time of its answer gets the same answer.
 ANSWER_RETENTION_S = 10.0
 MAX_KEPT_ANSWERS = 5000
+# A suspended machine receives nothing, and the ends of callers' connections reach it
+# later. TCP repeats them after 0.2, 0.6 and 1.4 s, so that a longer suspension may hide
+# an end for longer than the caller waits before it comes again.
+MAX_SUSPENSION_S = 0.5
 # A host that has handled nothing for this long was frozen. Owners take it as lost and
 # forget its tasks 3 s after they have ended, so that they cannot tell which have run.
 MAX_PAUSE_S = 2.0
@@ -95,6 +100,9 @@
                 self._update_loads(owner, claims)
             case RequestNotSent(request=request):
                 yield from self._handle_unsent_request(request, now_s)
+            case MachineSuspended(suspended_s=suspended_s):
+                if suspended_s > MAX_SUSPENSION_S:
+                    yield from self._abandon_all("this host was suspended", now_s)
             case InterruptJobs(reason=reason):
                 for job in list(self.jobs.values()):
                     yield from self._close_job(job, fx.JobVerdict.INTERRUPTED, reason)
@@ -403,6 +411,11 @@
         job.end_reason = reason
         yield from self._cancel_tasks(job)
 
+    def _abandon_all(self, reason: str, now_s: float) -> Iterator:
+        for job in list(self.jobs.values()):
+            if job.unconfirmed_cells is None:
+                yield from self._abandon_job(job, reason, now_s)
+
     def _handle_confirmation(self, job: FrontJob, cell: Cell) -> Iterator:
         if job.unconfirmed_cells is None:
             return
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -52,6 +52,13 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class MachineSuspended:
+    """The machine of this host was suspended for `suspended_s` seconds."""
+
+    suspended_s: float
+
+
 @frozen(kw_only=True)
 class OwnersChanged:
     """The set of live owners has changed; `owners` holds all of them by cell."""
--- a/gentianhub/capacity/tests/test_front.py
+++ b/gentianhub/capacity/tests/test_front.py
@@ -16,6 +16,7 @@
     CallerDisconnected,
     InterruptJobs,
     LoadsReported,
+    MachineSuspended,
     OwnersChanged,
     RequestNotSent,
     SubmitCapacityJob,
@@ -248,6 +249,48 @@
         self.assertEqual([fx.JobVerdict.INTERRUPTED], verdicts)
 
 
+class TestSuspendedHost(FrontTest):
+    """Guards against work for a caller whose departure was lost in a suspension.
+
+    A machine that is suspended receives nothing. The end of a caller's connection comes
+    again after growing gaps, later than the caller itself at another host.
+    """
+
+    def suspend(self, suspended_s: float) -> list:
+        self.now_s += suspended_s
+        return self.feed(MachineSuspended(suspended_s=suspended_s))
+
+    def test_a_job_from_before_a_suspension_is_not_confirmed_any_more(self):
+        self.submit()
+        self.assertEqual(("a",), self.job_registry.list_open_jobs(LOCAL_CELL))
+        effects = self.suspend(1.9)
+        cancel = ev.CancelTasks(cell=LOCAL_CELL, job="a")
+        self.assertEqual([cancel], find_requests(effects))
+        self.assertEqual((), self.job_registry.list_open_jobs(LOCAL_CELL))
+
+    def test_its_caller_is_told_whether_it_has_run(self):
+        for has_started, verdict in (
+            (False, fx.JobVerdict.NOT_RUN),
+            (True, fx.JobVerdict.INTERRUPTED),
+        ):
+            with self.subTest(has_started=has_started):
+                self.submit()
+                self.suspend(1.9)
+                effects = self.end(end=ev.TaskEnd.CANCELLED, has_started=has_started)
+                self.assertEqual([verdict], find_verdicts(effects))
+
+    def test_a_job_is_served_after_a_short_suspension(self):
+        """The end of a connection is repeated at once after it."""
+        self.submit()
+        self.assertEqual([], self.suspend(0.3))
+        self.assertEqual([fx.JobVerdict.COMPLETED], find_verdicts(self.end()))
+
+    def test_a_job_that_is_submitted_after_it_is_served(self):
+        self.suspend(1.9)
+        self.submit()
+        self.assertEqual([fx.JobVerdict.COMPLETED], find_verdicts(self.end()))
+
+
 class TestStartup(unittest.TestCase):
     def test_a_host_that_has_just_started_keeps_jobs_until_a_cell_has_an_owner(self):
         """After a loss of all hosts, jobs were refused although cells had owners a few
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -1,6 +1,6 @@
 """The greenlet that owns a host's state: its jobs, its cells and its claims."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from attrs import define, field
@@ -8,9 +8,19 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.front import FrontJobRegistry
-from gentianhub.capacity.submissions import InterruptJobs, LoadsReported, OwnersChanged
+from gentianhub.capacity.submissions import (
+    InterruptJobs,
+    LoadsReported,
+    MachineSuspended,
+    OwnersChanged,
+)
 from gentianhub.capacity.succession import TargetAnnouncements
-from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
+from gentianhub.core import (
+    Incarnation,
+    Mailbox,
+    read_monotonic_s,
+    read_suspended_s,
+)
 from gentianhub.host import messages as ms
 from gentianhub.host.cancellations import Cancellations
 from gentianhub.host.cells import OwnedCells
@@ -67,6 +77,8 @@
         Receives requests to read the list of targets from the store now.
     read_marks : Mailbox
         Receives messages that come back behind all departures that had arrived.
+    read_suspended_s : callable
+        Returns for how long this machine has been suspended since it started, s.
     """
 
     local_host: Incarnation
@@ -76,6 +88,7 @@
     links: HostLinks
     read_marks: Mailbox = field(factory=lambda: Mailbox(limit=READ_MARK_LIMIT))
     started_s: float = field(factory=read_monotonic_s)
+    read_suspended_s: Callable[[], float] = read_suspended_s
     metrics: HostMetrics = field(init=False, factory=lambda: HostMetrics())
     configuration: ConfigurationCache = field(
         init=False, factory=lambda: ConfigurationCache()
@@ -93,9 +106,11 @@
     _drain_started_s: float = field(init=False, default=0.0)
     _lag_logged_s: float = field(init=False, default=float("-inf"))
     _tick_count: int = field(init=False, default=0)
+    _suspended_s: float = field(init=False)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
 
     def __attrs_post_init__(self):
+        self._suspended_s = self.read_suspended_s()
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
         data_centre = self.local_host.name.data_centre
         self.requests = RequestHandler(
@@ -151,6 +166,7 @@
         """Handle messages until killed."""
         for message in self.mailbox.iterate_messages():
             now_s = read_monotonic_s()
+            self._record_suspension(now_s)
             self._handle_message(message, now_s)
             for own_message in self.outbox.pop_own_messages():
                 self._handle_host_message(self.local_host, own_message, now_s)
@@ -444,16 +460,30 @@
 
     # Timer and drain
 
+    def _record_suspension(self, now_s: float) -> None:
+        """Log a suspension of the machine, and end the jobs that may have no caller."""
+        earlier_s, self._suspended_s = self._suspended_s, self.read_suspended_s()
+        suspended_s = self._suspended_s - earlier_s
+        if suspended_s < LOGGED_PAUSE_S:
+            return
+        self.metrics.suspended_s += suspended_s
+        log_decision(
+            "machine suspended",
+            str(self.local_host),
+            suspended_s=round(suspended_s, 3),
+            open_jobs=len(self.requests.job_registry.jobs),
+        )
+        self.requests.handle_event(MachineSuspended(suspended_s=suspended_s), now_s)
+
     def _record_pause(self, tick: ms.TimerTick) -> None:
-        """Log for how long the process or its whole machine did not run."""
-        if max(tick.late_s, tick.suspended_s) < LOGGED_PAUSE_S:
+        """Log for how long the process did not run."""
+        if tick.late_s < LOGGED_PAUSE_S:
             return
-        self.metrics.record_pause(tick.late_s, tick.suspended_s)
+        self.metrics.record_pause(tick.late_s)
         log_decision(
             "process paused",
             str(self.local_host),
             late_s=round(tick.late_s, 3),
-            suspended_s=round(tick.suspended_s, 3),
             open_jobs=len(self.requests.job_registry.jobs),
         )
 
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -42,14 +42,12 @@
     """The timer has reached a multiple of its period; `count` is that multiple.
 
     `sent_s` is the monotonic time at which the tick was put into the mailbox, and
-    `late_s` the time since it was due. The machine was suspended for `suspended_s`
-    since the tick before.
+    `late_s` the time since it was due.
     """
 
     count: int
     sent_s: float
     late_s: float = 0.0
-    suspended_s: float = 0.0
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -47,10 +47,9 @@
         """Record how long a message has waited in the coordinator's mailbox, s."""
         self.longest_mailbox_lag_s = max(self.longest_mailbox_lag_s, lag_s)
 
-    def record_pause(self, paused_s: float, suspended_s: float) -> None:
-        """Record a pause of the process, and for how long its machine was suspended."""
+    def record_pause(self, paused_s: float) -> None:
+        """Record for how long the process did not run, s."""
         self.longest_pause_s = max(self.longest_pause_s, paused_s)
-        self.suspended_s += suspended_s
 
     def render_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -16,7 +16,6 @@
     MailboxTimeout,
     create_incarnation,
     read_monotonic_s,
-    read_suspended_s,
     spawn_greenlet,
 )
 from gentianhub.host import followers
@@ -241,21 +240,14 @@
     that intervals which it divides are kept when it changes.
     """
     count = 0
-    suspended_s = read_suspended_s()
     while True:
         period = choose_period_ticks()
         steps = period - count % period
         due_s = read_monotonic_s() + steps * TICK_S
         gevent.sleep(steps * TICK_S)
         count += steps
-        sent_s, earlier_s = read_monotonic_s(), suspended_s
-        suspended_s = read_suspended_s()
-        tick = ms.TimerTick(
-            count=count,
-            sent_s=sent_s,
-            late_s=sent_s - due_s,
-            suspended_s=suspended_s - earlier_s,
-        )
+        sent_s = read_monotonic_s()
+        tick = ms.TimerTick(count=count, sent_s=sent_s, late_s=sent_s - due_s)
         is_sent = mailbox.try_put(tick)
         if is_sent and count % READ_MARK_TICKS == 0:
             read_marks.try_put(ms.InputRead(sent_s=sent_s))
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -186,7 +186,7 @@
         self.codec = build_codec()
         self.is_suspended = False
         self._suspended_at_s = 0.0
-        self._time_suspended_s = 0.0
+        self.time_suspended_s = 0.0
         context = LinkContext(
             hello=self.hello,
             codec=self.codec,
@@ -200,6 +200,7 @@
             target_polls=Mailbox(limit=1),
             links=HostLinks(local_host=incarnation.name, context=context),
             started_s=self.read_clock_s(),
+            read_suspended_s=lambda: self.time_suspended_s,
         )
         self.targets = SimulatedTargets(self)
         self.coordinator.cells.connections = self.targets
@@ -214,7 +215,7 @@
                 return self.world.now_s
             case Clock.STEADY:
                 now_s = self._suspended_at_s if self.is_suspended else self.world.now_s
-                return now_s - self._time_suspended_s
+                return now_s - self.time_suspended_s
 
     def suspend(self) -> None:
         """Suspend the host's machine."""
@@ -226,7 +227,7 @@
         The sockets are read in any order. Messages of the types `first` are handled
         before the others.
         """
-        self._time_suspended_s += self.world.now_s - self._suspended_at_s
+        self.time_suspended_s += self.world.now_s - self._suspended_at_s
         self.is_suspended = False
         waiting = [message for _, message in self._arrived]
         self._arrived.clear()
--- a/gentianhub/host/tests/test_departures.py
+++ b/gentianhub/host/tests/test_departures.py
@@ -118,14 +118,20 @@
 
     def test_the_suspension_of_a_machine_is_logged(self):
         """No line told that a machine had been suspended."""
-        tick = ms.TimerTick(
-            count=4, sent_s=self.deployment.now_s, late_s=0.0, suspended_s=1.9
-        )
+        self.front.time_suspended_s += 1.9
+        with self.assertLogs("gentianhub.host") as logs:
+            self.deployment.run(0.1)
+        (line,) = (r for r in logs.records if r.getMessage() == "machine suspended")
+        self.assertEqual(str(self.front.incarnation), line.id)
+        self.assertEqual(1.9, line.suspended_s)
+
+    def test_the_pause_of_a_process_is_logged(self):
+        tick = ms.TimerTick(count=4, sent_s=self.deployment.now_s, late_s=0.7)
         self.front.receive(tick)
         with self.assertLogs("gentianhub.host") as logs:
             self.deployment.run(0.1)
-        (paused,) = (r for r in logs.records if r.getMessage() == "process paused")
-        self.assertEqual(1.9, paused.suspended_s)
+        (line,) = (r for r in logs.records if r.getMessage() == "process paused")
+        self.assertEqual(0.7, line.late_s)
 
     def test_the_lag_of_a_mailbox_is_logged(self):
         """A host that was seconds behind looked like any other in its log."""
--- a/gentianhub/host/tests/test_metrics.py
+++ b/gentianhub/host/tests/test_metrics.py
@@ -39,7 +39,8 @@
         metrics.losses["crashed"] += 1
         metrics.cancels["no_such_job"] += 1
         metrics.departures["reset"] += 1
-        metrics.record_pause(0.5, suspended_s=1.9)
+        metrics.record_pause(0.5)
+        metrics.suspended_s += 1.9
         text = metrics.render_text().decode()
         self.assertTrue(text.startswith(EXPECTED), text)
         for part in (
--- a/gentianhub/host/tests/test_suspended_hosts.py
+++ b/gentianhub/host/tests/test_suspended_hosts.py
@@ -289,6 +289,23 @@
                     self.assertEqual([], self.list_late_starts(left_s))
                     self.assert_ended_by_resubmission(left_s)
 
+    def test_a_job_whose_departure_was_lost_is_not_started(self):
+        """A suspended machine receives nothing, and the end of a caller's connection
+        comes again later than the caller at another host."""
+        for suspended_s in (0.6, 0.75, 1.5, 2.5):
+            with self.subTest(suspended_s=suspended_s):
+                self.start_deployment()
+                owner = self.deployment.owners[0]
+                self.submit_waiting(owner)
+                owner.suspend()
+                self.deployment.run(ENDED_AFTER_S)
+                self.end_occupants()
+                left_s = self.deployment.now_s
+                self.deployment.run(suspended_s - ENDED_AFTER_S)
+                owner.resume()
+                self.deployment.run(2.0)
+                self.assertEqual([], self.list_late_starts(left_s))
+
     def test_the_simulation_shows_the_starts_of_a_clock_that_stands_still(self):
         """Without them, the test above would pass whichever clock is read."""
         left_s = self.play(2.5, 0.6, TARGETS_FIRST, Clock.STEADY)
