Probe the connections of callers, so that a caller that is cut off is noticed

A caller whose connection is cut off without a reset was never noticed: its host kept the job open, and confirmed it, until the caller's deadline, which may be 30 s and more, while the caller came again elsewhere.

Connections to the host's ports send a keep-alive probe after 1 s without traffic and end if two in a row are not answered, so within 3 s. The end is a departure like any other.

test_server (a connection without a sign of its peer) fails without the change: no probes.

--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -18,6 +18,14 @@
 from gentianhub.core import send_message
 
 SOCKET_TIMEOUT_S = 30.0
+# A connection ends if its peer answers none of two probes, each after 1 s. No reset may
+# reach the server when a connection is cut off, and the job of its caller would stay
+# open until the deadline.
+KEEPALIVE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 # Time allowed for requests in flight when a server stops.
 STOP_TIMEOUT_S = 5.0
 # Interval at which a connection with unread bytes is checked for its end. The bytes
@@ -199,13 +207,16 @@
 
 
 class _NoDelayServer(WSGIServer):
-    """WSGI server with TCP_NODELAY and a read timeout on its connections."""
+    """WSGI server with TCP_NODELAY, probes and a read timeout on its connections."""
 
     handler_class = _ConnectionHandler
 
     def handle(self, sock, address):
         # Nagle's algorithm delays keep-alive replies by 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for name, value in KEEPALIVE_OPTIONS:
+            sock.setsockopt(socket.IPPROTO_TCP, name, value)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.settimeout(SOCKET_TIMEOUT_S)
         super().handle(sock, address)
 
--- a/gentianhub/web/tests/test_server.py
+++ b/gentianhub/web/tests/test_server.py
@@ -6,7 +6,15 @@
 import gevent
 from gevent import socket
 
-from gentianhub.web import ConnectionEnd, ConnectionWatches
+from gentianhub.core import Mailbox
+from gentianhub.web import (
+    ConnectionEnd,
+    ConnectionWatches,
+    Request,
+    Response,
+    build_application,
+    open_server,
+)
 
 # Time for an event of a socket on loopback to be handled, s.
 NOTICE_S = 0.5
@@ -109,5 +117,39 @@
         self.assertTrue(self.watches.report_ended())
 
 
+class TestSilentPeers(unittest.TestCase):
+    """Guards against jobs that are kept for a caller whose connection is cut off.
+
+    No reset reaches the server then, and the job stayed open until its deadline.
+    """
+
+    def test_a_connection_without_a_sign_of_its_peer_ends_within_seconds(self):
+        options = Mailbox(limit=1)
+
+        def handle(request: Request) -> Response:
+            connection = request.connection
+            values = [
+                connection.getsockopt(level, name)
+                for level, name in (
+                    (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT),
+                )
+            ]
+            options.put(values)
+            return Response(status=200)
+
+        application = build_application(handle, lambda error: Response(status=400), 1)
+        with open_server(("127.0.0.1", 0), application, 1) as server:
+            caller = socket.create_connection(("127.0.0.1", server.server_port))
+            self.addCleanup(caller.close)
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            is_enabled, idle_s, interval_s, count = options.get(NOTICE_S)
+        self.assertTrue(is_enabled)
+        self.assertLessEqual(idle_s + interval_s * count, 3)
+        self.assertGreater(count, 1, "one lost packet would end a live connection")
+
+
 if __name__ == "__main__":
     unittest.main()
