Date a target's report by its request, not by its handling

An owner that did not run for more than 0.4 s, because its machine was suspended or slow, could take a run as stalled that went on: it stopped the run, and placed nothing on its target for a second. A report that had waited in the socket was dated from its handling, so that the run seemed to have made no progress until then. It is dated at most the time of a renewal after its request now.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -302,7 +302,9 @@
                     yield from self._renew(state, now_s)
                 return
             yield from self._begin_life(state, report, now_s)
-        state.last_report_s = now_s
+        # It may have waited for this owner; a target answers within this time.
+        answered_s = min(now_s, report.sent_s + RENEWAL_WAIT_S)
+        state.last_report_s = max(state.last_report_s, answered_s)
         is_first = state.phase is TargetPhase.AWAITING_REPORT
         was_unusable = (
             state.phase is not TargetPhase.READY
--- a/gentianhub/capacity/tests/test_cell.py
+++ b/gentianhub/capacity/tests/test_cell.py
@@ -439,6 +439,23 @@
         driver.now_s += STALL_TIMEOUT_S + 0.1
         self.assertEqual([], find_stops(driver.feed(ev.Tick())))
 
+    def test_a_report_that_has_waited_for_its_owner_shows_no_stalled_run(self):
+        """An owner that had not run for 0.7 s ejected targets whose runs went on.
+
+        A target answers within the time of a renewal; the answer was dated from its
+        handling, so that a run seemed to have made no progress until then.
+        """
+        driver = SchedulerDriver([build_target("t1"), build_target("t2")])
+        (start,) = find_starts(driver.feed(build_request("a", deadline_in_s=9.0)))
+        driver.answer(start)
+        driver.now_s += 0.1
+        row = ev.RunReport(key=start.key, run=start.run, percent=10)
+        driver.report(start.target.name, running=(row,))
+        renewed_s = driver.now_s
+        driver.now_s += STALL_TIMEOUT_S + 0.3
+        driver.report(start.target.name, running=(row,), sent_s=renewed_s)
+        self.assertEqual([], find_stops(driver.feed(ev.Tick())))
+
 
 class TestReportedLoad(unittest.TestCase):
     def test_capacity_too_small_for_a_typical_task_is_not_reported_as_free(self):
