Do not count pauses of a new owner as time of its claim

A new owner repeats tasks 0.95 s after its claim, whatever targets it has not reached, as an earlier owner has heard of the claim by then and its leases have expired. A host that is suspended or does not run right after it claims sends the claim only on waking. It took all leases as expired at once then, so that a caller's task could run twice: on a target that the new owner can't reach, kept by the earlier owner, and elsewhere.

The steady clock left the suspension out here; CLOCK_BOOTTIME counts it, as either clock does a frozen process. Pauses of more than 0.1 s that begin within the 0.95 s are added to them now.

--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -79,6 +79,7 @@
     owner_since_s: float
     handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
     has_current_list: bool = field(init=False, default=False)
+    _paused_s: float = field(init=False, default=0.0)
     _has_announced: bool = field(init=False, default=False)
     targets: dict[str, TargetState] = field(init=False, factory=dict)
 
@@ -109,7 +110,7 @@
         or once all targets have listed their runs, provided that these include all
         targets of the earlier owner.
         """
-        if now_s > bound_lease_expiry(self.owner_since_s) + HANDOVER_NOTICE_S:
+        if now_s > self._earlier_leases_end_s:
             return True
         match self.handover.kind:
             case HandoverKind.UNKNOWN:
@@ -120,6 +121,21 @@
             target.phase is TargetPhase.READY for target in self.targets.values()
         )
 
+    @property
+    def _earlier_leases_end_s(self) -> float:
+        """Monotonic time at which all leases of an earlier owner have expired, s."""
+        expiry_s = bound_lease_expiry(self.owner_since_s) + HANDOVER_NOTICE_S
+        return expiry_s + self._paused_s
+
+    def record_pause(self, start_s: float, end_s: float) -> None:
+        """Record that this host has handled nothing between two monotonic times, s.
+
+        Its claim may have waited in the process meanwhile, and an earlier owner that
+        has not received it may have renewed its leases.
+        """
+        if start_s <= self._earlier_leases_end_s:
+            self._paused_s += end_s - start_s
+
     def build_announcement(self) -> ev.CellTargets:
         """Return the announcement of all targets of the cell."""
         return ev.CellTargets(
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -13,6 +13,7 @@
     format_task_key,
     format_task_keys,
 )
+from gentianhub.capacity.leases import HANDOVER_NOTICE_S
 from gentianhub.capacity.losses import LossLedger
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
@@ -58,6 +59,7 @@
     _successors: frozenset[Incarnation] = field(init=False, default=frozenset())
     _loss_observers: frozenset[Incarnation] = field(init=False, default=frozenset())
     _awaited_hosts: set[Incarnation] = field(init=False, factory=set)
+    _handled_s: float = field(init=False, default=float("inf"))
 
     def __attrs_post_init__(self):
         self.connections = TargetConnectionMap(answers=self.answers)
@@ -67,6 +69,7 @@
 
     def acquire(self, cell: Cell, term: int, now_s: float, handover: Handover) -> None:
         """Start to schedule a cell, or restart it under another term."""
+        self._record_pause(now_s)
         earlier = self._schedulers.get(cell)
         if earlier is not None:
             # This host was fenced: another owner, unknown to it, may have used others.
@@ -277,12 +280,20 @@
         sender: Incarnation | None = None,
         confirmed_s: float | None = None,
     ) -> None:
+        self._record_pause(now_s)
         for effect in scheduler.handle(event, now_s, sender, confirmed_s):
             self._execute_effect(effect, now_s)
         if self._new_losses:
             losses, self._new_losses = tuple(self._new_losses), []
             self._send_losses(self._find_loss_observers(), losses, is_passed_on=False)
 
+    def _record_pause(self, now_s: float) -> None:
+        """Tell the schedulers if this host, which ticks more often, has not run."""
+        if now_s > self._handled_s + HANDOVER_NOTICE_S:
+            for scheduler in self._schedulers.values():
+                scheduler.tracker.record_pause(self._handled_s, now_s)
+        self._handled_s = now_s
+
     def _execute_effect(self, effect: fx.CellEffect, now_s: float) -> None:
         match effect:
             case fx.RenewLease(target=target):
--- a/gentianhub/host/tests/test_cells.py
+++ b/gentianhub/host/tests/test_cells.py
@@ -6,6 +6,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.leases import HANDOVER_NOTICE_S, bound_lease_expiry
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.tests.builders import (
     CELL,
@@ -144,6 +145,51 @@
     )
 
 
+class TestPausesAfterAClaim(OwnedCellsTest):
+    """Guards against a claim that its predecessor has not heard of.
+
+    A host that does not run after its claim sends it only when it runs again. Until
+    then an earlier owner that lives grants leases and starts tasks.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.cells.acquire(CELL, 1, 0.0, UNKNOWN)
+        self.tracker = self.cells.find_scheduler("t1").tracker
+        self.waited_s = bound_lease_expiry(0.0) + HANDOVER_NOTICE_S
+
+    def advance(self, end_s: float) -> None:
+        """Handle ticks until a time."""
+        while self.now_s < end_s:
+            self.now_s += 0.05
+            self.cells.handle_tick(self.now_s)
+
+    def test_earlier_runs_count_as_ended_when_all_leases_have_expired(self):
+        self.now_s = 0.0
+        self.advance(self.waited_s + 0.05)
+        self.assertTrue(self.tracker.has_discovered_runs(self.now_s))
+
+    def test_the_time_of_a_pause_does_not_count(self):
+        """A task was repeated on waking, beside its run on an unreachable target."""
+        self.now_s = 0.1
+        self.cells.handle_tick(self.now_s)
+        self.now_s += 2.0
+        request = build_request("a", is_repeat=True)
+        self.cells.handle_task_request(request, SUCCESSOR, self.now_s)
+        self.assertFalse(self.tracker.has_discovered_runs(self.now_s))
+        self.advance(self.waited_s + 1.9)
+        self.assertFalse(self.tracker.has_discovered_runs(self.now_s))
+        self.advance(self.waited_s + 2.1)
+        self.assertTrue(self.tracker.has_discovered_runs(self.now_s))
+
+    def test_a_later_pause_changes_nothing(self):
+        self.now_s = 0.0
+        self.advance(self.waited_s + 0.05)
+        self.now_s += 20.0
+        self.cells.handle_tick(self.now_s)
+        self.assertTrue(self.tracker.has_discovered_runs(self.now_s))
+
+
 class TestLosses(OwnedCellsTest):
     """Guards against knowledge of a crashing task that ends with one host."""
 
