Allow for a target's slow clock since its last reading

The end of a lease is sent on the target's clock, computed from the last reading. That clock may be 2% slow, also in the time since the reading, and this was not allowed for. Leases of a target that answers each 0.25 s are 5 ms shorter.

--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -11,7 +11,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import AnswerTimes
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
-from gentianhub.capacity.leases import START_WAIT_LIMIT_S
+from gentianhub.capacity.leases import CLOCK_DRIFT, START_WAIT_LIMIT_S
 from gentianhub.core import read_monotonic_s
 from gentianhub.platform.content import decode_json
 from gentianhub.platform.fields import FieldError, describe_value, read_field
@@ -74,7 +74,9 @@
             or end_s <= read_monotonic_s()
         ):
             return None
-        return round(self.reading_ms + (end_s - self.read_at_s) * 1000)
+        # It may have been slow since the reading; the lease allows for the time after.
+        lag_s = max(0.0, lease.decided_s - self.read_at_s) * CLOCK_DRIFT
+        return round(self.reading_ms + (end_s - self.read_at_s - lag_s) * 1000)
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/platform/tests/test_targets.py
+++ b/gentianhub/platform/tests/test_targets.py
@@ -12,7 +12,12 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import AnswerTimes
-from gentianhub.capacity.leases import LEASE_S, RENEWAL_WAIT_S, bound_lease_expiry
+from gentianhub.capacity.leases import (
+    CLOCK_DRIFT,
+    LEASE_S,
+    RENEWAL_WAIT_S,
+    bound_lease_expiry,
+)
 from gentianhub.capacity.tests.builders import (
     SchedulerDriver,
     build_request,
@@ -132,6 +137,27 @@
         self.assertNotIn("until_ms", body)
 
 
+class TestOldReadings(WaitingOrdersTest):
+    """Guards against leases on the clock of a target that has not been read for long.
+
+    An owner that wakes from a suspension may order something before it has read a new
+    answer. The clock may have been slow since the last one.
+    """
+
+    AGE_S = 2.8
+
+    def test_a_lease_on_a_slow_clock_ends_when_the_owner_expects(self):
+        """It outlasted what the owner had noted by 26 ms."""
+        self.now_s = self.driver.now_s = DECIDED_S + self.AGE_S
+        (start,) = find_starts(self.driver.feed(build_request("a")))
+        self.client.start(start)
+        (body,) = self.connection.bodies
+        remaining_s = (body["until_ms"] - TARGET_CLOCK_MS) / 1000
+        expiry_s = DECIDED_S + remaining_s * (1 + CLOCK_DRIFT)
+        noted_s = self.driver.scheduler.targets["t1"].lease_expiry_s
+        self.assertLessEqual(expiry_s, noted_s)
+
+
 class TestRestartedTargets(WaitingOrdersTest):
     """Guards against times on the clock of an earlier life of the target.
 
