Count a suspension within an answer as the longest time-out

The time-out for answers of targets follows their usual time. The timer of a request doesn't count a suspension, but the clock that measures the answer will (CLOCK_BOOTTIME). After one answer of 2.8 s the time-out stayed at its limit of 0.12 s for 25 answers, and the search for starts without an answer began up to 0.09 s later. With the sample clipped to the limit it does so for one answer.

--- a/gentianhub/capacity/answer_times.py
+++ b/gentianhub/capacity/answer_times.py
@@ -39,7 +39,11 @@
         return min(MAX_TIMEOUT_S, self._backoff * max(MIN_TIMEOUT_S, expected_s))
 
     def record_answer(self, elapsed_s: float) -> None:
-        """Record the time that an answer has taken."""
+        """Record the time that an answer has taken.
+
+        More than the longest time-out contains time in which the process did not run.
+        """
+        elapsed_s = min(elapsed_s, MAX_TIMEOUT_S)
         self._backoff = 1
         if self._mean_s is None:
             self._mean_s, self._deviation_s = elapsed_s, elapsed_s / 2
--- a/gentianhub/capacity/tests/test_unanswered_starts.py
+++ b/gentianhub/capacity/tests/test_unanswered_starts.py
@@ -60,3 +60,14 @@
         self.assertEqual(MAX_TIMEOUT_S, times.timeout_s)
         times.record_answer(ANSWER_S)
         self.assertEqual(MIN_TIMEOUT_S, times.timeout_s)
+
+    def test_a_suspension_within_an_answer_counts_as_the_longest_time_out(self):
+        """After one of 2.8 s the time-out stayed at its limit for 25 answers."""
+        suspended, slow = AnswerTimes(), AnswerTimes()
+        for times, elapsed_s in ((suspended, 2.8), (slow, MAX_TIMEOUT_S)):
+            for _ in range(50):
+                times.record_answer(ANSWER_S)
+            times.record_answer(elapsed_s)
+            times.record_answer(ANSWER_S)
+        self.assertEqual(slow.timeout_s, suspended.timeout_s)
+        self.assertLess(suspended.timeout_s, MAX_TIMEOUT_S)
