Log what the refusal of a waiting task is based on

An owner ended callers' jobs within 0.1 s of their arrival although its targets were idle, and its log had only "tasks ended ... expired": neither the run time that it expected nor the time that was left could be read.

Change: "start too late", one line for each job that ends before a start because of its expected run time: the time left, the learned and the declared run time, the targets that may get tasks and how many of them are idle.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -21,7 +21,7 @@
 )
 from gentianhub.capacity.earlier_runs import RunAtWork, RunOver, find_earlier_run
 from gentianhub.capacity.estimates import RunEstimates
-from gentianhub.capacity.jobs import Cell, TaskKey
+from gentianhub.capacity.jobs import Cell, TaskKey, format_task_key
 from gentianhub.capacity.leases import choose_lease_s
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.losses import LossLedger
@@ -583,6 +583,7 @@
         skipped_suspects = []
         for task in self.waiting.pop_ordered(now_s):
             if task.is_too_late(now_s):
+                yield self._log_expiry(task, placement, now_s)
                 yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
                 yield from self._cancel_job(task.job, now_s)
                 continue
@@ -618,6 +619,22 @@
         for task in skipped + skipped_suspects:
             self.waiting.push(task, now_s)
 
+    def _log_expiry(
+        self, task: CellTask, placement: PlacementRound, now_s: float
+    ) -> fx.LogDecision:
+        """Return the log line of a job that ends because of its expected run time."""
+        inputs = {
+            "cell": str(self.cell),
+            "left_s": round(task.last_end_s - now_s, 4),
+            "expected_s": round(task.expected_s, 4),
+            "declared_s": task.step.estimate_s,
+            "usable_targets": len(placement.usable),
+            "idle_targets": sum(not target.runs for target in placement.usable),
+        }
+        return fx.LogDecision(
+            decision="start too late", subject=format_task_key(task.key), inputs=inputs
+        )
+
     def _push_waiting(self, task: CellTask, now_s: float) -> None:
         self.waiting.push(task, now_s)
         self._may_start = True
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -80,6 +80,11 @@
         """Whether the task may be started."""
         return self.target is None and self.end is None and not self.is_blocked
 
+    @property
+    def last_end_s(self) -> float:
+        """Monotonic time after which the end of the task is of no use, in seconds."""
+        return self.cutoff_start_s + self.expected_s
+
     def is_too_late(self, now_s: float) -> bool:
         """Whether it is too late for a start to be of use to the caller."""
         return now_s > self.cutoff_start_s
