Learn run times apart from the paces of targets

An observed run was divided by the pace of its target, relative to the mean pace of all targets. Callers declare 0.06 s here, so that the first runs raise the pace of the target that they are on to 5.95. It gets no more tasks while the others have room, and its pace stays. The mean is too high from then on, all other targets count as faster than the mean, and each of their runs raises the expected run time, which lowers their paces, and so on: with one of three targets at 3 or more there is no fixed point.

Ruled out as the only cause: faults.

Change: the expected run time is the mean of the runs, whichever target they were on, and a pace is relative to it, so that neither depends on the other in a circle. Weighed and left out: the mean over the targets in use only (the loop remains), paces that age (slow targets would be tried again and again beside idle fast ones), a moving mean of paces (its lag overshoots). A pace that was learned while the expectation was wrong stays until the target gets a task; it only decides which of several idle targets is used.

--- a/gentianhub/capacity/estimates.py
+++ b/gentianhub/capacity/estimates.py
@@ -25,22 +25,26 @@
 
 @define(kw_only=True, eq=False)
 class RunEstimates:
-    """Offset between the logarithms of run times and of estimates for each route."""
+    """Offset between the logarithms of run times and of estimates for each route.
+
+    Runs on all targets count alike, whatever the paces of these are. Paces are relative
+    to these estimates; if the estimates depended on paces in turn, both would drift.
+    """
 
     _offsets: dict[str, float] = field(init=False, factory=dict)
 
     def predict(self, route: str, declared_s: float) -> float:
-        """Return the expected run time of a task at reference speed, s."""
+        """Return the expected run time of a task, the mean over recent runs, s."""
         declared_s = declared_s or DEFAULT_RUN_S
         offset = self._offsets.get(route)
         if offset is None:
             return declared_s
         return math.exp(offset + ESTIMATE_SLOPE * math.log(declared_s))
 
-    def observe(self, route: str, declared_s: float, run_s: float, pace: float) -> None:
-        """Update the offset from a run that took `run_s` on a target of `pace`."""
+    def observe(self, route: str, declared_s: float, run_s: float) -> None:
+        """Update the offset from a run that took `run_s`."""
         declared_s = declared_s or DEFAULT_RUN_S
-        ratio = run_s / pace / self.predict(route, declared_s)
+        ratio = run_s / self.predict(route, declared_s)
         log_error = math.log(min(MAX_RATIO, max(MIN_RATIO, ratio)))
         known = self._offsets.get(route)
         if known is None:
@@ -50,11 +54,11 @@
 
 @define(kw_only=True, eq=False)
 class TargetPace:
-    """Run time on a target relative to the mean of all targets; above 1 is slower."""
+    """Run time on a target relative to the expected one; above 1 is slower."""
 
     value: float = 1.0
 
     def observe(self, run_s: float, expected_s: float) -> None:
-        """Update the pace from one run and its expected time at reference speed."""
+        """Update the pace from one run and its expected time on any target."""
         ratio = min(MAX_RATIO, max(MIN_RATIO, run_s / expected_s))
         self.value += PACE_GAIN * (ratio - self.value)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -498,8 +498,7 @@
                 run_s = max(0.001, now_s - min(run.confirmed_s, now_s))
                 route, declared_s = task.request.route, task.step.estimate_s
                 expected_s = self.estimates.predict(route, declared_s)
-                pace = state.pace.value / self.tracker.compute_mean_pace()
-                self.estimates.observe(route, declared_s, run_s, pace)
+                self.estimates.observe(route, declared_s, run_s)
                 state.pace.observe(run_s, expected_s)
                 state.health.record_success()
             case ev.RunEnd.FAILED:
@@ -652,9 +651,7 @@
             job=task.job,
             demand=task.step.demand,
             sent_s=now_s,
-            expected_s=task.expected_s
-            * state.pace.value
-            / self.tracker.compute_mean_pace(),
+            expected_s=task.expected_s * state.pace.value,
             is_exclusive=is_exclusive,
         )
         inputs = {
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -129,11 +129,6 @@
             is_complete=True,
         )
 
-    def compute_mean_pace(self) -> float:
-        """Return the mean pace of all targets, to which estimates refer."""
-        paces = [state.pace.value for state in self.targets.values()]
-        return sum(paces) / len(paces)
-
     def stop_run(self, state: TargetState, run: Run, now_s: float) -> fx.StopRun:
         """Stop a run; its capacity becomes free when the target lists its end."""
         run.phase = RunPhase.STOPPING
--- a/gentianhub/capacity/tests/test_estimates.py
+++ b/gentianhub/capacity/tests/test_estimates.py
@@ -28,12 +28,12 @@
                 predicted_s = estimates.predict("check", declared_s)
                 declared_error += math.log(declared_s / run_s) ** 2
                 predicted_error += math.log(predicted_s / run_s) ** 2
-            estimates.observe("check", declared_s, run_s, 1.0)
+            estimates.observe("check", declared_s, run_s)
         self.assertLess(predicted_error, 0.7 * declared_error)
 
     def test_a_straggler_changes_the_prediction_little(self):
         estimates = RunEstimates()
-        estimates.observe("check", 0.05, 5.0, 1.0)
+        estimates.observe("check", 0.05, 5.0)
         self.assertLess(estimates.predict("check", 0.05), 0.06)
 
 
--- /dev/null
+++ b/gentianhub/capacity/tests/test_learned_run_times.py
@@ -0,0 +1,122 @@
+"""Tests of what an owner learns from the runs of its targets.
+
+An owner refused all jobs while its targets were idle: the run time that it had learned
+left no time before their deadlines, and without a run it learned no other one.
+"""
+
+import heapq
+import unittest
+from collections.abc import Iterable
+
+from gentianhub.capacity import effects as fx
+from gentianhub.capacity import events as ev
+from gentianhub.capacity.leases import RENEWAL_WAIT_S
+from gentianhub.capacity.tests.builders import (
+    SchedulerDriver,
+    build_request,
+    build_step,
+    build_target,
+    find_starts,
+)
+
+ROUTE = "swap"
+SLOTS = 16
+DECLARED_S = 0.06
+RUN_S = 2.2
+DEADLINE_S = 3.0
+
+
+class RunningCell:
+    """Three targets on which each run takes `run_s`, and callers of one route."""
+
+    def __init__(self, run_s: float = RUN_S):
+        names = ("t0", "t1", "t2")
+        self.driver = SchedulerDriver([build_target(n, 3 * SLOTS) for n in names])
+        self.run_s = run_s
+        self.expired = 0
+        self._jobs = self._started = 0
+        self._pending: list[tuple[float, int, fx.StartRun]] = []
+        self._ends = dict.fromkeys(names, 0)
+
+    @property
+    def expected_s(self) -> float:
+        """The run time that the owner expects of the next task."""
+        return self.driver.scheduler.estimates.predict(ROUTE, DECLARED_S)
+
+    def submit(self, count: int) -> int:
+        """Submit a job of `count` tasks and return the number of starts."""
+        self._jobs += 1
+        step = build_step(count, cores=3, estimate_s=DECLARED_S)
+        request = build_request(
+            f"j{self._jobs}",
+            step,
+            objective_s=2.5,
+            stretch=2.0,
+            deadline_in_s=DEADLINE_S,
+        )
+        return self._confirm_starts(self.driver.feed(request))
+
+    def _confirm_starts(self, effects) -> int:
+        starts = find_starts(effects)
+        for start in starts:
+            self.driver.answer(start)
+            self._started += 1
+            end_s = self.driver.now_s + self.run_s
+            heapq.heappush(self._pending, (end_s, self._started, start))
+        return len(starts)
+
+    def run_until(self, until_s: float) -> None:
+        """End the runs that are over by then; idle targets report as well."""
+        while self.driver.now_s < until_s:
+            self._run_until(min(until_s, self.driver.now_s + RENEWAL_WAIT_S))
+            for name in self._ends:
+                self._confirm_starts(self._report(name))
+
+    def _run_until(self, until_s: float) -> None:
+        while self._pending and self._pending[0][0] <= until_s:
+            self.driver.now_s, _, start = heapq.heappop(self._pending)
+            self._confirm_starts(self._report(start.target.name, [start]))
+        self.driver.now_s = until_s
+
+    def _report(self, name: str, ended: Iterable[fx.StartRun] = ()) -> list:
+        reports = []
+        for start in ended:
+            self._ends[name] += 1
+            reports.append(
+                ev.EndReport(
+                    number=self._ends[name],
+                    key=start.key,
+                    run=start.run,
+                    end=ev.RunEnd.DONE,
+                )
+            )
+        ended_keys = {report.key for report in reports}
+        running = tuple(
+            ev.RunReport(key=run.key, run=run.number, percent=10)
+            for run in self.driver.scheduler.targets[name].runs.values()
+            if run.key not in ended_keys
+        )
+        return self.driver.report(name, running, reports)
+
+
+class TestTargetWithoutTasks(unittest.TestCase):
+    """One target gets no more tasks because it has seemed slow."""
+
+    def test_expected_run_times_stay_at_those_of_the_runs(self):
+        """The pace of a target that got no more tasks stayed at 5.4, and raised the
+        mean to which the runs of the others were compared: with each of their runs the
+        expected run time rose further above the observed one."""
+        cell = RunningCell()
+        # The first runs, which take far longer than expected, fill one target.
+        cell.submit(SLOTS)
+        cell.run_until(RUN_S + 0.1)
+        served = 0
+        for number in range(200):
+            served += cell.submit(3)
+            cell.run_until(RUN_S + 0.1 + 0.25 * (number + 1))
+        self.assertEqual(600, served)
+        self.assertLess(abs(cell.expected_s / RUN_S - 1), 0.2, cell.expected_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
