Learn no run time from a run whose start or end was seen late

An owner whose process was suspended for 2 s while 48 runs of 0.06 s were under way took all of them for runs of 2 s, and expected 1.33 s of the next task, which makes it refuse jobs with less than that left.

Cause: a run time was counted from when the owner learned of the start until it learned of the end, whatever had kept it from learning earlier. Other such cases, by reading: a target that was cut off, a run that was adopted from an earlier owner (only its rest was counted), a start whose answer was lost (counted from the list that showed it), an end that was listed before its start was answered (counted as 1 ms).

Change: only a run counts that was sent by this owner since it is in touch with the target, and whose start was confirmed within the time of two renewals. In touch means that no two answers of the target are further apart than that; a pause of the owner shows as such a gap, too. The first answer after a gap does not list all ends of the meantime, so that the run counts by when it was sent. An end before the answer to its start counts from when the start was sent. Weighed and left out: the gap as an interval of possible run times (more state for the same effect: a pause is rare), gaps below 0.5 s (errors of a busy machine, which tasks of other jobs meet as well).

Three of the four new tests failed before; the fourth guards that an owner learns again after the pause.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -316,6 +316,7 @@
             confirmed_s=now_s,
             progress_s=now_s,
             is_exclusive=self.suspects.has_to_run_alone(task.key),
+            is_adopted=True,
         )
         task.target, task.last_run = target.name, max(task.last_run, number)
         task.job.possible_runs += 1
@@ -495,12 +496,14 @@
     ) -> None:
         match end:
             case ev.RunEnd.DONE:
-                run_s = max(0.001, now_s - min(run.confirmed_s, now_s))
+                state.health.record_success()
+                run_s = state.measure_run_s(run, now_s)
+                if run_s is None:
+                    return
                 route, declared_s = task.request.route, task.step.estimate_s
                 expected_s = self.estimates.predict(route, declared_s)
                 self.estimates.observe(route, declared_s, run_s)
                 state.pace.observe(run_s, expected_s)
-                state.health.record_success()
             case ev.RunEnd.FAILED:
                 state.health.record_failure(task.key.job, now_s)
 
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -297,7 +297,7 @@
                     yield from self._renew(state, now_s)
                 return
             yield from self._begin_life(state, report, now_s)
-        state.last_report_s = now_s
+        state.record_report(now_s)
         is_first = state.phase is TargetPhase.AWAITING_REPORT
         was_unusable = (
             state.phase is not TargetPhase.READY
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -12,12 +12,19 @@
     CONFIRMED_LEASE_S,
     JOB_CONFIRMATION_TIMEOUT_S,
     MAX_LEASE_S,
+    RENEWAL_WAIT_S,
     STOP_CONFIRMATION_S,
     bound_lease_expiry,
 )
 from gentianhub.capacity.resources import Resources
 from gentianhub.capacity.tasks import CellJob
 
+# A target that lives and is in touch answers a renewal within `RENEWAL_WAIT_S`. After a
+# longer gap it is not known when the runs have started or ended that it lists.
+MAX_REPORT_GAP_S = 2 * RENEWAL_WAIT_S
+# Shortest time that a run is taken to have, since ratios of run times are computed.
+MIN_RUN_S = 0.001
+
 
 class TargetPhase(enum.Enum):
     """Whether a target has reported and still responds."""
@@ -44,7 +51,8 @@
     target first confirmed the run, `progress_s` when its progress last increased and
     `stopped_s` when the target confirmed a stop. `expected_s` is the expected run time
     on this target. An exclusive run shares its target with no other. `may_have_run` is
-    set if an earlier life of the target may have executed the start.
+    set if an earlier life of the target may have executed the start, `is_adopted` if an
+    earlier owner has sent it.
     """
 
     key: TaskKey
@@ -60,6 +68,7 @@
     stopped_s: float = float("inf")
     is_exclusive: bool = False
     may_have_run: bool = False
+    is_adopted: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -83,8 +92,9 @@
 class TargetState:
     """A target with its runs, health and pace; times are monotonic and in seconds.
 
-    `last_report_s` is when it last answered. `last_request_s` is when the request for
-    its latest list of running tasks was sent. `lease_expiry_s` is when all its runs
+    `last_report_s` is when it last answered, and `in_touch_since_s` when it did after
+    the last gap of more than `MAX_REPORT_GAP_S`. `last_request_s` is when the request
+    for its latest list of running tasks was sent. `lease_expiry_s` is when all its runs
     have ended for certain if no lease is renewed any more. `available` is the capacity
     that no known run uses. `has_listed_runs` is set once it has listed its runs to this
     owner, `is_restarting` from when a connection broke until the next report, and
@@ -99,6 +109,7 @@
     acknowledged_end: int = 0
     lease_expiry_s: float = float("-inf")
     last_report_s: float = 0.0
+    in_touch_since_s: float = float("-inf")
     last_request_s: float = float("-inf")
     missing_since_s: float | None = None
     has_listed_runs: bool = False
@@ -214,6 +225,28 @@
         expiry_s = bound_lease_expiry(decided_s, lease_s)
         self.lease_expiry_s = max(self.lease_expiry_s, expiry_s)
 
+    def record_report(self, now_s: float) -> None:
+        """Record that the target has answered."""
+        if now_s > self.last_report_s + MAX_REPORT_GAP_S:
+            self.in_touch_since_s = now_s
+        self.last_report_s = now_s
+
+    def measure_run_s(self, run: Run, now_s: float) -> float | None:
+        """Return how long a run took whose end was just listed, s; None if unknown.
+
+        The owner may have been paused or cut off from the target when the run started
+        or ended, or have learned late that it had started. An end that is listed before
+        its start is answered tells that the run was short.
+        """
+        confirmed_s = run.confirmed_s if run.confirmed_s <= now_s else run.sent_s
+        if (
+            run.is_adopted
+            or run.sent_s < self.in_touch_since_s
+            or confirmed_s > run.sent_s + MAX_REPORT_GAP_S
+        ):
+            return None
+        return max(MIN_RUN_S, now_s - confirmed_s)
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its capacity."""
         assert run.key not in self.runs, f"{run.key} already has a run on {self.name}"
--- a/gentianhub/capacity/tests/test_learned_run_times.py
+++ b/gentianhub/capacity/tests/test_learned_run_times.py
@@ -13,6 +13,7 @@
 from gentianhub.capacity.leases import RENEWAL_WAIT_S
 from gentianhub.capacity.tests.builders import (
     SchedulerDriver,
+    build_key,
     build_request,
     build_step,
     build_target,
@@ -78,6 +79,19 @@
             self._confirm_starts(self._report(start.target.name, [start]))
         self.driver.now_s = until_s
 
+    def pause_until(self, until_s: float) -> None:
+        """End the runs that are over by then; the owner is told of all ends at once."""
+        ended: dict[str, list[fx.StartRun]] = {name: [] for name in self._ends}
+        while self._pending and self._pending[0][0] <= until_s:
+            _, _, start = heapq.heappop(self._pending)
+            ended[start.target.name].append(start)
+        self.driver.now_s = until_s
+        for name, starts in ended.items():
+            # A pending renewal ends with the first end, the next one lists the others.
+            for part in (starts[:1], starts[1:]):
+                self._confirm_starts(self._report(name, part))
+                self.driver.now_s += 0.002
+
     def _report(self, name: str, ended: Iterable[fx.StartRun] = ()) -> list:
         reports = []
         for start in ended:
@@ -118,5 +132,52 @@
         self.assertLess(abs(cell.expected_s / RUN_S - 1), 0.2, cell.expected_s)
 
 
+class TestUncertainRunTimes(unittest.TestCase):
+    """Runs whose starts or ends the owner has not seen when they happened."""
+
+    def setUp(self):
+        self.cell = RunningCell(run_s=DECLARED_S)
+
+    def test_ends_during_a_pause_of_the_owner_are_no_long_runs(self):
+        """All runs of a paused owner seemed to have taken as long as the pause; an
+        owner that had learned this refused the next jobs."""
+        self.cell.submit(3 * SLOTS)
+        self.cell.pause_until(2.0)
+        self.assertLess(self.cell.expected_s, 1.2 * DECLARED_S)
+
+    def test_runs_after_a_pause_are_observed(self):
+        """An owner that is paused now and then would go on with a wrong expectation."""
+        self.cell.submit(3 * SLOTS)
+        self.cell.pause_until(2.0)
+        self.cell.run_s = 0.6
+        self.cell.submit(3 * SLOTS)
+        self.cell.run_until(3.0)
+        self.assertGreater(self.cell.expected_s, 3 * DECLARED_S)
+
+    def test_the_rest_of_an_adopted_run_is_no_short_run(self):
+        """A new owner took the time since the takeover for the run time."""
+        driver = self.cell.driver
+        driver.now_s = 0.1
+        key = build_key("adopted")
+        listed = ev.RunReport(key=key, run=1, percent=99)
+        driver.report("t1", (listed,))
+        driver.feed(build_request("adopted", is_repeat=True))
+        self.assertIn(key, driver.scheduler.targets["t1"].runs)
+        driver.now_s = 0.11
+        end = ev.EndReport(number=1, key=key, run=1, end=ev.RunEnd.DONE)
+        driver.report("t1", (), (end,))
+        self.assertEqual({}, driver.scheduler.targets["t1"].runs)
+        self.assertEqual(DECLARED_S, self.cell.expected_s)
+
+    def test_an_end_before_the_answer_to_its_start_is_a_run_since_the_start(self):
+        """Such a run counted as one of a millisecond."""
+        driver = self.cell.driver
+        (start,) = find_starts(driver.feed(build_request("unanswered")))
+        driver.now_s = 0.1
+        driver.end(start, 1)
+        expected_s = driver.scheduler.estimates.predict(ROUTE, 0.1)
+        self.assertAlmostEqual(0.1, expected_s, places=3)
+
+
 if __name__ == "__main__":
     unittest.main()
