--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -23,6 +23,7 @@
 )
 from gentianhub.capacity.leases import (
     HANDOVER_NOTICE_S,
+    RENEWAL_WAIT_S,
     bound_lease_expiry,
     choose_lease_s,
     choose_wait_s,
@@ -146,11 +147,6 @@
             is_complete=True,
         )
 
-    def compute_mean_pace(self) -> float:
-        """Return the mean pace of all targets, to which estimates refer."""
-        paces = [state.pace.value for state in self.targets.values()]
-        return sum(paces) / len(paces)
-
     def stop_run(
         self, state: TargetState, run: Run, reason: StopReason, now_s: float
     ) -> fx.StopRun:
@@ -339,7 +335,7 @@
             yield from self._begin_life(state, report, now_s)
         # It may have waited for this owner; a target answers within this time.
         answered_s = min(now_s, report.sent_s + RENEWAL_WAIT_S)
-        state.last_report_s = max(state.last_report_s, answered_s)
+        state.record_report(answered_s, now_s)
         is_first = state.phase is TargetPhase.AWAITING_REPORT
         was_unusable = (
             state.phase is not TargetPhase.READY
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -16,7 +16,8 @@
     has cancelled the job, so that a later request is a new submission. `confirmed_s` is
     the last time, on this host's clock, at which the front host is known to have had
     the job open, and `submitted_s` the earliest time at which its caller may have
-    submitted it.
+    submitted it. `is_trial` is set once a task has started that was expected to end too
+    late.
     """
 
     front_host: Incarnation
@@ -25,6 +26,7 @@
     is_late: bool = False
     is_cancelled: bool = False
     is_withdrawn: bool = False
+    is_trial: bool = False
     changed_s: float = 0.0
     confirmed_s: float = float("-inf")
     submitted_s: float = float("-inf")
@@ -80,6 +82,11 @@
         """Whether the task may be started."""
         return self.target is None and self.end is None and not self.is_blocked
 
+    @property
+    def last_end_s(self) -> float:
+        """Monotonic time after which the end of the task is of no use, in seconds."""
+        return self.cutoff_start_s + self.expected_s
+
     def is_too_late(self, now_s: float) -> bool:
         """Whether it is too late for a start to be of use to the caller."""
         return now_s > self.cutoff_start_s
