Tell at the start if the platform's bounds are shorter than the leases

The leases are computed for callers that come again after 1.3 s and for stops of 0.05 s. The settings give both (resend_ms, stop_ms) and were not read: on a platform with a shorter bound runs would outlast the return of their callers without a sign. A host logs an error at its start then. Leases that follow the settings are not part of this change; all deployments known have these bounds.

--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -57,6 +57,19 @@
 JOB_CONFIRMATION_TIMEOUT_S = 0.8
 
 
+def describe_unmet_bounds(caller_return_s: float, stop_s: float) -> str:
+    """Return why the leases are too long on a platform, or an empty string.
+
+    Its callers come again after `caller_return_s`, and its targets stop a run within
+    `stop_s`, in seconds.
+    """
+    if caller_return_s < CALLER_RETURN_S:
+        return f"callers come again after {caller_return_s} s, not {CALLER_RETURN_S} s"
+    if stop_s > STOP_S:
+        return f"a stop takes up to {stop_s} s, not {STOP_S} s"
+    return ""
+
+
 def choose_lease_s(confirmed_age_s: float) -> float:
     """Return the longest lease of a target, in seconds; 0 if it may get none.
 
--- a/gentianhub/capacity/tests/test_leases.py
+++ b/gentianhub/capacity/tests/test_leases.py
@@ -8,6 +8,7 @@
     DEPARTURE_DELAY_S,
     STOP_S,
     choose_lease_s,
+    describe_unmet_bounds,
 )
 
 # Delays of a real machine beside that of the network: a target that ends a run late and
@@ -33,5 +34,15 @@
                 self.assertLessEqual(age_s + lease_s / 0.98, CONFIRMED_LEASE_S)
 
 
+class TestBoundsOfThePlatform(unittest.TestCase):
+    """Guards against a deployment whose callers come again before runs have ended."""
+
+    def test_a_platform_with_other_bounds_is_told(self):
+        self.assertEqual("", describe_unmet_bounds(CALLER_RETURN_S, STOP_S))
+        self.assertEqual("", describe_unmet_bounds(CALLER_RETURN_S + 1.0, STOP_S / 2))
+        self.assertIn("1.0 s", describe_unmet_bounds(1.0, STOP_S))
+        self.assertIn("0.2 s", describe_unmet_bounds(CALLER_RETURN_S, 0.2))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from gentianhub.capacity.leases import describe_unmet_bounds
 from gentianhub.core import (
     Incarnation,
     Mailbox,
@@ -103,12 +104,24 @@
         gevent.signal_handler(signal.SIGHUP, self._log_reload_request)
         with self._run_greenlets(), self._serve_ports():
             logger.info("started", extra={"id": str(self.local_host)})
+            self._check_bounds()
             self._stop.wait()
             if self._has_crashed:
                 raise SystemExit(EXIT_CRASHED)
             self._drain()
         logger.info("stopped", extra={"id": str(self.local_host)})
 
+    def _check_bounds(self) -> None:
+        """Log an error if runs may outlast the return of their callers here."""
+        reason = describe_unmet_bounds(
+            self.settings.caller_return_s, self.settings.stop_s
+        )
+        if reason:
+            logger.error(
+                "leases too long for the platform",
+                extra={"id": str(self.local_host), "reason": reason},
+            )
+
     def _log_reload_request(self) -> None:
         """Log that SIGHUP has no effect: all settings are fixed while the host runs."""
         logger.info(
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -42,7 +42,9 @@
     """Settings of one host; times are in seconds.
 
     The host listens on `caller_address` for callers, on `readiness_address` for the
-    platform's readiness probe, and on `link_address` for links from other hosts.
+    platform's readiness probe, and on `link_address` for links from other hosts. A
+    caller whose connection broke comes again after `caller_return_s`, and a target
+    stops a run within `stop_s`.
     """
 
     name: ProcessName
@@ -54,6 +56,8 @@
     seeds: tuple[Address, ...]
     cores: float
     grace_s: float
+    caller_return_s: float
+    stop_s: float
 
 
 def load_host_settings() -> HostSettings:
@@ -98,6 +102,8 @@
         cores=read_field(limits, "cpu_share", float, 1.0)
         * read_field(limits, "cores", float, 1.0),
         grace_s=read_field(bounds, "grace_s", float, 6.0),
+        caller_return_s=read_field(bounds, "resend_ms", float, 1300.0) / 1000,
+        stop_s=read_field(bounds, "stop_ms", float, 50.0) / 1000,
     )
 
 
