--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -191,7 +191,7 @@
                 if self.links.record_received(link, now_s):
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
-                self._record_pause(message)
+                self._log_pause(message)
                 self._record_mailbox_lag(now_s - sent_s, now_s)
                 heard = self.membership.list_heard_heartbeats()
                 self.open_jobs.progress.begin(sent_s, heard, now_s)
@@ -475,7 +475,7 @@
         )
         self.requests.handle_event(MachineSuspended(suspended_s=suspended_s), now_s)
 
-    def _record_pause(self, tick: ms.TimerTick) -> None:
+    def _log_pause(self, tick: ms.TimerTick) -> None:
         """Log for how long the process did not run."""
         if tick.late_s < LOGGED_PAUSE_S:
             return
