Draw suspensions and late departures in simulated cells

Leases end 1.25 s after a confirmation and a stop takes 0.05 s: 1.3 s, after which callers come again. The simulated cells had none of these delays.

They draw from a random stream of their own now, off by default: suspensions of the owner (0.3 to 2.8 s), departures learnt 10 to 100 ms late, answers dated up to 50 ms too late, pauses of up to 100 ms before an order is sent, and front hosts that are cut off.

--- a/gentianhub/capacity/tests/simulated_cell.py
+++ b/gentianhub/capacity/tests/simulated_cell.py
@@ -2,7 +2,8 @@
 
 Targets enforce leases by a clock of each life, remember stops, and restart under their
 names. Orders may be left unanswered and carried out late, and links may be cut. Owners
-and front hosts are lost one after another.
+and front hosts are lost one after another, and machines are suspended, slow to learn of
+departures, or stopped by a quota.
 """
 
 import heapq
@@ -10,12 +11,16 @@
 from random import Random
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
-from gentianhub.capacity.leases import CLOCK_DRIFT, HOST_SILENCE_TIMEOUT_S
+from gentianhub.capacity.leases import (
+    CLOCK_DRIFT,
+    HOST_SILENCE_TIMEOUT_S,
+    START_WAIT_LIMIT_S,
+)
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.tests.builders import (
@@ -26,6 +31,7 @@
     build_target,
 )
 from gentianhub.core import Incarnation
+from gentianhub.host.links import LINK_SILENCE_MARGIN_S
 from gentianhub.host.target_ports import UNRESPONSIVE_DELAY_S
 from gentianhub.platform.targets import RENEWAL_SLACK_S
 
@@ -49,6 +55,26 @@
 REPEAT_S = 0.06
 # Time after which a caller whose front host is lost submits its job again.
 CALLER_RETURN_S = 1.3
+# Other hosts close their links to a silent owner after this time. Their messages until
+# then wait in its sockets.
+LINK_SILENCE_S = HOST_SILENCE_TIMEOUT_S + LINK_SILENCE_MARGIN_S
+SUSPENSION_S = (0.3, 2.8)
+# Time from the end of a suspension until the front hosts have new links.
+RECONNECTION_S = (0.01, 0.5)
+
+
+@frozen(kw_only=True)
+class MachineFaults:
+    """Delays that the machines of hosts add, s; each is drawn at random.
+
+    A front host learns of a departure late by a time in the range `departure_s`. It
+    names a heartbeat that is newer by up to `dating_s` than what it has read. An owner
+    pauses for up to `pause_s` between a decision and the sending of what it orders.
+    """
+
+    departure_s: tuple[float, float] = (0.0, 0.0)
+    dating_s: float = 0.0
+    pause_s: float = 0.0
 
 
 @define(kw_only=True, eq=False)
@@ -106,7 +132,9 @@
     target_count: int = 8
     unanswered_probability: float = 0.0
     run_s: tuple[float, float] = (0.03, 3.0)
+    faults: MachineFaults = MachineFaults()
     random: Random = field(init=False)
+    fault_random: Random = field(init=False)
     now_s: float = field(init=False, default=0.0)
     owner: CellScheduler | None = field(init=False, default=None)
     targets: dict[str, SimulatedTarget] = field(init=False, factory=dict)
@@ -115,18 +143,24 @@
     front_hosts: list[Incarnation] = field(init=False, factory=list)
     lost_s: dict[Incarnation, float] = field(init=False, factory=dict)
     left_s: dict[str, float] = field(init=False, factory=dict)
+    learnt_s: dict[str, float] = field(init=False, factory=dict)
+    cut_hosts: set[Incarnation] = field(init=False, factory=set)
     done: set[str] = field(init=False, factory=set)
     submitted: dict[str, Incarnation] = field(init=False, factory=dict)
     overlaps: list[str] = field(init=False, factory=list)
     overtimes_s: list[float] = field(init=False, factory=list)
     late_starts_s: list[float] = field(init=False, factory=list)
     lapsed: int = field(init=False, default=0)
+    suspended_s: float | None = field(init=False, default=None)
+    _waiting: list = field(init=False, factory=list)
     _term: int = field(init=False, default=0)
     _queue: list = field(init=False, factory=list)
     _sequence: Any = field(init=False, factory=itertools.count)
 
     def __attrs_post_init__(self):
         self.random = Random(self.seed)
+        # The draws of a seed stay as they are without these faults.
+        self.fault_random = Random(f"faults of {self.seed}")
         for number in range(self.target_count):
             entry = build_target(f"t{number}", port=8000 + number, cores=90)
             self.targets[entry.name] = SimulatedTarget(entry=entry)
@@ -151,7 +185,8 @@
             action(*arguments)
 
     def tick(self) -> None:
-        self.feed(ev.Tick())
+        if self.suspended_s is None:
+            self.feed(ev.Tick())
         self.schedule(TICK_S, self.tick)
 
     def draw_latency_s(self) -> float:
@@ -187,8 +222,17 @@
             return
         names = tuple(job for job, (host, _) in self.jobs.items() if host == front_host)
         # The owner's heartbeat that this answers was sent a little earlier.
+        heard_s = self.now_s - 2 * LATENCY_S[1]
+        if self.faults.dating_s:
+            # What had arrived in this time before the heartbeat is not read yet.
+            unread_s = self.fault_random.uniform(0.0, self.faults.dating_s)
+            names += tuple(
+                job
+                for job, learnt_s in self.learnt_s.items()
+                if learnt_s > heard_s - unread_s and self.submitted[job] == front_host
+            )
         message = ev.OpenJobs(cell=CELL, jobs=names)
-        self.feed(message, front_host, self.now_s - 2 * LATENCY_S[1])
+        self.feed(message, front_host, heard_s)
         delay_s = self.random.uniform(*CONFIRMATION_INTERVAL_S)
         self.schedule(delay_s, self.confirm, front_host)
 
@@ -200,11 +244,38 @@
             lost = ev.FrontLost(front_host=front_host)
             self.schedule(delay_s, self.feed, lost)
 
+    def cut_front_host(self, front_host: Incarnation, duration_s: float) -> None:
+        """Cut a front host off from the owner; what they send meanwhile is lost."""
+        if front_host in self.lost_s or front_host in self.cut_hosts:
+            return
+        self.cut_hosts.add(front_host)
+        if duration_s > HOST_SILENCE_TIMEOUT_S:
+            lost = ev.FrontLost(front_host=front_host)
+            self.schedule(HOST_SILENCE_TIMEOUT_S, self.feed, lost)
+        self.schedule(duration_s, self.heal_front_host, front_host)
+
+    def heal_front_host(self, front_host: Incarnation) -> None:
+        """Connect a front host again, which repeats its requests."""
+        self.cut_hosts.discard(front_host)
+        for job, (host, _) in list(self.jobs.items()):
+            if host == front_host:
+                self.repeat(job)
+
     def leave_job(self, job: str, is_withdrawal_lost: bool) -> None:
         """Let the caller of a job leave; its withdrawal may be lost."""
         if job in self.jobs:
-            front_host, _ = self.jobs.pop(job)
             self.left_s[job] = self.now_s
+            if self.faults.departure_s[1]:
+                delay_s = self.fault_random.uniform(*self.faults.departure_s)
+                self.schedule(delay_s, self.withdraw, job, is_withdrawal_lost)
+            else:
+                self.withdraw(job, is_withdrawal_lost)
+
+    def withdraw(self, job: str, is_withdrawal_lost: bool) -> None:
+        """Let the front host learn that the caller of a job has left."""
+        if job in self.jobs:
+            front_host, _ = self.jobs.pop(job)
+            self.learnt_s[job] = self.now_s
             if not is_withdrawal_lost:
                 self.feed(ev.CancelTasks(cell=CELL, job=job), front_host)
 
@@ -230,10 +301,50 @@
     def feed(self, event, front_host=None, confirmed_s=None) -> None:
         if self.owner is None or front_host in self.lost_s:
             return
+        if front_host in self.cut_hosts:
+            return
+        if self.suspended_s is not None:
+            if front_host is None:
+                self.wait_for_owner(self.feed, event)
+            elif self.now_s < self.suspended_s + LINK_SILENCE_S:
+                # The last heartbeat that a front host can name is from before.
+                sent_s = self.now_s if confirmed_s is None else confirmed_s
+                heard_s = min(sent_s, self.suspended_s)
+                self.wait_for_owner(self.feed, event, front_host, heard_s)
+            return
         effects = self.owner.handle(event, self.now_s, front_host, confirmed_s)
         for effect in list(effects):
             self.execute_effect(effect)
 
+    def suspend_owner(self, duration_s: float) -> None:
+        """Suspend the owner's machine; no other host takes the cell meanwhile."""
+        if self.owner is not None and self.suspended_s is None:
+            self.suspended_s = self.now_s
+            self.schedule(duration_s, self.resume_owner, self.owner.term)
+
+    def resume_owner(self, term: int) -> None:
+        """Let the owner handle all that has waited, in any order."""
+        if self.owner is None or self.owner.term != term:
+            return
+        is_silent = self.now_s >= self.suspended_s + LINK_SILENCE_S
+        self.suspended_s = None
+        waiting, self._waiting = self._waiting, []
+        if is_silent:
+            for front_host in self.front_hosts:
+                if self.fault_random.random() < 0.5:
+                    lost = ev.FrontLost(front_host=front_host)
+                    waiting.append((self.feed, (lost,)))
+            for job in self.jobs:
+                delay_s = self.fault_random.uniform(*RECONNECTION_S)
+                self.schedule(delay_s, self.repeat, job)
+        self.fault_random.shuffle(waiting)
+        for action, arguments in waiting:
+            action(*arguments)
+
+    def wait_for_owner(self, action, *arguments) -> None:
+        """Take an action of the owner as soon as its machine goes on."""
+        self._waiting.append((action, arguments))
+
     def answer(self, term: int, target: SimulatedTarget, event) -> None:
         """Deliver an answer of a target to the owner that has asked for it."""
         if self.owner is not None and self.owner.term == term and not target.is_cut:
@@ -242,7 +353,8 @@
     def lose_owner(self) -> None:
         """Lose the owner; the next one claims the cell after a silence."""
         if self.owner is not None:
-            self.owner = None
+            self.owner, self.suspended_s = None, None
+            self._waiting.clear()
             delay_s = HOST_SILENCE_TIMEOUT_S + self.random.uniform(0, 2 * TICK_S)
             self.schedule(delay_s, self.replace_owner)
 
@@ -269,20 +381,38 @@
     def execute_effect(self, effect) -> None:
         match effect:
             case fx.StartRun() | fx.StopRun():
-                self.send_order(effect)
+                self.send(self.send_order, effect)
             case fx.ListRuns():
-                self.send_list(effect)
+                self.send(self.send_list, effect)
             case fx.RenewLease():
-                self.send_renewal(effect)
+                self.send(self.send_renewal, effect)
             case fx.SendToFront(front_host=front_host, message=message):
-                if front_host not in self.lost_s:
+                if front_host not in self.lost_s and front_host not in self.cut_hosts:
                     self.handle_end(message)
 
+    def send(self, action, effect) -> None:
+        """Send an order or a renewal, after a pause of the process."""
+        if self.faults.pause_s:
+            pause_s = self.fault_random.uniform(0.0, self.faults.pause_s)
+            self.schedule(pause_s, self.send_paused, action, effect)
+        else:
+            action(effect)
+
+    def send_paused(self, action, effect) -> None:
+        if self.owner is None or self.owner.term != effect.term:
+            return
+        if self.suspended_s is not None:
+            self.wait_for_owner(self.send_paused, action, effect)
+        else:
+            action(effect)
+
     # Starts and stops
 
     def send_order(self, order: fx.StartRun | fx.StopRun) -> None:
         target = self.targets[order.target.name]
-        if isinstance(order, fx.StartRun) and not target.known_life:
+        if isinstance(order, fx.StartRun) and not (
+            target.known_life and self.now_s <= order.decided_s + START_WAIT_LIMIT_S
+        ):
             self.feed(self.build_answer(order, ev.StartVerdict.NOT_SENT))
             return
         is_lost = self.random.random() < self.unanswered_probability
@@ -408,6 +538,9 @@
                 self.end(target, run, ev.RunEnd.LEASE_EXPIRED)
 
     def send_renewal(self, renewal: fx.RenewLease) -> None:
+        if self.suspended_s is not None:
+            self.wait_for_owner(self.send_renewal, renewal)
+            return
         target = self.targets[renewal.target.name]
         arguments = (renewal, self.now_s, target.known_life)
         if target.is_cut:
@@ -419,6 +552,9 @@
     def miss_renewal(self, renewal: fx.RenewLease, is_broken: bool = False) -> None:
         if self.owner is None or self.owner.term != renewal.term:
             return
+        if self.suspended_s is not None:
+            self.wait_for_owner(self.miss_renewal, renewal, is_broken)
+            return
         name = renewal.target.name
         if not renewal.is_retry:
             missed = ev.RenewalMissed(target=name, reason="missed", is_broken=is_broken)
@@ -535,6 +671,13 @@
             self.schedule(RENEWAL_SLACK_S, self.miss_renewal, renewal)
         self.schedule(duration_s, self.heal_target, target)
 
+    def cut_job(self, job: str, duration_s: float) -> None:
+        """Cut the targets off on which a job runs."""
+        for target in self.targets.values():
+            is_used = any(key.job == job for key in target.runs)
+            if is_used and not target.is_cut:
+                self.cut_target(target.name, duration_s)
+
     def heal_target(self, target: SimulatedTarget) -> None:
         target.is_cut = False
 
--- a/gentianhub/capacity/tests/test_successive_owners.py
+++ b/gentianhub/capacity/tests/test_successive_owners.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+from attrs import evolve
+
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.leases import (
@@ -30,7 +32,9 @@
 )
 from gentianhub.capacity.tests.simulated_cell import (
     CALLER_RETURN_S,
+    SUSPENSION_S,
     TICK_S,
+    MachineFaults,
     SimulatedCell,
 )
 
@@ -269,5 +273,69 @@
                 self.assertEqual([], cell.overlaps)
 
 
+class TestSlowMachines(unittest.TestCase):
+    """Guards against a bound that leaves no room for the delays of real machines.
+
+    Whatever breaks a caller's connection also cuts its front host off from the owner,
+    often, and the target from both. The front host learns of the departure late. The
+    bounds of leases and stops added up to the time of a resubmission without these.
+    """
+
+    CUT_PROBABILITY = 0.4
+    LATE = MachineFaults(departure_s=(0.01, 0.1), dating_s=0.05)
+    # With leases of 1.25 s after a confirmation, runs of the last three end too late.
+    LATE_SEEDS = (*range(1, 10), 1032, 1105, 1137)
+
+    def play(self, seed: int, faults: MachineFaults, suspensions: int) -> SimulatedCell:
+        cell = SimulatedCell(
+            seed=seed, unanswered_probability=0.1, run_s=(0.5, 3.0), faults=faults
+        )
+        cell.submit_jobs(end_s=10.0, per_s=8)
+        random = cell.fault_random
+        for number in range(80):
+            self.schedule_departure(
+                cell, number, number / 8 + random.uniform(0.05, 1.5)
+            )
+        for front_host in cell.front_hosts[:2]:
+            cell.schedule(random.uniform(3.0, 8.0), cell.lose_front_host, front_host)
+            cell.schedule(random.uniform(2.0, 9.0), cell.lose_owner)
+        for _ in range(suspensions):
+            duration_s = random.uniform(*SUSPENSION_S)
+            cell.schedule(random.uniform(1.0, 9.0), cell.suspend_owner, duration_s)
+        cell.run(until_s=16.0)
+        return cell
+
+    def schedule_departure(self, cell: SimulatedCell, number: int, left_s: float):
+        """Schedule the departure of a caller, with what is cut off beside it."""
+        random, job = cell.fault_random, f"job-{number}"
+        cell.schedule(left_s, cell.leave_job, job, random.random() < 0.8)
+        if random.random() < self.CUT_PROBABILITY:
+            front_host = cell.front_hosts[number % len(cell.front_hosts)]
+            cut_s = left_s + random.uniform(0.0, 0.15)
+            duration_s = random.uniform(0.3, 2.0)
+            cell.schedule(cut_s, cell.cut_front_host, front_host, duration_s)
+            cut_s = left_s + random.uniform(0.3, 0.9)
+            cell.schedule(cut_s, cell.cut_job, job, random.uniform(0.5, 1.5))
+
+    def assert_ended_in_time(self, seeds, faults: MachineFaults, suspensions: int):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                cell = self.play(seed, faults, suspensions)
+                self.assertTrue(cell.overtimes_s)
+                latest_s = max(cell.overtimes_s + cell.late_starts_s)
+                self.assertLessEqual(latest_s, CALLER_RETURN_S)
+                self.assertEqual([], cell.overlaps)
+
+    def test_each_run_ends_in_time_although_its_owner_is_suspended(self):
+        self.assert_ended_in_time(range(1, 9), MachineFaults(), suspensions=3)
+
+    def test_each_run_ends_in_time_although_departures_are_learnt_late(self):
+        self.assert_ended_in_time(self.LATE_SEEDS, self.LATE, suspensions=0)
+
+    def test_each_run_ends_in_time_with_all_of_these(self):
+        faults = evolve(self.LATE, pause_s=0.1)
+        self.assert_ended_in_time(range(21, 27), faults, suspensions=2)
+
+
 if __name__ == "__main__":
     unittest.main()
