Claim no cell right after a pause

A candidate that wakes from a suspension has heard nobody for its length, by a clock that counts it. If it reads the heartbeat of another host before that of a cell's owner, it takes the owner as silent and claims the cell: the live owner loses it, and its callers wait for a takeover. A frozen host does the same by either clock. After 0.6 s without running, a host claims nothing for the next 0.6 s, in which it hears the owners that live.

Before, the test of a candidate that is suspended for 2.5 s fails (the owner has lost its cell); in a trial of Ownership alone a candidate claims after 1.0 s as well. The cost is a takeover that is up to 0.6 s later if the owner was lost during the pause and no other candidate runs.

--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -140,6 +140,7 @@
     _free_since_s: dict[Cell, float] = field(init=False, factory=dict)
     _last_received_s: float = field(init=False)
     _able_since_s: float | None = field(init=False, default=None)
+    _resumed_s: float = field(init=False, default=float("-inf"))
 
     def __attrs_post_init__(self):
         self._last_received_s = self.started_s
@@ -193,6 +194,14 @@
             known.is_idle = False
             known.last_received_s = now_s
 
+    def record_pause(self, now_s: float) -> None:
+        """Record that this host runs again after a time in which it has not run.
+
+        Messages of all hosts may wait in its sockets; it claims nothing before it has
+        had the time to hear them.
+        """
+        self._resumed_s = now_s
+
     def find_silence_timeout_s(self, peer: Incarnation) -> float:
         """Return the time without a message after which a host counts as lost, s."""
         known = self.peers.get(peer)
@@ -260,6 +269,8 @@
             return False
         if now_s < self._paused_until_s.get(cell, 0.0):
             return False
+        if now_s < self._resumed_s + HOST_SILENCE_TIMEOUT_S:
+            return False
         if not self._is_free(other):
             return False
         if not self._has_waited_for_claims(now_s):
--- a/gentianhub/capacity/tests/test_ownership.py
+++ b/gentianhub/capacity/tests/test_ownership.py
@@ -104,6 +104,39 @@
         self.assertGreater(change.term, received_term)
 
 
+class TestPauses(unittest.TestCase):
+    """Guards against claims of a host that has not run, and so has heard nobody.
+
+    The heartbeats of the owner wait in its sockets beside those of other hosts.
+    """
+
+    def setUp(self):
+        self.ownership = build_ownership(
+            FIRST, candidates=frozenset({FIRST.name, SECOND.name})
+        )
+        self.ownership.handle_heartbeat(SECOND, build_heartbeat(2**52), 10.0)
+        self.resumed_s = 12.5
+        self.ownership.record_pause(self.resumed_s)
+        other = build_host("e3", "c")
+        self.ownership.handle_heartbeat(other, build_heartbeat(), self.resumed_s)
+
+    def test_no_cell_is_claimed_before_its_owner_could_be_heard(self):
+        self.assertEqual([], list(self.ownership.update_claims(self.resumed_s)))
+        self.ownership.handle_heartbeat(
+            SECOND, build_heartbeat(2**52), self.resumed_s + 0.1
+        )
+        claims = self.ownership.update_claims(
+            self.resumed_s + HOST_SILENCE_TIMEOUT_S + 0.05
+        )
+        self.assertEqual([], list(claims))
+
+    def test_the_cell_of_an_owner_that_stays_silent_is_claimed(self):
+        (claim,) = self.ownership.update_claims(
+            self.resumed_s + HOST_SILENCE_TIMEOUT_S + 0.05
+        )
+        self.assertEqual(CELL, claim.cell)
+
+
 class TestHeartbeatChanges(unittest.TestCase):
     """Owners are recomputed only for heartbeats with changes.
 
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -8,6 +8,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.front import FrontJobRegistry
+from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
 from gentianhub.capacity.submissions import InterruptJobs, LoadsReported, OwnersChanged
 from gentianhub.capacity.succession import TargetAnnouncements
 from gentianhub.core import Incarnation, Mailbox, read_monotonic_s
@@ -90,6 +91,7 @@
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
     _lag_logged_s: float = field(init=False, default=float("-inf"))
+    _handled_s: float = field(init=False, default=float("inf"))
     _tick_count: int = field(init=False, default=0)
     _target_list: TargetList = field(init=False, factory=lambda: TargetList())
 
@@ -149,6 +151,7 @@
         """Handle messages until killed."""
         for message in self.mailbox.iterate_messages():
             now_s = read_monotonic_s()
+            self._record_pause(now_s)
             self._handle_message(message, now_s)
             for own_message in self.outbox.pop_own_messages():
                 self._handle_host_message(self.local_host, own_message, now_s)
@@ -156,6 +159,12 @@
             if awaited:
                 self._send_heartbeats_now(tuple(awaited), now_s)
 
+    def _record_pause(self, now_s: float) -> None:
+        """Note a time in which this host, which ticks more often, has not run."""
+        if now_s > self._handled_s + HOST_SILENCE_TIMEOUT_S:
+            self.membership.ownership.record_pause(now_s)
+        self._handled_s = now_s
+
     def _handle_message(self, message, now_s: float) -> None:
         match message:
             case ms.CallerRequest():
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -7,7 +7,7 @@
 import enum
 import json
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from unittest import mock
 
@@ -219,17 +219,17 @@
         """Suspend the host's machine."""
         self.is_suspended, self._suspended_at_s = True, self.world.now_s
 
-    def resume(self, first: type | tuple[type, ...] = ()) -> None:
+    def resume(self, is_first: Callable[[object], bool] = lambda _: False) -> None:
         """Let the machine go on, and handle what has arrived meanwhile.
 
-        The sockets are read in any order. Messages of the types `first` are handled
-        before the others.
+        The sockets are read in any order. The messages for which `is_first` holds are
+        handled before the others.
         """
         self._time_suspended_s += self.world.now_s - self._suspended_at_s
         self.is_suspended = False
         waiting = [message for _, message in self._arrived]
         self._arrived.clear()
-        for message in sorted(waiting, key=lambda m: not isinstance(m, first)):
+        for message in sorted(waiting, key=lambda m: not is_first(m)):
             self.receive(message)
 
     def receive(self, message) -> None:
--- a/gentianhub/host/tests/test_suspended_hosts.py
+++ b/gentianhub/host/tests/test_suspended_hosts.py
@@ -22,16 +22,29 @@
 ENDED_AFTER_S = 0.1
 OCCUPANTS = ("00000000000000a1", "00000000000000a2")
 JOB = "00000000000000b1"
+
+
+def is_target_answer(message) -> bool:
+    """Whether it is an answer of a target, which may tell of lapsed runs."""
+    return isinstance(message, ev.RunsReported | ev.StartAnswered)
+
+
+def is_timer(message) -> bool:
+    return isinstance(message, ms.TimerTick | ms.InputRead)
+
+
+def is_of_link(message) -> bool:
+    return isinstance(message, MessageReceived | LinkClosed)
+
+
 # A host that wakes reads its sockets in any order: as the messages arrived, or with
 # those of one kind before all others.
 READING_ORDERS = {
-    "as they arrived": (),
-    "answers of targets first": (ev.RunsReported, ev.StartAnswered),
-    "timer first": (ms.TimerTick, ms.InputRead),
-    "hosts first": (MessageReceived, LinkClosed),
+    "as they arrived": lambda message: False,
+    "answers of targets first": is_target_answer,
+    "timer first": is_timer,
+    "hosts first": is_of_link,
 }
-# As `resume` takes them: the answers of targets end leases, and free the targets.
-TARGETS_FIRST = READING_ORDERS["answers of targets first"]
 
 
 class SuspensionTest(unittest.TestCase):
@@ -172,7 +185,7 @@
         """Without them, the tests above would pass whichever clock is read."""
         for submit in (self.submit_waiting, self.submit_running):
             with self.subTest(submit.__name__):
-                starts = self.play(submit, 2.0, TARGETS_FIRST, Clock.STEADY)
+                starts = self.play(submit, 2.0, is_target_answer, Clock.STEADY)
                 self.assertNotEqual([], starts)
 
 
@@ -258,6 +271,38 @@
                     self.play(suspended_s, left_after_s, first)
 
 
+class TestSuspendedCandidate(SuspensionTest):
+    """Guards against a host that claims on waking the cell of an owner that lives."""
+
+    def test_a_host_that_wakes_takes_no_cell_of_a_live_owner(self):
+        """It heard another host first, so that the owner seemed to be silent."""
+        for suspended_s in (1.0, 2.5):
+            with self.subTest(suspended_s=suspended_s):
+                self.play(suspended_s)
+
+    def play(self, suspended_s: float) -> None:
+        self.start_deployment()
+        fronts = self.deployment.fronts
+        for front in fronts:
+            front.receive(ms.LayoutRead(cells=1))
+        self.deployment.run(3.0)
+        (owner,) = (front for front in fronts if front.coordinator.cells)
+        (candidate,) = (front for front in fronts if front is not owner)
+
+        def is_of_another_host(message) -> bool:
+            return (
+                isinstance(message, MessageReceived)
+                and message.link.incarnation != owner.incarnation
+            )
+
+        candidate.suspend()
+        self.deployment.run(suspended_s)
+        candidate.resume(is_of_another_host)
+        self.deployment.run(2.0)
+        self.assertEqual(1, len(owner.coordinator.cells.list_cells()))
+        self.assertEqual((), candidate.coordinator.cells.list_cells())
+
+
 class TestSuspendedOwnerOfItsOwnJobs(SuspensionTest):
     """Guards against a host that confirms its own jobs to itself on waking.
 
@@ -291,7 +336,7 @@
 
     def test_the_simulation_shows_the_starts_of_a_clock_that_stands_still(self):
         """Without them, the test above would pass whichever clock is read."""
-        left_s = self.play(2.5, 0.6, TARGETS_FIRST, Clock.STEADY)
+        left_s = self.play(2.5, 0.6, is_target_answer, Clock.STEADY)
         self.assertNotEqual([], self.list_late_starts(left_s))
 
 
