--- a/gentianhub/host/tests/test_suspended_hosts.py
+++ b/gentianhub/host/tests/test_suspended_hosts.py
@@ -21,8 +21,8 @@
 # target says so in its answer to the renewal that the owner had sent before.
 ENDED_AFTER_S = 0.1
 # Time from the end of the runs ahead of a job until its owner is suspended, right after
-# its front host has confirmed it. With an older confirmation it is not repeated, whatever
-# the clock.
+# its front host has confirmed it. With an older confirmation it is not repeated,
+# whatever the clock.
 STARTED_S = 0.4
 OCCUPANTS = ("00000000000000a1", "00000000000000a2")
 JOB = "00000000000000b1"
