Try one job of a route at a time that is expected to end too late

An owner that expected too long run times refused each job of a route while its targets were idle.

Cause: expected run times are corrected by runs only, and they decide what runs.

If its run takes less than expected, it counts in full (within the limits for stragglers), since other jobs are refused until the estimate falls.

Weighed: estimates that age towards the declared run time (all callers of a route that can't be served would be held until their deadlines again and again, as a run that is stopped at its deadline teaches nothing; and routes with few jobs would lose what was learned); no refusal at all while targets are idle (the same, and such work takes the place of work that comes a moment later); the common weight of 0.05 for a trial (40 runs to fall from 20 s to 3 s). What a trial costs: of jobs that can't be served, one at a time for each route and cell is held until its deadline, not rejected at once.

Tests: three of the six new ones failed before (no start in 6 s; no job is tried), the others guard what a trial must not do; the one about other waiting tasks fails if trials are not put behind them. After: a cell that expects 20 s of runs of 2.2 s serves all jobs from the fourth second on.

--- a/gentianhub/capacity/estimates.py
+++ b/gentianhub/capacity/estimates.py
@@ -16,6 +16,9 @@
 # Weight of a new observation in the exponential moving averages.
 OFFSET_GAIN = 0.05
 PACE_GAIN = 0.25
+# Weight of a run that took less than expected although its task had been expected to
+# end too late. Such runs are rare, and other tasks are refused until it is corrected.
+TRIAL_GAIN = 1.0
 # Ratios are clipped to this range to limit the effect of a single straggler.
 MAX_RATIO = 6.0
 MIN_RATIO = 0.2
@@ -41,15 +44,21 @@
             return declared_s
         return math.exp(offset + ESTIMATE_SLOPE * math.log(declared_s))
 
-    def observe(self, route: str, declared_s: float, run_s: float) -> None:
-        """Update the offset from a run that took `run_s`."""
+    def observe(
+        self, route: str, declared_s: float, run_s: float, is_trial: bool = False
+    ) -> None:
+        """Update the offset from a run that took `run_s`.
+
+        A trial is the run of a task that was expected to end too late.
+        """
         declared_s = declared_s or DEFAULT_RUN_S
         ratio = run_s / self.predict(route, declared_s)
         log_error = math.log(min(MAX_RATIO, max(MIN_RATIO, ratio)))
         known = self._offsets.get(route)
         if known is None:
             known = (1 - ESTIMATE_SLOPE) * math.log(declared_s)
-        self._offsets[route] = known + OFFSET_GAIN * log_error
+        gain = TRIAL_GAIN if is_trial and log_error < 0 else OFFSET_GAIN
+        self._offsets[route] = known + gain * log_error
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -32,6 +32,7 @@
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
 from gentianhub.capacity.tasks import CellJob, CellTask
+from gentianhub.capacity.trials import RouteTrials
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.capacity.waiting import WaitingTasks
 from gentianhub.core import Incarnation
@@ -91,6 +92,7 @@
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
     waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
+    trials: RouteTrials = field(init=False, factory=lambda: RouteTrials())
     _front_hosts: dict[str, Incarnation] = field(init=False, factory=dict)
     _started_tasks: dict[TaskKey, CellTask] = field(init=False, factory=dict)
     _blocked: list[CellTask] = field(init=False, factory=list)
@@ -502,7 +504,8 @@
                     return
                 route, declared_s = task.request.route, task.step.estimate_s
                 expected_s = self.estimates.predict(route, declared_s)
-                self.estimates.observe(route, declared_s, run_s)
+                is_trial = task.job.is_trial
+                self.estimates.observe(route, declared_s, run_s, is_trial)
                 state.pace.observe(run_s, expected_s)
             case ev.RunEnd.FAILED:
                 state.health.record_failure(task.key.job, now_s)
@@ -583,11 +586,11 @@
         placement = PlacementRound(targets=self.targets.values(), now_s=now_s)
         skipped = []
         skipped_suspects = []
+        trials = []
         for task in self.waiting.pop_ordered(now_s):
-            if task.is_too_late(now_s):
-                yield self._log_expiry(task, placement, now_s)
-                yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
-                yield from self._cancel_job(task.job, now_s)
+            is_late = task.is_too_late(now_s)
+            if is_late and not self.trials.may_start(task, now_s):
+                yield from self._expire_task(task, placement, now_s)
                 continue
             end = self.suspects.find_end([task.key])
             if end is not None:
@@ -595,6 +598,9 @@
                 yield from self._end_task(task, end, now_s)
                 yield from self._cancel_job(task.job, now_s)
                 continue
+            if is_late:
+                trials.append(task)
+                continue
             if not is_recent(task.job.confirmed_s, now_s):
                 yield from self.confirmations.hold_task(task, now_s)
                 continue
@@ -620,6 +626,39 @@
                 break
         for task in skipped + skipped_suspects:
             self.waiting.push(task, now_s)
+        for task in trials:
+            yield from self._start_trial(task, placement, now_s)
+
+    def _start_trial(
+        self, task: CellTask, placement: PlacementRound, now_s: float
+    ) -> Iterator:
+        """Start a task on trial if there is idle capacity; end its job otherwise."""
+        if not task.is_waiting:
+            return
+        target = None
+        may_start = (
+            self.trials.may_start(task, now_s)
+            and is_recent(task.job.confirmed_s, now_s)
+            and not self.suspects.has_to_run_alone(task.key)
+        )
+        if may_start:
+            target = placement.choose_target(
+                task.step, task.request.service, task.avoided, task.job.confirmed_s
+            )
+        if target is not None:
+            yield self._start_task(task, target, now_s, False)
+        elif task.job.is_trial:
+            self.waiting.push(task, now_s)
+        else:
+            yield from self._expire_task(task, placement, now_s)
+
+    def _expire_task(
+        self, task: CellTask, placement: PlacementRound, now_s: float
+    ) -> Iterator:
+        """End a waiting task, and with it its job, which is too late for its caller."""
+        yield self._log_expiry(task, placement, now_s)
+        yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
+        yield from self._cancel_job(task.job, now_s)
 
     def _log_expiry(
         self, task: CellTask, placement: PlacementRound, now_s: float
@@ -644,6 +683,7 @@
     def _start_task(
         self, task: CellTask, state: TargetState, now_s: float, is_exclusive: bool
     ) -> fx.StartRun:
+        self.trials.record_start(task, now_s)
         task.last_run += 1
         task.target = state.name
         task.job.possible_runs += 1
@@ -669,6 +709,8 @@
         }
         if is_exclusive:
             inputs["exclusive"] = True
+        if task.job.is_trial:
+            inputs["trial"] = True
         state.add_run(run)
         lease_s = choose_lease_s(now_s - state.find_confirmed_s(now_s))
         state.extend_lease(now_s, lease_s)
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -16,7 +16,8 @@
     has cancelled the job, so that a later request is a new submission. `confirmed_s` is
     the last time, on this host's clock, at which the front host is known to have had
     the job open, and `submitted_s` the earliest time at which its caller may have
-    submitted it.
+    submitted it. `is_trial` is set once a task has started that was expected to end too
+    late.
     """
 
     front_host: Incarnation
@@ -25,6 +26,7 @@
     is_late: bool = False
     is_cancelled: bool = False
     is_withdrawn: bool = False
+    is_trial: bool = False
     changed_s: float = 0.0
     confirmed_s: float = float("-inf")
     submitted_s: float = float("-inf")
--- a/gentianhub/capacity/tests/test_learned_run_times.py
+++ b/gentianhub/capacity/tests/test_learned_run_times.py
@@ -17,6 +17,7 @@
     build_request,
     build_step,
     build_target,
+    find_ends,
     find_starts,
 )
 
@@ -132,6 +133,92 @@
         self.assertLess(abs(cell.expected_s / RUN_S - 1), 0.2, cell.expected_s)
 
 
+class TestWrongExpectation(unittest.TestCase):
+    """An owner has learned a run time that leaves no time before the deadlines."""
+
+    def setUp(self):
+        self.cell = RunningCell()
+        for _ in range(200):
+            self.cell.driver.scheduler.estimates.observe(ROUTE, DECLARED_S, 20.0)
+        self.assertGreater(self.cell.expected_s, 3 * DEADLINE_S)
+
+    def submit_jobs(self, seconds: int) -> list[int]:
+        """Submit five jobs a second; return the starts in each second."""
+        starts = []
+        for _ in range(seconds):
+            starts.append(0)
+            for _ in range(5):
+                starts[-1] += self.cell.submit(2)
+                self.cell.run_until(self.cell.driver.now_s + 0.2)
+        return starts
+
+    def test_all_jobs_are_served_once_a_trial_has_ended(self):
+        """All targets were idle and each job was refused, without an end: nothing ran,
+        so that nothing corrected the expectation."""
+        starts = self.submit_jobs(6)
+        self.assertEqual([10, 10, 10], starts[3:])
+
+    def test_one_job_at_a_time_is_on_trial(self):
+        """Jobs that can't end in time have to be refused at once, not be held until
+        their deadlines, and must not take the capacity of other ones."""
+        self.cell.run_s = 20.0
+        open_jobs = []
+        for _ in range(50):
+            self.cell.submit(2)
+            jobs = self.cell.driver.scheduler.jobs.values()
+            open_jobs.append(
+                sum(job.has_open_tasks() and not job.is_cancelled for job in jobs)
+            )
+            self.cell.run_until(self.cell.driver.now_s + 0.2)
+        self.assertEqual({1}, set(open_jobs))
+
+    def test_no_job_is_on_trial_that_its_caller_expects_to_end_late(self):
+        """A trial would hold the caller for a result that is known before."""
+        step = build_step(2, cores=3, estimate_s=DEADLINE_S)
+        request = build_request("long", step, deadline_in_s=DEADLINE_S - 0.1)
+        effects = self.cell.driver.feed(request)
+        self.assertEqual([], find_starts(effects))
+        self.assertIs(ev.TaskEnd.EXPIRED, find_ends(effects)[0].end)
+
+    def test_no_job_is_on_trial_while_other_ones_are_started(self):
+        """Under load, runs end all the time and tell the run time; a trial would take
+        the place of a job that can be served."""
+        driver = self.cell.driver
+        step = build_step(cores=3, estimate_s=0.001)
+        request = build_request("other", step, deadline_in_s=60.0, objective_s=60.0)
+        self.assertEqual(1, len(find_starts(driver.feed(request))))
+        self.assertEqual(0, self.cell.submit(2))
+
+    def test_no_job_is_on_trial_that_is_late_because_it_has_waited(self):
+        """Its run would most likely not end in time: the expectation may be right."""
+        driver = self.cell.driver
+        step = build_step(2, cores=3, estimate_s=DECLARED_S)
+        request = build_request("old", step, age_s=1.1, deadline_in_s=DEADLINE_S - 1.1)
+        self.assertEqual([], find_starts(driver.feed(request)))
+        self.assertEqual(2, self.cell.submit(2))
+
+    def test_other_waiting_tasks_get_capacity_first(self):
+        """A trial must not make a job late that can be served."""
+        driver = SchedulerDriver([build_target("t1", 27)])
+        for _ in range(200):
+            driver.scheduler.estimates.observe(ROUTE, DECLARED_S, DEADLINE_S - 0.5)
+        patient = {"deadline_in_s": 60.0, "objective_s": 60.0, "route": "other"}
+        (start,) = find_starts(driver.feed(build_request("running", **patient)))
+        driver.answer(start)
+        step = build_step(estimate_s=DECLARED_S)
+        driver.feed(
+            build_request(
+                "trial", step, objective_s=2.5, stretch=2.0, deadline_in_s=DEADLINE_S
+            )
+        )
+        driver.feed(build_request("waiting", **patient))
+        driver.now_s = 0.6
+        (start,) = find_starts(driver.end(start, 1))
+        self.assertEqual("waiting", start.key.job)
+        (message,) = [m for m in find_ends(driver.effects) if m.job == "trial"]
+        self.assertIs(ev.TaskEnd.EXPIRED, message.end)
+
+
 class TestUncertainRunTimes(unittest.TestCase):
     """Runs whose starts or ends the owner has not seen when they happened."""
 
