Keep what the targets have run beside the logs of a soak

Whether the target had begun the run could not be told: the hosts' logs have the order only, and the targets' records ended with the soak's process.

--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -1,10 +1,12 @@
 """Runs the soak test: load and faults together, then the audit."""
 
 import json
+import math
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from datetime import datetime
 from pathlib import Path
 from typing import Annotated
 
@@ -35,6 +37,7 @@
     open_testbed,
 )
 from gentianhub.stand_ins.processes import PORTS_PER_PROCESS, find_free_ports
+from gentianhub.stand_ins.users_platform import RunRecord
 from gentianhub.web import HTTP_ERRORS
 
 DATA_CENTRES = ("olten", "aarau")
@@ -146,12 +149,13 @@
 
 @define(kw_only=True, eq=False)
 class SoakResult:
-    """Counts, traces and violations of a run."""
+    """Counts, traces and violations of a run; `records` has the runs by target."""
 
     traces: list[JobTrace] = field(factory=list)
     violations: list[Violation] = field(factory=list)
     faults: Counter = field(factory=Counter)
     runs: int = 0
+    records: dict[str, list[RunRecord]] = field(factory=dict)
     leaving_periods: int = 0
     probes: int = 0
     longest_stall_s: float = 0.0
@@ -295,7 +299,8 @@
     )
     result.violations = [*_audit(testbed, injector, result, fault_free_from_s)]
     result.violations += probe.violations
-    result.runs = sum(len(target.records) for target in testbed.targets.values())
+    result.records = {name: target.records for name, target in testbed.targets.items()}
+    result.runs = sum(len(records) for records in result.records.values())
     return result
 
 
@@ -424,6 +429,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         result = run_soak(plan, folder)
         _write_violations(result, folder)
+        _write_runs(result, folder)
     print(f"seed {plan.seed}, {plan.duration_s:g} s")
     for line in describe_result(result):
         print(line, flush=True)
@@ -434,3 +440,37 @@
     """Write the violations to the folder of the logs."""
     found = [[v.guarantee, v.subject] for v in result.violations]
     (folder / "violations.json").write_text(json.dumps(found, indent=1))
+
+
+def _write_runs(result: SoakResult, folder: Path) -> None:
+    """Write what the targets have run to the folder of the logs."""
+    clock_offset_s = time.time() - time.monotonic()
+    rows = describe_runs(result.records, clock_offset_s)
+    lines = [json.dumps(row) + "\n" for row in rows]
+    (folder / "runs.jsonl").write_text("".join(lines))
+
+
+def describe_runs(
+    records: Mapping[str, Iterable[RunRecord]], clock_offset_s: float
+) -> Iterator[dict[str, str | int]]:
+    """Yield the runs in the order of their starts, with times as in the hosts' logs.
+
+    `clock_offset_s` is the time of day less the monotonic time, in seconds.
+    """
+
+    def describe_time(monotonic_s: float) -> str:
+        if math.isinf(monotonic_s):
+            return ""
+        local = datetime.fromtimestamp(monotonic_s + clock_offset_s)
+        return f"{local:%Y-%m-%d %H:%M:%S},{local.microsecond // 1000:03d}"
+
+    runs = [(record, name) for name, group in records.items() for record in group]
+    for record, name in sorted(runs, key=lambda item: item[0].started_s):
+        yield {
+            "time": describe_time(record.started_s),
+            "ended": describe_time(record.ended_s),
+            "target": name,
+            "id": record.task,
+            "run": record.run,
+            "outcome": record.outcome,
+        }
