--- a/gentianhub/capacity/trials.py
+++ b/gentianhub/capacity/trials.py
@@ -11,6 +11,9 @@
 # A trial begins only if no task of the route was started for this long. Otherwise the
 # ends of other runs are about to correct the expectation.
 TRIAL_INTERVAL_S = 1.0
+# Fraction of its time after which a job that has not started is no longer tried. It is
+# late because it has waited, which tells nothing about the expected run time.
+MAX_WAITED_FRACTION = 0.25
 
 
 @define(kw_only=True, eq=False)
@@ -18,7 +21,7 @@
     """The trials of one cell; at most one job of each route is on trial at a time.
 
     A trial takes capacity that no other waiting task can use now. Jobs that can't end
-    in time by the estimates of their callers are not tried.
+    in time by the estimates of their callers, or that have waited, are not tried.
     """
 
     _started_s: dict[str, float] = field(init=False, factory=dict)
@@ -38,6 +41,9 @@
             return False
         if task.job.is_trial:
             return True
+        submitted_s = task.job.submitted_s
+        if now_s - submitted_s > MAX_WAITED_FRACTION * (task.last_end_s - submitted_s):
+            return False
         route = task.request.route
         trial = self._jobs.get(route)
         if trial is not None and not trial.is_finished():
