Refuse a request that was read before a suspension

A request that stood in the mailbox when the machine of its front host was suspended for 1.0 or 1.7 s became a job after it. If its caller had left meanwhile and the end of its connection was lost, the job ran 1.3 s after that, beside the second submission elsewhere.

Requests carry the time at which they were read. One from before the last suspension is refused as not accepted (503), which is true: nothing was started. test_requests_before_suspensions fails without the change. A request that still stands in the socket is not dated by anything, and is taken as new.

--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -7,7 +7,7 @@
 
 from attrs import evolve, field, frozen
 
-from gentianhub.core import Mailbox
+from gentianhub.core import Mailbox, read_monotonic_s
 from gentianhub.host import messages as ms
 from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.callers import DEADLINE_HEADER, encode_error
@@ -69,6 +69,7 @@
             body=request.body,
             wait_s=parse_wait_s(request.headers.get(DEADLINE_HEADER)),
             reply_to=replies,
+            read_s=read_monotonic_s(),
         )
         if not self.coordinator.try_put(message):
             return encode_error(503, "the coordinator's mailbox is full", 1.0)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -482,6 +482,7 @@
             suspended_s=round(suspended_s, 3),
             open_jobs=len(self.requests.job_registry.jobs),
         )
+        self.requests.resumed_s = now_s
         self.requests.handle_event(MachineSuspended(suspended_s=suspended_s), now_s)
 
     def _log_pause(self, tick: ms.TimerTick) -> None:
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -94,7 +94,10 @@
 
 @frozen(kw_only=True)
 class CallerRequest:
-    """A caller's HTTP request; `wait_s` is how long the caller waits for the answer."""
+    """A caller's HTTP request; `wait_s` is how long the caller waits for the answer.
+
+    `read_s` is the monotonic time at which it was read.
+    """
 
     method: str
     host: str
@@ -102,6 +105,7 @@
     body: bytes
     wait_s: float | None
     reply_to: Any
+    read_s: float = float("inf")
 
 
 @frozen(kw_only=True)
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -7,7 +7,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.front import FrontJobRegistry
+from gentianhub.capacity.front import SUSPENDED, FrontJobRegistry
 from gentianhub.capacity.jobs import Route
 from gentianhub.capacity.ownership import CellOwner
 from gentianhub.capacity.submissions import (
@@ -50,7 +50,8 @@
     """Turns callers' requests into events of the job registry, and answers them.
 
     `find_heard_heartbeat` returns the number of an owner's last heartbeat.
-    `rejects_jobs` is set when the host is about to exit.
+    `rejects_jobs` is set when the host is about to exit. `resumed_s` is the monotonic
+    time at which the machine was last found to run again after a suspension.
     """
 
     job_registry: FrontJobRegistry
@@ -60,6 +61,7 @@
     cancellations: Cancellations
     find_heard_heartbeat: Callable[[Incarnation], int] = lambda owner: 0
     rejects_jobs: bool = False
+    resumed_s: float = float("-inf")
     _pending_requests: dict[Any, PendingRequest] = field(init=False, factory=dict)
 
     def handle_request(self, request: ms.CallerRequest, now_s: float) -> None:
@@ -77,6 +79,11 @@
                 log_decision("job refused", job_id, reason="the host stops")
                 refusal = callers.encode_error(503, "the host stops", 0.0)
                 self._reply(request.reply_to, refusal)
+            case "POST" if request.read_s < self.resumed_s:
+                # The caller may have left meanwhile, and its departure may be lost.
+                log_decision("job refused", job_id, reason=SUSPENDED)
+                refusal = callers.encode_error(503, SUSPENDED, 0.0)
+                self._reply(request.reply_to, refusal)
             case "POST":
                 self._submit(request, route, job_id, now_s)
             case "GET" if not job_id:
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -288,6 +288,7 @@
             body=body,
             wait_s=20.0,
             reply_to=replies,
+            read_s=self.read_clock_s(),
         )
         self.receive(request)
         return replies
