--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -21,7 +21,7 @@
 # end a run whose lease has expired.
 DEPARTURE_DELAY_S = 0.1
 # Lease granted with each start and renewal.
-LEASE_S = 0.75
+LEASE_S = 0.8
 # Longest lease that a target grants.
 MAX_LEASE_S = 1.0
 # Fraction by which a target's clock may be slow, as documented by the platform.
