--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -94,10 +94,11 @@
 class TargetState:
     """A target with its runs, health and pace; times are monotonic and in seconds.
 
-    `last_report_s` is when it last answered, `last_heard_s` when the answer was handled,
-    and `in_touch_since_s` when one was after a gap of more than `MAX_REPORT_GAP_S`. `last_request_s` is when the request
-    for its latest list of running tasks was sent. `lease_expiry_s` is when all its runs
-    have ended for certain if no lease is renewed any more. `available` is the capacity
+    `last_report_s` is when it last answered, `last_heard_s` when the answer was
+    handled, and `in_touch_since_s` when one was after a gap of more than
+    `MAX_REPORT_GAP_S`. `last_request_s` is when the request for its latest list of
+    running tasks was sent. `lease_expiry_s` is when all its runs have ended for certain
+    if no lease is renewed any more. `available` is the capacity
     that no known run uses. `has_listed_runs` is set once it has listed its runs to this
     owner, `is_restarting` from when a connection broke until the next report, and
     `is_lost` while it is silent for longer than its leases. `orphans` are
