Take a host that answers with its open jobs for live

An owner took a front host as lost 0.6 s after its last heartbeat and stopped its runs, though the host had listed its open jobs a moment before: callers that stayed were told 504. A host that is frozen for 0.45 s wakes with its next heartbeat up to 0.2 s away.

A list of open jobs counts as a sign of life now; it still announces no frequent heartbeats. test_confirming_hosts fails without the change (three of four phases); it freezes the host, since a suspension of that length ends its jobs by now.

--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -187,6 +187,15 @@
         known.last_received_s, known.is_reported_silent = now_s, False
         known.is_idle = False
 
+    def record_answer(self, peer: Incarnation, now_s: float) -> None:
+        """Record that a known host is live, as it has answered with its open jobs.
+
+        Unlike a request for tasks, it announces no frequent heartbeats.
+        """
+        known = self.peers.get(peer)
+        if known is not None:
+            known.last_received_s, known.is_reported_silent = now_s, False
+
     def expect_message(self, peer: Incarnation, now_s: float) -> None:
         """Expect frequent heartbeats of an owner from now on, as it is sent tasks."""
         known = self.peers.get(peer)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -357,7 +357,7 @@
                 self.membership.ownership.record_message(sender, now_s)
                 self._handle_task_request(message, sender, now_s)
             case ev.OpenJobs():
-                # It does not announce frequent heartbeats, unlike a request for tasks.
+                self.membership.ownership.record_answer(sender, now_s)
                 self._handle_task_request(message, sender, now_s)
             case ev.TasksEnded():
                 self.requests.handle_event(message, now_s)
--- a/gentianhub/host/tests/test_confirming_hosts.py
+++ b/gentianhub/host/tests/test_confirming_hosts.py
@@ -7,9 +7,9 @@
 from gentianhub.host.process import TICK_S
 from gentianhub.host.tests.test_suspended_hosts import JOB, SuspensionTest
 
-# The time of a suspension that ends no job, s. Two heartbeats are further apart than
-# the silence time-out by then: 0.2 s and the suspension.
-SUSPENDED_S = 0.45
+# The time for which the process is frozen, s, which ends no job. Two heartbeats are
+# further apart than the silence time-out by then: 0.2 s and this time.
+FROZEN_S = 0.45
 HEARTBEAT_TICKS = 4
 STEP_S = 0.01
 
@@ -31,8 +31,10 @@
         _, owner = self.submit_running()
         self.deployment.run(phase_s)
         self.front.suspend()
-        self.deployment.run(SUSPENDED_S)
+        self.deployment.run(FROZEN_S)
         self.front.resume()
+        # A frozen process is no suspended machine.
+        self.front.time_suspended_s = 0.0
         end_s = self.deployment.now_s + 1.0
         confirmed_s = float("-inf")
         while self.deployment.now_s < end_s:
