Date a held order by the heartbeat that it names

An order that named a heartbeat from 1.4 s before was held, and once its front host, which had not noticed that the caller was gone, confirmed the job, the submission was dated from the confirmation. It ended the one that the caller had made later through another host, whose caller was told that it had expired.

A held order keeps the time of the heartbeat that it names.

--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -73,11 +73,22 @@
 
 @frozen(kw_only=True)
 class HeldRequest:
-    """A request that was under way for too long or for an unknown time."""
+    """A request that was under way for too long or for an unknown time.
+
+    It was under way since `sent_after_s`, a monotonic time; None if that is unknown.
+    """
 
     request: ev.RunTasks
     front_host: Incarnation
     received_s: float
+    sent_after_s: float | None
+
+    @property
+    def submitted_s(self) -> float | None:
+        """Earliest time at which its caller may have submitted the job, s, if known."""
+        if self.sent_after_s is None:
+            return None
+        return self.sent_after_s - self.request.age_s
 
     def build_delayed_request(self, now_s: float) -> ev.RunTasks:
         """Return the request as if it were sent now; its times count from sending."""
@@ -102,10 +113,22 @@
         return bool(self._held) or any(task.is_waiting for task in self._unconfirmed)
 
     def hold_request(
-        self, request: ev.RunTasks, front_host: Incarnation, now_s: float
+        self,
+        request: ev.RunTasks,
+        front_host: Incarnation,
+        confirmed_s: float,
+        now_s: float,
     ) -> Iterator:
-        """Keep a request until its front host confirms the job, and ask it to."""
-        held = HeldRequest(request=request, front_host=front_host, received_s=now_s)
+        """Keep a request until its front host confirms the job, and ask it to.
+
+        It names a heartbeat that was sent at `confirmed_s`, or none that is known.
+        """
+        held = HeldRequest(
+            request=request,
+            front_host=front_host,
+            received_s=now_s,
+            sent_after_s=confirmed_s if math.isfinite(confirmed_s) else None,
+        )
         self._held.append(held)
         yield fx.LogDecision(
             decision="order held",
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -132,7 +132,9 @@
         confirmed_s = now_s if confirmed_s is None else confirmed_s
         match event:
             case ev.RunTasks() if not is_recent(confirmed_s, now_s):
-                yield from self.confirmations.hold_request(event, front_host, now_s)
+                yield from self.confirmations.hold_request(
+                    event, front_host, confirmed_s, now_s
+                )
             case ev.RunTasks():
                 yield from self._handle_run_tasks(event, front_host, confirmed_s, now_s)
             case ev.OpenJobs(jobs=names):
@@ -194,7 +196,15 @@
         front_host: Incarnation,
         confirmed_s: float,
         now_s: float,
+        submitted_s: float | None = None,
     ) -> Iterator:
+        """Queue the tasks of a request, unless they are known.
+
+        The caller submitted the job at `submitted_s` at the earliest; None if only the
+        confirmation tells.
+        """
+        if submitted_s is None:
+            submitted_s = min(confirmed_s, now_s) - request.age_s
         job = self.jobs.get((front_host, request.job))
         keys = [
             TaskKey(job=request.job, step=request.step_number, index=index)
@@ -211,7 +221,7 @@
                 front_host=front_host,
                 name=request.job,
                 changed_s=now_s,
-                submitted_s=min(confirmed_s, now_s) - request.age_s,
+                submitted_s=submitted_s,
             )
             other = self._find_other_submission(job)
             if other is not None and other.submitted_s > job.submitted_s:
@@ -398,8 +408,13 @@
             if held.request.job not in listed:
                 continue
             if is_recent(confirmed_s, now_s):
-                request = held.build_delayed_request(now_s)
-                yield from self.handle(request, now_s, front_host, confirmed_s)
+                yield from self._handle_run_tasks(
+                    held.build_delayed_request(now_s),
+                    front_host,
+                    confirmed_s,
+                    now_s,
+                    held.submitted_s,
+                )
             else:
                 self.confirmations.hold_again(held)
 
