Give hosts a steady clock that leaves suspensions out, and relays late departures

A suspended machine's steady clock does not count the suspension (DEPLOY.md, Clocks). The timers of gevent read the system's clock and are not shifted.

A relay can pass on the end of a connection late, also when it closes the connection itself: the caller sees the end first and counts from there until it comes again.

--- a/gentianhub/stand_ins/hosts.py
+++ b/gentianhub/stand_ins/hosts.py
@@ -59,10 +59,18 @@
     )
 
 
-def start_host(settings: Path, log: BinaryIO) -> subprocess.Popen:
-    """Start a host process that writes its output to `log`."""
+def start_host(
+    settings: Path, log: BinaryIO, suspensions: Path | None = None
+) -> subprocess.Popen:
+    """Start a host process that writes its output to `log`.
+
+    With the file `suspensions`, its steady clock leaves out the time in that file.
+    """
+    module = ["gentianhub.host"]
+    if suspensions is not None:
+        module = ["gentianhub.stand_ins.suspendable_host", str(suspensions)]
     return subprocess.Popen(
-        [sys.executable, "-m", "gentianhub.host"],
+        [sys.executable, "-m", *module],
         cwd=ROOT,
         env={**os.environ, SETTINGS_VARIABLE: str(settings)},
         stdout=log,
--- a/gentianhub/stand_ins/relay.py
+++ b/gentianhub/stand_ins/relay.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from random import Random
 
 import gevent
 from attrs import define, field, frozen
@@ -44,13 +45,17 @@
 class Relay:
     """Forwards connections to `target_port` of `target_host`.
 
-    `link` is the current state of the link.
+    `link` is the current state of the link. The end of a connection that the client
+    or the relay closes reaches the target after a random delay from the range
+    `departure_delay_s`.
     """
 
     port: int
     target_port: int
     target_host: str = LOOPBACK
     link: Forwarding | Cut | Stalled | Delayed | OneWay = field(factory=Forwarding)
+    departure_delay_s: tuple[float, float] = (0.0, 0.0)
+    random: Random = field(factory=Random)
     _forwarding: Event = field(init=False, factory=Event)
     _open_sockets: set[socket.socket] = field(init=False, factory=set)
 
@@ -100,9 +105,10 @@
             client.close()
             return
         upstream.settimeout(None)
-        sockets = {client, upstream}
-        for sock in sockets:
+        for sock in (client, upstream):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        delay_s = self.random.uniform(*self.departure_delay_s)
+        sockets = {client} if delay_s else {client, upstream}
         self._open_sockets |= sockets
         try:
             copies = [
@@ -114,6 +120,8 @@
         finally:
             self._open_sockets -= sockets
             client.close()
+            if delay_s:
+                gevent.sleep(delay_s)
             upstream.close()
 
     def _copy(
@@ -141,10 +149,18 @@
 
 @contextmanager
 def open_relay(
-    port: int, target_port: int, target_host: str = LOOPBACK
+    port: int,
+    target_port: int,
+    target_host: str = LOOPBACK,
+    departure_delay_s: tuple[float, float] = (0.0, 0.0),
 ) -> Iterator[Relay]:
     """Run a relay on a loopback port."""
-    relay = Relay(port=port, target_port=target_port, target_host=target_host)
+    relay = Relay(
+        port=port,
+        target_port=target_port,
+        target_host=target_host,
+        departure_delay_s=departure_delay_s,
+    )
     server = StreamServer((LOOPBACK, port), relay.handle)
     server.start()
     try:
