Let the soak suspend hosts, give them quotas and make departures late

--suspensions adds a third data centre, and series in which hosts of one data centre are suspended or have a quota while the callers of another one leave. The delay before a caller comes again moves to the plan, which times the end of a suspension by it. A pair of hosts is suspended for 1.4 to 2.5 s, drawn about the return of the callers: without a return before the end no two runs can meet.

The checks are unchanged; a held host counts as held by a fault like a paused one. In the tests of the plan, the sets of kinds that need an option have three more members, each of which is required by a test of its own.

--- a/gentianhub/soak/callers.py
+++ b/gentianhub/soak/callers.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 from geventhttpclient import HTTPClient
 
-from gentianhub.soak.plan import find_data_centre
+from gentianhub.soak.plan import RESEND_DELAY_S, find_data_centre
 from gentianhub.soak.testbed import QUEUE_HOST, QUEUE_PREFIX, SoakTestbed
 from gentianhub.stand_ins.processes import LOOPBACK
 from gentianhub.stand_ins.users_platform import CRASHING_PAYLOAD
@@ -18,8 +18,6 @@
 DEADLINE_S = 3.0
 # Hosts check deadlines on a periodic timer, so answers may be this late.
 ANSWER_MARGIN_S = 1.0
-# Delay after which a caller resubmits a job without an answer.
-RESEND_DELAY_S = 1.3
 MAX_ATTEMPTS = 3
 MEAN_PAUSE_S = 0.2
 DISCONNECT_PROBABILITY = 0.05
@@ -193,6 +191,9 @@
         if self.changes_data_centre and self._host:
             last = find_data_centre(self._host)
             hosts = [host for host in hosts if find_data_centre(host) != last]
+            # Callers are directed to hosts that respond, if there are any.
+            suspended = self.testbed.suspended_hosts
+            hosts = [host for host in hosts if host not in suspended] or hosts
         self._host = self.random.choice(hosts)
         self._client = HTTPClient(
             LOOPBACK,
--- a/gentianhub/soak/faults.py
+++ b/gentianhub/soak/faults.py
@@ -7,6 +7,7 @@
 
 import gevent
 from attrs import define, field, frozen
+from gevent import subprocess
 
 from gentianhub.soak import plan as faults
 from gentianhub.soak.callers import Attempt
@@ -19,6 +20,8 @@
 OPERATOR = "operator"
 LOSS_PROBABILITY = 0.3
 RESTART_PAUSE_S = 0.5
+# Time after which a host with a processor quota may run again.
+QUOTA_PERIOD_S = 0.1
 # Time for restarted hosts to learn the list of targets from others, and for all hosts
 # to read the incomplete one. An owner uses missing targets for 2.5 s.
 START_PAUSE_S = 1.5
@@ -131,6 +134,12 @@
                 testbed.processes[host].send_signal(signal.SIGSTOP)
                 yield
                 testbed.processes[host].send_signal(signal.SIGCONT)
+            case faults.SuspendHost(host=host):
+                with testbed.suspended(host):
+                    yield
+            case faults.ThrottleHost(host=host, running_s=running_s):
+                with _throttled(testbed.processes[host], running_s):
+                    yield
             case faults.SilenceHost(host=host):
                 with _stalled(self._find_sibling_relays(host)):
                     yield
@@ -143,6 +152,9 @@
                     relay.reset_connections()
                 testbed.caller_relays[host].reset_connections()
                 yield
+            case faults.DisconnectCallers(host=host):
+                testbed.caller_relays[host].reset_connections()
+                yield
             case faults.CutHost(host=host):
                 with _cut(self._find_sibling_relays(host)):
                     testbed.caller_relays[host].reset_connections()
@@ -286,6 +298,23 @@
         relay.restore_link()
 
 
+@contextmanager
+def _throttled(process: subprocess.Popen, running_s: float) -> Iterator[None]:
+    """Stop a process for the rest of each period in which it has run for a while."""
+    pulses = gevent.spawn(_pulse, process, running_s)
+    yield
+    pulses.kill()
+    process.send_signal(signal.SIGCONT)
+
+
+def _pulse(process: subprocess.Popen, running_s: float) -> None:
+    while True:
+        gevent.sleep(running_s)
+        process.send_signal(signal.SIGSTOP)
+        gevent.sleep(QUOTA_PERIOD_S - running_s)
+        process.send_signal(signal.SIGCONT)
+
+
 @contextmanager
 def _cut(relays: list[Relay]) -> Iterator[None]:
     for relay in relays:
@@ -309,10 +338,13 @@
         case (
             faults.KillHost(host=name)
             | faults.PauseHost(host=name)
+            | faults.SuspendHost(host=name)
+            | faults.ThrottleHost(host=name)
             | faults.DrainHost(host=name)
             | faults.SilenceHost(host=name)
             | faults.ResetHost(host=name)
             | faults.DisconnectHost(host=name)
+            | faults.DisconnectCallers(host=name)
             | faults.CutHost(host=name)
             | faults.SilenceStore(host=name)
         ):
--- a/gentianhub/soak/plan.py
+++ b/gentianhub/soak/plan.py
@@ -21,6 +21,21 @@
     host: str
 
 
+@frozen(kw_only=True)
+class SuspendHost:
+    """SIGSTOP a host; its steady clock leaves out the time until SIGCONT."""
+
+    host: str
+
+
+@frozen(kw_only=True)
+class ThrottleHost:
+    """Let a host run for `running_s` of each 0.1 s, as under a processor quota."""
+
+    host: str
+    running_s: float
+
+
 @frozen(kw_only=True)
 class DrainHost:
     """SIGTERM a host; restart it at the end, after its process has exited."""
@@ -59,6 +74,13 @@
     host: str
 
 
+@frozen(kw_only=True)
+class DisconnectCallers:
+    """Close all connections between a host and its callers once."""
+
+    host: str
+
+
 @frozen(kw_only=True)
 class CutHost:
     """Close the connections of `DisconnectHost`; links are refused until the end."""
@@ -174,12 +196,15 @@
 Fault = (
     KillHost
     | PauseHost
+    | SuspendHost
+    | ThrottleHost
     | DrainHost
     | DrainHostsInTurn
     | KillAllHosts
     | SilenceHost
     | ResetHost
     | DisconnectHost
+    | DisconnectCallers
     | CutHost
     | SilenceStore
     | StoreDown
@@ -197,6 +222,8 @@
     | ChangeConfiguration
     | LapseTargets
 )
+# Delay after which a caller resubmits a job without an answer.
+RESEND_DELAY_S = 1.3
 # Number of entries for `LapseTargets` among the 23 others, in a run with lapses.
 LAPSE_WEIGHT = 40
 # Losses that follow one another: the time that a series of them takes, the delay of the
@@ -215,6 +242,19 @@
 SERIES_GAP_S = 0.5
 MAX_PAUSE_S = 2.0
 MAX_DISCONNECTED = 3
+# Suspended and throttled hosts: the time before their first series, the longest time
+# that a series takes, and the time into it after which callers elsewhere leave.
+FIRST_SUSPENSION_S = 1.0
+SUSPENSION_SERIES_S = 3.0
+DEPARTURE_S = (0.3, 1.2)
+MAX_SUSPENSION_S = 2.5
+# Time from the return of these callers until the hosts of a data centre are resumed.
+RESUME_MARGIN_S = (-0.2, 0.6)
+SINGLE_SUSPENSION_PROBABILITY = 0.2
+SINGLE_SUSPENSION_S = (0.3, 2.8)
+# Time for which a host has a quota, and for which it runs in each tenth of a second.
+QUOTA_S = (0.5, 3.0)
+QUOTA_RUNNING_S = (0.02, 0.05)
 
 
 @frozen(kw_only=True)
@@ -235,6 +275,8 @@
     with_lapses: bool = False,
     with_departures: bool = False,
     with_losses: bool = False,
+    with_suspensions: bool = False,
+    with_quotas: bool = False,
 ) -> Iterator[PlannedFault]:
     """Yield faults in order of their start; they may overlap.
 
@@ -250,6 +292,8 @@
         Whether series of faults that disconnect callers are added.
     with_losses : bool
         Whether series of losses of hosts and targets are added.
+    with_suspensions, with_quotas : bool
+        Whether series of suspended or throttled hosts are added.
     """
     planned = _plan_single_faults(seed, duration_s, gap_s, hosts, targets, with_lapses)
     if with_departures:
@@ -258,9 +302,74 @@
     if with_losses:
         losses = _plan_losses(seed, duration_s, hosts, targets)
         planned = heapq.merge(planned, losses, key=lambda planned: planned.start_s)
+    if with_suspensions or with_quotas:
+        series = _plan_suspensions(
+            seed, duration_s, hosts, with_suspensions, with_quotas
+        )
+        planned = heapq.merge(planned, series, key=lambda planned: planned.start_s)
     yield from planned
 
 
+def _plan_suspensions(
+    seed: int,
+    duration_s: float,
+    hosts: tuple[str, ...],
+    with_suspensions: bool,
+    with_quotas: bool,
+) -> Iterator[PlannedFault]:
+    """Yield series in which hosts of one data centre are suspended or throttled.
+
+    Meanwhile the callers of another data centre leave. The withdrawals of tasks that
+    they have in the first one find no link to it after the first 0.8 s.
+    """
+    rng = random.Random(f"suspensions/{seed}")
+    kinds = (_draw_suspensions,) * 3 * with_suspensions + (_draw_quotas,) * with_quotas
+    start_s = FIRST_SUSPENSION_S
+    while start_s + SUSPENSION_SERIES_S < duration_s:
+        data_centres = sorted({find_data_centre(host) for host in hosts})
+        held, left = rng.sample(data_centres, 2)
+        departure_s = rng.uniform(*DEPARTURE_S)
+        series = list(rng.choice(kinds)(rng, _select(hosts, held), departure_s))
+        series += [
+            (departure_s, 0.0, DisconnectCallers(host=host))
+            for host in _select(hosts, left)
+        ]
+        for offset_s, fault_duration_s, fault in series:
+            yield PlannedFault(
+                start_s=start_s + offset_s,
+                fault_duration_s=fault_duration_s,
+                fault=fault,
+            )
+        start_s += SUSPENSION_SERIES_S + rng.uniform(0.0, SERIES_GAP_S)
+
+
+def _draw_suspensions(
+    rng: random.Random, hosts: list[str], departure_s: float
+) -> Iterator[tuple[float, float, Fault]]:
+    """Yield offsets, durations and suspensions of all or one of the hosts, s.
+
+    All of them are resumed about when the callers that left come again.
+    """
+    if rng.random() < SINGLE_SUSPENSION_PROBABILITY:
+        fault_duration_s = rng.uniform(*SINGLE_SUSPENSION_S)
+        yield 0.0, fault_duration_s, SuspendHost(host=rng.choice(hosts))
+        return
+    resumed_s = departure_s + RESEND_DELAY_S + rng.uniform(*RESUME_MARGIN_S)
+    fault_duration_s = min(resumed_s, MAX_SUSPENSION_S)
+    for host in hosts:
+        yield 0.0, fault_duration_s, SuspendHost(host=host)
+
+
+def _draw_quotas(
+    rng: random.Random, hosts: list[str], _departure_s: float
+) -> Iterator[tuple[float, float, Fault]]:
+    """Yield offsets, durations and quotas of some of the hosts, s."""
+    running_s = rng.uniform(*QUOTA_RUNNING_S)
+    for host in rng.sample(hosts, rng.randint(1, len(hosts))):
+        fault_duration_s = rng.uniform(*QUOTA_S)
+        yield 0.0, fault_duration_s, ThrottleHost(host=host, running_s=running_s)
+
+
 def _plan_losses(
     seed: int, duration_s: float, hosts: tuple[str, ...], targets: tuple[str, ...]
 ) -> Iterator[PlannedFault]:
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -38,6 +38,8 @@
 from gentianhub.web import HTTP_ERRORS
 
 DATA_CENTRES = ("olten", "aarau")
+# A third one for callers that leave one and have tasks in another.
+THIRD_DATA_CENTRE = "brugg"
 HOSTS_PER_DATA_CENTRE = 2
 # Targets in each data centre by their speed; each pair of its hosts adds one of each.
 TARGET_SPEEDS = 3
@@ -60,6 +62,13 @@
 LONG_RUN_S = 2.2
 LONG_ROOM = 16
 LONG_OBJECTIVE_MS = 2500
+# With suspensions, tasks of later submissions run when a host is resumed, and others
+# wait in queues.
+SUSPENSION_RUN_S = 0.6
+SUSPENSION_ROOM = 8
+SUSPENSION_OBJECTIVE_MS = 1200
+# Delay with which the end of a caller's connection reaches its host.
+DEPARTURE_DELAY_S = (0.01, 0.1)
 
 
 @frozen(kw_only=True)
@@ -71,7 +80,9 @@
     crash the targets that start their first task. During `departing_fraction` of the
     submissions their callers leave and come again, and hosts lose the connections to
     callers and to each other at once. `with_losses` adds long tasks, and series of
-    losses of hosts and targets.
+    losses of hosts and targets. `with_quotas` adds a third data centre, hosts with a
+    processor quota, and departures that reach their host late; `with_suspensions` adds
+    the same and suspended hosts.
     """
 
     seed: int
@@ -82,12 +93,31 @@
     crashing_fraction: float = 0.0
     departing_fraction: float = 0.0
     with_losses: bool = False
+    with_suspensions: bool = False
+    with_quotas: bool = False
     hosts_per_data_centre: int = HOSTS_PER_DATA_CENTRE
 
+    @property
+    def holds_hosts(self) -> bool:
+        """Whether hosts are suspended or throttled while callers leave others."""
+        return self.with_suspensions or self.with_quotas
+
     @property
     def is_overloaded(self) -> bool:
         """Whether the callers submit more than the targets can serve."""
-        return self.departing_fraction > 0 or self.with_losses
+        return self.departing_fraction > 0 or self.with_losses or self.holds_hosts
+
+    @property
+    def data_centres(self) -> tuple[str, ...]:
+        """Names of the data centres."""
+        return DATA_CENTRES + (THIRD_DATA_CENTRE,) * self.holds_hosts
+
+    @property
+    def objective_ms(self) -> int:
+        """Latency objective of jobs, ms."""
+        if self.holds_hosts:
+            return SUSPENSION_OBJECTIVE_MS
+        return LONG_OBJECTIVE_MS if self.with_losses else DEFAULT_OBJECTIVE_MS
 
     def list_hosts(self) -> tuple[HostPlan, ...]:
         """Return the hosts, each with its own loopback address.
@@ -101,17 +131,21 @@
                 data_centre=data_centre,
                 address=f"127.{block}.{4 + index}.{1 + number}",
             )
-            for index, data_centre in enumerate(DATA_CENTRES)
+            for index, data_centre in enumerate(self.data_centres)
             for number in range(self.hosts_per_data_centre)
         )
 
     def list_targets(self) -> tuple[TargetPlan, ...]:
         """Return the targets; the run times of their tasks differ."""
-        run_s = RUN_S
+        run_s, room = RUN_S, DEFAULT_ROOM
         if self.with_lapses:
             run_s = LAPSE_RUN_S
         if self.departing_fraction:
             run_s = DEPARTURE_RUN_S
+        if self.holds_hosts:
+            run_s, room = SUSPENSION_RUN_S, SUSPENSION_ROOM
+        if self.with_losses:
+            room = LONG_ROOM
         pairs = max(1, self.hosts_per_data_centre // 2)
         return tuple(
             TargetPlan(
@@ -120,9 +154,9 @@
                 run_s=LONG_RUN_S
                 if self.with_losses
                 else run_s * (1 + number % TARGET_SPEEDS),
-                room=LONG_ROOM if self.with_losses else DEFAULT_ROOM,
+                room=room,
             )
-            for data_centre in DATA_CENTRES
+            for data_centre in self.data_centres
             for number in range(TARGET_SPEEDS * pairs)
         )
 
@@ -230,8 +264,14 @@
 def run_soak(plan: SoakPlan, folder: Path) -> SoakResult:
     """Run load and faults together; the hosts write their logs to `folder`."""
     hosts = plan.list_hosts()
-    objective_ms = LONG_OBJECTIVE_MS if plan.with_losses else DEFAULT_OBJECTIVE_MS
-    with open_testbed(hosts, plan.list_targets(), folder, objective_ms) as testbed:
+    with open_testbed(
+        hosts,
+        plan.list_targets(),
+        folder,
+        objective_ms=plan.objective_ms,
+        departure_delay_s=DEPARTURE_DELAY_S if plan.holds_hosts else (0.0, 0.0),
+        is_suspendable=plan.with_suspensions,
+    ) as testbed:
         for host in hosts:
             _wait_until_ready(testbed, host)
         return _run_load_and_faults(testbed, plan)
@@ -266,7 +306,7 @@
             testbed=testbed,
             crashing_fraction=plan.crashing_fraction,
             departing_fraction=plan.departing_fraction,
-            changes_data_centre=plan.with_losses,
+            changes_data_centre=plan.with_losses or plan.holds_hosts,
             # Tasks wait only under more load than the targets can serve afterwards.
             is_extra=plan.is_overloaded and number % 4 > 0,
         )
@@ -329,6 +369,8 @@
         plan.with_lapses,
         with_departures=plan.departing_fraction > 0,
         with_losses=plan.with_losses,
+        with_suspensions=plan.with_suspensions,
+        with_quotas=plan.holds_hosts,
     ):
         gevent.sleep(max(0.0, started_s + planned.start_s - time.monotonic()))
         running.append(gevent.spawn(injector.run_fault, planned))
@@ -385,6 +427,14 @@
     losses: Annotated[
         bool, typer.Option(help="Add long tasks, and losses that follow one another.")
     ] = False,
+    suspensions: Annotated[
+        bool,
+        typer.Option(help="Suspend hosts while callers of others leave; with quotas."),
+    ] = False,
+    quotas: Annotated[
+        bool,
+        typer.Option(help="Limit the processor time of hosts; departures are late."),
+    ] = False,
     hosts: Annotated[
         int, typer.Option(min=2, help="Hosts in each data centre.")
     ] = HOSTS_PER_DATA_CENTRE,
@@ -403,6 +453,8 @@
             crashing_fraction=crashing,
             departing_fraction=departures,
             with_losses=losses,
+            with_suspensions=suspensions,
+            with_quotas=quotas,
             hosts_per_data_centre=hosts,
         )
         for seed in range(first_seed, first_seed + seeds)
--- a/gentianhub/soak/testbed.py
+++ b/gentianhub/soak/testbed.py
@@ -17,6 +17,7 @@
 from gentianhub.stand_ins.hosts import HostPorts, start_host, write_settings
 from gentianhub.stand_ins.processes import LOOPBACK, find_free_ports
 from gentianhub.stand_ins.relay import Relay, open_relay
+from gentianhub.stand_ins.suspendable_host import add_suspension
 from gentianhub.stand_ins.users_platform import (
     LeasedTargetStandIn,
     StoreStandIn,
@@ -34,6 +35,8 @@
 DEFAULT_OBJECTIVE_MS = 400
 # Time until a target that a task has crashed is back.
 RESTART_S = 2.0
+# Longest time until SIGSTOP takes effect; the clock of a host must not go back.
+STOP_EFFECT_S = 0.001
 
 
 @frozen(kw_only=True)
@@ -87,6 +90,9 @@
     target_plans: dict[str, TargetPlan]
     folder: Path
     objective_ms: int = DEFAULT_OBJECTIVE_MS
+    departure_delay_s: tuple[float, float] = (0.0, 0.0)
+    is_suspendable: bool = False
+    suspended_hosts: set[str] = field(factory=set)
     store: StoreStandIn = field(factory=StoreStandIn)
     targets: dict[str, LeasedTargetStandIn] = field(factory=dict)
     target_relays: dict[str, Relay] = field(factory=dict)
@@ -165,7 +171,9 @@
         for host, host_plan in self.hosts.items():
             (caller_port,) = find_free_ports(1)
             self.caller_relays[host] = stack.enter_context(
-                open_relay(caller_port, callers, host_plan.address)
+                open_relay(
+                    caller_port, callers, host_plan.address, self.departure_delay_s
+                )
             )
             relays = {}
             for peer, plan in self.hosts.items():
@@ -194,8 +202,27 @@
             store=f"{LOOPBACK}:{self.store_relays[name].port}",
             grace_s=GRACE_PERIOD_S,
         )
+        suspensions = None
+        if self.is_suspendable:
+            suspensions = self._find_suspensions(name)
+            add_suspension(suspensions, 0.0)
         with (self.folder / f"{name}.log").open("ab") as log:
-            self.processes[name] = start_host(settings, log)
+            self.processes[name] = start_host(settings, log, suspensions)
+
+    def _find_suspensions(self, name: str) -> Path:
+        return self.folder / f"{name}.suspensions"
+
+    @contextmanager
+    def suspended(self, name: str) -> Iterator[None]:
+        """Stop a host and its steady clock until the context closes."""
+        self.suspended_hosts.add(name)
+        self.processes[name].send_signal(signal.SIGSTOP)
+        gevent.sleep(STOP_EFFECT_S)
+        stopped_s = time.monotonic()
+        yield
+        add_suspension(self._find_suspensions(name), time.monotonic() - stopped_s)
+        self.processes[name].send_signal(signal.SIGCONT)
+        self.suspended_hosts.discard(name)
 
     def is_listening(self, name: str) -> bool:
         """Whether a host accepts connections of callers."""
@@ -232,15 +259,18 @@
     hosts: tuple[HostPlan, ...],
     targets: tuple[TargetPlan, ...],
     folder: Path,
-    objective_ms: int = DEFAULT_OBJECTIVE_MS,
+    **options,
 ) -> Iterator[SoakTestbed]:
-    """Start a testbed; kill its hosts when the context closes."""
+    """Start a testbed; kill its hosts when the context closes.
+
+    `options` are further fields of `SoakTestbed`.
+    """
     with ExitStack() as stack:
         testbed = SoakTestbed(
             hosts={plan.name: plan for plan in hosts},
             target_plans={plan.name: plan for plan in targets},
             folder=folder,
-            objective_ms=objective_ms,
+            **options,
         )
         testbed.configure(has_extra_queue=False)
         testbed.open_targets(stack)
--- a/gentianhub/soak/tests/test_callers.py
+++ b/gentianhub/soak/tests/test_callers.py
@@ -11,16 +11,20 @@
 class Hosts:
     """Stand-in for `SoakTestbed` whose hosts never answer."""
 
-    def __init__(self):
-        self.hosts = dict.fromkeys(HOSTS)
-        self.caller_relays = dict.fromkeys(HOSTS, mock.Mock(port=1))
+    def __init__(self, hosts=HOSTS):
+        self.hosts = dict.fromkeys(hosts)
+        self.caller_relays = dict.fromkeys(hosts, mock.Mock(port=1))
+        self.suspended_hosts = set()
 
 
 class TestDeparture(unittest.TestCase):
     """Guards against a soak in which no job reaches a second host."""
 
-    def submit_jobs(self, jobs: int = 20, **options) -> list[callers.JobTrace]:
-        caller = callers.Caller(number=1, seed=1, testbed=Hosts(), **options)
+    def submit_jobs(
+        self, jobs: int = 20, testbed: Hosts | None = None, **options
+    ) -> list[callers.JobTrace]:
+        testbed = testbed or Hosts()
+        caller = callers.Caller(number=1, seed=1, testbed=testbed, **options)
         with (
             mock.patch.object(callers, "RESEND_DELAY_S", 0.0),
             mock.patch.object(callers, "MEAN_PAUSE_S", 0.0),
@@ -50,6 +54,16 @@
         (trace,) = self.submit_jobs(jobs=1)
         self.assertEqual(callers.MAX_ATTEMPTS, len(trace.attempts))
 
+    def test_callers_of_a_data_centre_come_again_through_a_third_one(self):
+        """A second run begins only where the tasks of the first one are not."""
+        testbed = Hosts(("a-0", "a-1", "b-0", "b-1", "c-0", "c-1"))
+        testbed.suspended_hosts = {"b-0", "b-1"}
+        traces = self.submit_jobs(
+            testbed=testbed, departing_fraction=1.0, changes_data_centre=True
+        )
+        hosts = [attempt.host for trace in traces for attempt in trace.attempts][1:]
+        self.assertEqual({"a-0", "a-1", "c-0", "c-1"}, set(hosts))
+
     def test_without_departures_a_caller_that_left_does_not_come_again(self):
         for trace in self.submit_jobs(departing_fraction=0.0):
             self.assertFalse(any(a.has_disconnected for a in trace.attempts[:-1]))
--- a/gentianhub/soak/tests/test_faults.py
+++ b/gentianhub/soak/tests/test_faults.py
@@ -1,13 +1,26 @@
 """What the fault injector records about the hosts that it restarts."""
 
+import signal
+import struct
+import tempfile
 import time
 import unittest
+from pathlib import Path
 from unittest import mock
 
 import gevent
 
 from gentianhub.soak import faults
-from gentianhub.soak.plan import CutHost, DisconnectHost, KillHost, PlannedFault
+from gentianhub.soak.plan import (
+    CutHost,
+    DisconnectCallers,
+    DisconnectHost,
+    KillHost,
+    PlannedFault,
+    SuspendHost,
+    ThrottleHost,
+)
+from gentianhub.soak.testbed import SoakTestbed
 
 
 class SlowHosts:
@@ -88,6 +101,51 @@
         calls += [mock.call.link.restore_link()]
         self.assertEqual(calls, self.run_fault(CutHost(host="e1")))
 
+    def test_callers_can_leave_while_links_stay_open(self):
+        calls = [mock.call.callers.reset_connections()]
+        self.assertEqual(calls, self.run_fault(DisconnectCallers(host="e1")))
+
+
+class TestHeldHosts(unittest.TestCase):
+    """Guards against hosts that run on while they count as suspended or throttled."""
+
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.suspensions = Path(folder) / "e1.suspensions"
+        self.signals = []
+        self.testbed = SoakTestbed(hosts={}, target_plans={}, folder=Path(folder))
+        self.testbed.processes["e1"] = mock.Mock(send_signal=self.record_signal)
+
+    def record_signal(self, number: signal.Signals) -> None:
+        suspended_s = 0.0
+        if self.suspensions.exists():
+            (suspended_s,) = struct.unpack("d", self.suspensions.read_bytes())
+        self.signals.append((number, suspended_s))
+
+    def run_fault(self, fault, fault_duration_s: float) -> list:
+        injector = faults.FaultInjector(testbed=self.testbed)
+        planned = PlannedFault(
+            start_s=0.0, fault_duration_s=fault_duration_s, fault=fault
+        )
+        injector.run_fault(planned)
+        self.assertEqual(["e1"], [interval.subject for interval in injector.intervals])
+        return self.signals
+
+    def test_a_suspension_is_left_out_before_the_host_runs_again(self):
+        """Its first reading of the steady clock would count the suspension."""
+        (stop, stop_s), (resume, resume_s) = self.run_fault(SuspendHost(host="e1"), 0.1)
+        self.assertEqual((signal.SIGSTOP, signal.SIGCONT), (stop, resume))
+        self.assertEqual(0.0, stop_s)
+        self.assertGreaterEqual(resume_s, 0.1)
+        self.assertEqual(set(), self.testbed.suspended_hosts)
+
+    def test_a_quota_stops_a_host_in_each_period(self):
+        found = self.run_fault(ThrottleHost(host="e1", running_s=0.03), 0.35)
+        numbers = [number for number, _ in found]
+        self.assertGreaterEqual(numbers.count(signal.SIGSTOP), 2)
+        self.assertEqual(signal.SIGCONT, numbers[-1])
+        self.assertFalse(self.suspensions.exists())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/gentianhub/soak/tests/test_plan.py
+++ b/gentianhub/soak/tests/test_plan.py
@@ -4,7 +4,9 @@
 from typing import get_args
 
 from gentianhub.soak.plan import (
+    RESEND_DELAY_S,
     CutHost,
+    DisconnectCallers,
     DisconnectHost,
     Fault,
     KillHost,
@@ -13,12 +15,17 @@
     PlannedFault,
     RestartTarget,
     SilenceTarget,
+    SuspendHost,
+    ThrottleHost,
+    find_data_centre,
     plan_faults,
 )
 
 HOSTS = ("e1", "e2")
 TARGETS = ("t1", "t2", "t3")
 DEPARTURES = {DisconnectHost, CutHost}
+SUSPENSIONS = {SuspendHost, ThrottleHost, DisconnectCallers}
+THREE_DATA_CENTRES = ("a-0", "a-1", "b-0", "b-1", "c-0", "c-1")
 # Silence after which a host counts as lost.
 LOSS_S = 0.6
 
@@ -47,7 +54,7 @@
 
     def test_every_kind_of_fault_occurs(self):
         kinds = {type(p.fault) for seed in range(20) for p in plan(seed)}
-        added = {LapseTargets, RestartTarget} | DEPARTURES
+        added = {LapseTargets, RestartTarget} | DEPARTURES | SUSPENSIONS
         self.assertEqual(set(get_args(Fault)) - added, kinds)
 
     def test_a_run_with_lapses_has_every_kind_of_fault(self):
@@ -55,7 +62,8 @@
         kinds = {
             type(p.fault) for seed in range(20) for p in plan(seed, with_lapses=True)
         }
-        self.assertEqual(set(get_args(Fault)) - DEPARTURES - {RestartTarget}, kinds)
+        added = {RestartTarget} | DEPARTURES | SUSPENSIONS
+        self.assertEqual(set(get_args(Fault)) - added, kinds)
 
     def test_departures_are_added_to_the_faults_of_a_seed(self):
         """Without this, they could replace the faults that they are to overlap."""
@@ -94,6 +102,66 @@
         self.assertTrue(any(0 < b.start_s - a.start_s < 1.2 for a, b in pairs))
         self.assertTrue(all(p.start_s + p.fault_duration_s < 30.0 for p in added))
 
+    def plan_suspensions(self, seed: int, **options) -> list[PlannedFault]:
+        """Return the planned faults that the options add to those of a seed."""
+        arguments = (seed, 30.0, 0.5, THREE_DATA_CENTRES, TARGETS)
+        without = list(plan_faults(*arguments))
+        planned = list(plan_faults(*arguments, **options))
+        self.assertEqual(without, [p for p in planned if p in without])
+        self.assertEqual(planned, sorted(planned, key=lambda p: p.start_s))
+        self.assertTrue(all(p.start_s + p.fault_duration_s < 30.0 for p in planned))
+        return [p for p in planned if p not in without]
+
+    def test_callers_of_another_data_centre_leave_during_a_suspension(self):
+        """Withdrawals reach owners otherwise, and no old confirmation is used."""
+        overlaps = 0
+        for seed in range(5):
+            added = self.plan_suspensions(seed, with_suspensions=True)
+            suspensions = [p for p in added if isinstance(p.fault, SuspendHost)]
+            pairs = [
+                (first, second)
+                for first, second in zip(suspensions, suspensions[1:], strict=False)
+                if first.start_s == second.start_s
+            ]
+            for first, second in pairs:
+                held = find_data_centre(first.fault.host)
+                self.assertEqual(held, find_data_centre(second.fault.host))
+                self.assertEqual(first.fault_duration_s, second.fault_duration_s)
+                self.assertLessEqual(first.fault_duration_s, 2.5)
+                end_s = first.start_s + first.fault_duration_s
+                left = [
+                    p
+                    for p in added
+                    if isinstance(p.fault, DisconnectCallers)
+                    and first.start_s < p.start_s < end_s
+                ]
+                self.assertEqual(2, len(left))
+                self.assertNotIn(held, {find_data_centre(p.fault.host) for p in left})
+                overlaps += left[0].start_s + RESEND_DELAY_S < end_s
+        self.assertGreater(overlaps, 10)
+
+    def test_quotas_come_without_suspensions(self):
+        """Their effect on its own could not be told otherwise."""
+        added = [p for seed in range(5) for p in self.plan_suspensions(seed)]
+        self.assertEqual([], added)
+        added = [
+            p
+            for seed in range(5)
+            for p in self.plan_suspensions(seed, with_quotas=True)
+        ]
+        kinds = {type(p.fault) for p in added}
+        self.assertEqual({ThrottleHost, DisconnectCallers}, kinds)
+
+    def test_suspensions_come_with_quotas(self):
+        added = [
+            p
+            for seed in range(5)
+            for p in self.plan_suspensions(
+                seed, with_suspensions=True, with_quotas=True
+            )
+        ]
+        self.assertEqual(SUSPENSIONS, {type(p.fault) for p in added})
+
     def test_a_lapse_leaves_some_targets_listed(self):
         lapses = [p.fault for p in plan(3, with_lapses=True)]
         lapses = [fault for fault in lapses if isinstance(fault, LapseTargets)]
