--- a/gentianhub/soak/tests/test_soak.py
+++ b/gentianhub/soak/tests/test_soak.py
@@ -13,7 +13,10 @@
 CRASHING_SEED = 700
 DEPARTURE_SEED = 1002
 LOSS_SEED = 5002
+SUSPENSION_SEED = 7209
 SECONDS = 10.0
+# Two series of suspensions.
+SUSPENSION_SECONDS = 7.5
 PRINT_ADDRESSES = """
 from gentianhub.soak import SoakPlan
 print(*[host.address for host in SoakPlan(seed=1, duration_s=1.0).list_hosts()])
@@ -23,9 +26,9 @@
 class TestSoak(unittest.TestCase):
     """Guards against overlapping runs, missing answers and failed recovery."""
 
-    def run_soak(self, callers=8, **options):
+    def run_soak(self, callers=8, duration_s=SECONDS, **options):
         with tempfile.TemporaryDirectory() as folder:
-            plan = SoakPlan(duration_s=SECONDS, callers=callers, **options)
+            plan = SoakPlan(duration_s=duration_s, callers=callers, **options)
             result = run_soak(plan, Path(folder))
         self.assertGreater(result.runs, 100)
         self.assertEqual([], result.violations)
@@ -59,6 +62,22 @@
         first_attempts = [t.attempts[0] for t in result.traces if len(t.attempts) > 1]
         self.assertTrue(any(attempt.has_disconnected for attempt in first_attempts))
 
+    def test_suspended_hosts_violate_no_guarantee(self):
+        """An owner that resumed started tasks whose callers had left meanwhile.
+
+        Its steady clock did not count the suspension, so that old confirmations were
+        young, and the callers had come again elsewhere.
+        """
+        result = self.run_soak(
+            seed=SUSPENSION_SEED,
+            callers=48,
+            duration_s=SUSPENSION_SECONDS,
+            gap_s=30.0,
+            with_suspensions=True,
+        )
+        self.assertEqual(4, result.faults["SuspendHost"])
+        self.assertEqual(4, result.faults["DisconnectCallers"])
+
 
 class TestAddresses(unittest.TestCase):
     """Guards against soaks beside each other that need the same metrics ports."""
