Keep the seeds that break on suspended hosts as regression plans

Five of the nine join the regression plans: 7001 and 7011 with many pairs, 7003 and 7006 also with runs without a caller, and 7007, whose front host is silent.

--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -175,6 +175,12 @@
         )
         for seed in (1002, 1006, 1012, 1017)
     ),
+    *(
+        SoakPlan(
+            seed=seed, duration_s=20.0, gap_s=10.0, callers=48, with_suspensions=True
+        )
+        for seed in (7001, 7003, 7006, 7007, 7011)
+    ),
 )
 
 
