Count suspensions of less than 0.2 s as well

Suspensions of 0.12, 0.11 and 0.02 s within 0.61 s hide the end of a caller's connection until its fourth sending, 1.4 s after the first: each was dropped on its own before it could be added to the others, and the job ran for 0.15 s beside the second submission. The last case of test_repeated_suspensions fails without the change.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -7,7 +7,7 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
-from gentianhub.capacity.front import FrontJobRegistry
+from gentianhub.capacity.front import MAX_SUSPENSION_S, FrontJobRegistry
 from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
 from gentianhub.capacity.submissions import (
     InterruptJobs,
@@ -58,6 +58,8 @@
 DRAIN_NOTICE_S = 2.5
 # Messages that wait until the departures that had arrived are read.
 READ_MARK_LIMIT = 64
+# A shorter suspension than this is the error of two readings, s.
+MIN_SUSPENSION_S = 0.01
 # Pauses of the process that are shorter are not logged, s.
 LOGGED_PAUSE_S = 0.2
 # Messages that wait longer than this in the mailbox are logged, once a second, s.
@@ -473,7 +475,7 @@
         """Log a suspension of the machine, and end the jobs that may have no caller."""
         earlier_s, self._suspended_s = self._suspended_s, self.read_suspended_s()
         suspended_s = self._suspended_s - earlier_s
-        if suspended_s < LOGGED_PAUSE_S:
+        if suspended_s < MIN_SUSPENSION_S:
             return
         self.metrics.suspended_s += suspended_s
         log_decision(
@@ -482,7 +484,8 @@
             suspended_s=round(suspended_s, 3),
             open_jobs=len(self.requests.job_registry.jobs),
         )
-        self.requests.resumed_s = now_s
+        if suspended_s > MAX_SUSPENSION_S:
+            self.requests.resumed_s = now_s
         self.requests.handle_event(MachineSuspended(suspended_s=suspended_s), now_s)
 
     def _log_pause(self, tick: ms.TimerTick) -> None:
--- a/gentianhub/host/tests/test_repeated_suspensions.py
+++ b/gentianhub/host/tests/test_repeated_suspensions.py
@@ -26,6 +26,7 @@
             [(0.0, 0.45)],
             [(0.0, 0.3), (0.5, 0.65)],
             [(0.0, 0.25), (0.58, 0.65)],
+            [(0.0, 0.12), (0.19, 0.3), (0.59, 0.61)],
         ):
             with self.subTest(suspensions=suspensions):
                 self.assertEqual(0.0, self.measure_overtime_s(suspensions))
