--- a/gentianhub/capacity/leases.py
+++ b/gentianhub/capacity/leases.py
@@ -57,16 +57,20 @@
 JOB_CONFIRMATION_TIMEOUT_S = 0.8
 
 
-def describe_unmet_bounds(caller_return_s: float, stop_s: float) -> str:
+def describe_unmet_bounds(
+    caller_return_s: float, stop_s: float, max_lease_s: float
+) -> str:
     """Return why the leases are too long on a platform, or an empty string.
 
-    Its callers come again after `caller_return_s`, and its targets stop a run within
-    `stop_s`, in seconds.
+    Its callers come again after `caller_return_s`; its targets stop a run within
+    `stop_s` and grant leases of up to `max_lease_s`. All are in seconds.
     """
     if caller_return_s < CALLER_RETURN_S:
         return f"callers come again after {caller_return_s} s, not {CALLER_RETURN_S} s"
     if stop_s > STOP_S:
         return f"a stop takes up to {stop_s} s, not {STOP_S} s"
+    if max_lease_s > MAX_LEASE_S:
+        return f"a lease lasts up to {max_lease_s} s, not {MAX_LEASE_S} s"
     return ""
 
 
--- a/gentianhub/capacity/tests/test_leases.py
+++ b/gentianhub/capacity/tests/test_leases.py
@@ -6,6 +6,7 @@
     CALLER_RETURN_S,
     CONFIRMED_LEASE_S,
     DEPARTURE_DELAY_S,
+    MAX_LEASE_S,
     STOP_S,
     choose_lease_s,
     describe_unmet_bounds,
@@ -38,10 +39,12 @@
     """Guards against a deployment whose callers come again before runs have ended."""
 
     def test_a_platform_with_other_bounds_is_told(self):
-        self.assertEqual("", describe_unmet_bounds(CALLER_RETURN_S, STOP_S))
-        self.assertEqual("", describe_unmet_bounds(CALLER_RETURN_S + 1.0, STOP_S / 2))
-        self.assertIn("1.0 s", describe_unmet_bounds(1.0, STOP_S))
-        self.assertIn("0.2 s", describe_unmet_bounds(CALLER_RETURN_S, 0.2))
+        met = (CALLER_RETURN_S, STOP_S, MAX_LEASE_S)
+        self.assertEqual("", describe_unmet_bounds(*met))
+        self.assertEqual("", describe_unmet_bounds(CALLER_RETURN_S + 1.0, 0.0, 0.9))
+        self.assertIn("1.0 s", describe_unmet_bounds(1.0, STOP_S, MAX_LEASE_S))
+        self.assertIn("0.2 s", describe_unmet_bounds(CALLER_RETURN_S, 0.2, MAX_LEASE_S))
+        self.assertIn("2.0 s", describe_unmet_bounds(CALLER_RETURN_S, STOP_S, 2.0))
 
 
 if __name__ == "__main__":
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -57,7 +57,7 @@
 # accepted, s; the load balancer needs it to stop routing to this host.
 DRAIN_NOTICE_S = 2.5
 # Messages that wait until the departures that had arrived are read.
-READ_MARK_LIMIT = 64
+DEPARTURE_MARK_LIMIT = 64
 # A shorter suspension than this is the error of two readings, s.
 MIN_SUSPENSION_S = 0.01
 # Pauses of the process that are shorter are not logged, s.
@@ -78,7 +78,7 @@
         Receives commands for the registry of hosts.
     target_polls : Mailbox
         Receives requests to read the list of targets from the store now.
-    read_marks : Mailbox
+    departure_marks : Mailbox
         Receives messages that come back behind all departures that had arrived.
     read_suspended_s : callable
         Returns for how long this machine has been suspended since it started, s.
@@ -89,7 +89,9 @@
     registry_commands: Mailbox
     target_polls: Mailbox
     links: HostLinks
-    read_marks: Mailbox = field(factory=lambda: Mailbox(limit=READ_MARK_LIMIT))
+    departure_marks: Mailbox = field(
+        factory=lambda: Mailbox(limit=DEPARTURE_MARK_LIMIT)
+    )
     started_s: float = field(factory=read_monotonic_s)
     read_suspended_s: Callable[[], float] = read_suspended_s
     metrics: HostMetrics = field(init=False, factory=lambda: HostMetrics())
@@ -153,7 +155,7 @@
             local_host=self.local_host,
             job_registry=self.requests.job_registry,
             outbox=self.outbox,
-            read_marks=self.read_marks,
+            departure_marks=self.departure_marks,
             sent_heartbeats=self.membership.sent_heartbeats,
         )
 
@@ -207,7 +209,7 @@
                 heard = self.membership.list_heard_heartbeats()
                 self.open_jobs.progress.begin(sent_s, heard, now_s)
                 self._handle_tick(count, now_s)
-            case ms.InputRead(sent_s=sent_s):
+            case ms.DeparturesRead(sent_s=sent_s):
                 self.open_jobs.progress.complete(sent_s)
             case ms.AnswerHeartbeat(owner=owner, cells=cells, heartbeat=number):
                 self.open_jobs.send(owner, cells, number)
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -63,7 +63,7 @@
 
 
 @frozen(kw_only=True)
-class InputRead:
+class DeparturesRead:
     """All departures that had arrived when the tick was sent, at `sent_s`, are read."""
 
     sent_s: float
--- a/gentianhub/host/open_jobs.py
+++ b/gentianhub/host/open_jobs.py
@@ -15,7 +15,7 @@
 from gentianhub.core import Incarnation, Mailbox
 from gentianhub.host import messages as ms
 from gentianhub.host.outbox import Outbox
-from gentianhub.host.progress import ReadProgress
+from gentianhub.host.progress import DepartureProgress
 
 
 @define(kw_only=True, eq=False)
@@ -24,7 +24,7 @@
 
     Parameters
     ----------
-    read_marks : Mailbox
+    departure_marks : Mailbox
         Receives messages that come back behind all departures that had arrived.
     sent_heartbeats : SentHeartbeats
         The heartbeats of this host, which front hosts name.
@@ -33,9 +33,9 @@
     local_host: Incarnation
     job_registry: FrontJobRegistry
     outbox: Outbox
-    read_marks: Mailbox
+    departure_marks: Mailbox
     sent_heartbeats: SentHeartbeats
-    progress: ReadProgress = field(factory=lambda: ReadProgress())
+    progress: DepartureProgress = field(factory=lambda: DepartureProgress())
 
     def find_confirmed_s(
         self, front_host: Incarnation, request: ev.RunTasks | ev.OpenJobs
@@ -59,7 +59,7 @@
             owner=owner, cells=cells, heartbeat=heartbeat.number
         )
         # An owner whose question is dropped at a full mailbox asks again.
-        self.read_marks.try_put(answer)
+        self.departure_marks.try_put(answer)
 
     def confirm_own(self, cells: Iterable[Cell]) -> None:
         """Tell this host, as an owner, which of its own jobs are open."""
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -30,7 +30,7 @@
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
-from gentianhub.host.progress import return_when_read
+from gentianhub.host.progress import return_behind_departures
 from gentianhub.host.registry import HostEntry
 from gentianhub.linking.handshake import Hello
 from gentianhub.linking.link_events import DialAddress
@@ -38,8 +38,8 @@
 from gentianhub.platform.settings import HostSettings
 
 TICK_S = 0.05
-# Interval at which a host records how far it has read its sockets, in ticks.
-READ_MARK_TICKS = 2
+# Interval at which a host records up to when it has handled departures, in ticks.
+DEPARTURE_MARK_TICKS = 2
 MAILBOX_LIMIT = 20_000
 EXIT_CRASHED = 70
 # Part of the grace period kept for the exit, s; the rest is for open requests.
@@ -114,7 +114,9 @@
     def _check_bounds(self) -> None:
         """Log an error if runs may outlast the return of their callers here."""
         reason = describe_unmet_bounds(
-            self.settings.caller_return_s, self.settings.stop_s
+            self.settings.caller_return_s,
+            self.settings.stop_s,
+            self.settings.max_lease_s,
         )
         if reason:
             logger.error(
@@ -149,11 +151,11 @@
                 run_timer,
                 self.mailbox,
                 lambda: self.coordinator.timer_period_ticks,
-                self.coordinator.read_marks,
+                self.coordinator.departure_marks,
             ),
             spawn_greenlet(
-                return_when_read,
-                self.coordinator.read_marks,
+                return_behind_departures,
+                self.coordinator.departure_marks,
                 self.mailbox,
                 self.callers.watches.report_ended,
             ),
@@ -243,11 +245,11 @@
 
 
 def run_timer(
-    mailbox: Mailbox, choose_period_ticks: Callable[[], int], read_marks: Mailbox
+    mailbox: Mailbox, choose_period_ticks: Callable[[], int], departure_marks: Mailbox
 ) -> None:
     """Send a `TimerTick` every few multiples of `TICK_S`; drop it if there is no room.
 
-    An `InputRead` goes to `read_marks` with every second multiple.
+    An `DeparturesRead` goes to `departure_marks` with every second multiple.
 
     `choose_period_ticks` returns the number of multiples. Counts are aligned to it, so
     that intervals which it divides are kept when it changes.
@@ -262,5 +264,5 @@
         sent_s = read_monotonic_s()
         tick = ms.TimerTick(count=count, sent_s=sent_s, late_s=sent_s - due_s)
         is_sent = mailbox.try_put(tick)
-        if is_sent and count % READ_MARK_TICKS == 0:
-            read_marks.try_put(ms.InputRead(sent_s=sent_s))
+        if is_sent and count % DEPARTURE_MARK_TICKS == 0:
+            departure_marks.try_put(ms.DeparturesRead(sent_s=sent_s))
--- a/gentianhub/host/progress.py
+++ b/gentianhub/host/progress.py
@@ -21,7 +21,7 @@
 
 
 @define(kw_only=True, eq=False)
-class ReadProgress:
+class DepartureProgress:
     """The last point in time before which all departures have been handled.
 
     `handled_until_s` is that time, and `heartbeats` are the last ones of each host that
@@ -56,7 +56,7 @@
         return self._lag_s > SETTLED_ANSWER_LAG_S
 
 
-def return_when_read(
+def return_behind_departures(
     messages: Mailbox, coordinator: Mailbox, report_departures: Callable[[], bool]
 ) -> None:
     """Return messages to the coordinator behind all departures that have arrived.
--- a/gentianhub/host/tests/simulated_hosts.py
+++ b/gentianhub/host/tests/simulated_hosts.py
@@ -19,7 +19,7 @@
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
-from gentianhub.host.process import READ_MARK_TICKS, TICK_S
+from gentianhub.host.process import DEPARTURE_MARK_TICKS, TICK_S
 from gentianhub.linking.handshake import Hello
 from gentianhub.linking.link_events import LinkClosed, LinkOpened, MessageReceived
 from gentianhub.linking.links import Link, LinkContext
@@ -251,8 +251,8 @@
             with self.world.run_on(self):
                 self.coordinator.run()
             # All that has arrived is read before these come back.
-            while len(self.coordinator.read_marks):
-                self.receive(self.coordinator.read_marks.get())
+            while len(self.coordinator.departure_marks):
+                self.receive(self.coordinator.departure_marks.get())
 
     def has_waiting_end(self) -> bool:
         """Whether the report of an ended run waits in the mailbox."""
@@ -424,9 +424,9 @@
                         continue
                     sent_s = host.read_clock_s()
                     host.receive(ms.TimerTick(count=self._tick, sent_s=sent_s))
-                    if self._tick % READ_MARK_TICKS == 0:
-                        mark = ms.InputRead(sent_s=sent_s)
-                        host.coordinator.read_marks.try_put(mark)
+                    if self._tick % DEPARTURE_MARK_TICKS == 0:
+                        mark = ms.DeparturesRead(sent_s=sent_s)
+                        host.coordinator.departure_marks.try_put(mark)
             for host in self.hosts:
                 host.targets.advance()
             self._settle()
--- a/gentianhub/host/tests/test_departure_gaps.py
+++ b/gentianhub/host/tests/test_departure_gaps.py
@@ -17,7 +17,7 @@
 from gentianhub.core import Mailbox, read_monotonic_s
 from gentianhub.host import callers
 from gentianhub.host import messages as ms
-from gentianhub.host.progress import return_when_read
+from gentianhub.host.progress import return_behind_departures
 from gentianhub.host.target_ports import MAX_COMMAND_CONNECTIONS, TargetConnections
 from gentianhub.host.tests.simulated_hosts import SimulatedHost
 from gentianhub.host.tests.test_departures import (
@@ -236,8 +236,8 @@
             gevent.spawn(self.serve_front_host),
             gevent.spawn(read_link),
             gevent.spawn(
-                return_when_read,
-                self.front.coordinator.read_marks,
+                return_behind_departures,
+                self.front.coordinator.departure_marks,
                 self.front.mailbox,
                 watches.report_ended,
             ),
--- a/gentianhub/host/tests/test_progress.py
+++ b/gentianhub/host/tests/test_progress.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from gentianhub.core import Mailbox
-from gentianhub.host.progress import return_when_read
+from gentianhub.host.progress import return_behind_departures
 from gentianhub.web import ConnectionWatches
 
 # One call of epoll returns 64 events at first.
@@ -31,7 +31,7 @@
         coordinator, marks = Mailbox(limit=2 * CALLERS), Mailbox(limit=10)
         watches = ConnectionWatches()
         reader = gevent.spawn(
-            return_when_read, marks, coordinator, watches.report_ended
+            return_behind_departures, marks, coordinator, watches.report_ended
         )
         self.addCleanup(reader.kill)
         with ExitStack() as stack:
@@ -53,7 +53,7 @@
         coordinator.put("message")
         watches = ConnectionWatches()
         reader = gevent.spawn(
-            return_when_read, marks, coordinator, watches.report_ended
+            return_behind_departures, marks, coordinator, watches.report_ended
         )
         self.addCleanup(reader.kill)
         with watches.watch(connection, coordinator.try_put):
--- a/gentianhub/host/tests/test_suspended_hosts.py
+++ b/gentianhub/host/tests/test_suspended_hosts.py
@@ -34,7 +34,7 @@
 
 
 def is_timer(message) -> bool:
-    return isinstance(message, ms.TimerTick | ms.InputRead)
+    return isinstance(message, ms.TimerTick | ms.DeparturesRead)
 
 
 def is_of_link(message) -> bool:
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -10,6 +10,7 @@
 
 from attrs import frozen
 
+from gentianhub.capacity.leases import CALLER_RETURN_S, MAX_LEASE_S, STOP_S
 from gentianhub.core import ProcessName, SettingsError, Step
 from gentianhub.core.ids import PROCESS_NAME_PATTERN
 from gentianhub.platform.fields import (
@@ -43,8 +44,8 @@
 
     The host listens on `caller_address` for callers, on `readiness_address` for the
     platform's readiness probe, and on `link_address` for links from other hosts. A
-    caller whose connection broke comes again after `caller_return_s`, and a target
-    stops a run within `stop_s`.
+    caller whose connection broke comes again after `caller_return_s`; a target stops a
+    run within `stop_s` and grants leases of up to `max_lease_s`.
     """
 
     name: ProcessName
@@ -58,6 +59,7 @@
     grace_s: float
     caller_return_s: float
     stop_s: float
+    max_lease_s: float
 
 
 def load_host_settings() -> HostSettings:
@@ -102,8 +104,10 @@
         cores=read_field(limits, "cpu_share", float, 1.0)
         * read_field(limits, "cores", float, 1.0),
         grace_s=read_field(bounds, "grace_s", float, 6.0),
-        caller_return_s=read_field(bounds, "resend_ms", float, 1300.0) / 1000,
-        stop_s=read_field(bounds, "stop_ms", float, 50.0) / 1000,
+        caller_return_s=read_field(bounds, "resend_ms", float, CALLER_RETURN_S * 1000)
+        / 1000,
+        stop_s=read_field(bounds, "stop_ms", float, STOP_S * 1000) / 1000,
+        max_lease_s=read_field(bounds, "hold_max_ms", float, MAX_LEASE_S * 1000) / 1000,
     )
 
 
--- a/gentianhub/platform/tests/test_settings.py
+++ b/gentianhub/platform/tests/test_settings.py
@@ -43,6 +43,7 @@
     def test_bounds_may_be_missing(self):
         settings = self.load("")
         self.assertEqual((1.3, 0.05), (settings.caller_return_s, settings.stop_s))
+        self.assertEqual(1.0, settings.max_lease_s)
 
     def test_a_bound_of_another_type_is_a_clear_error(self):
         with self.assertRaisesRegex(SettingsError, "resend_ms"):
