--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -172,7 +172,8 @@
         """Handle messages until killed."""
         for message in self.mailbox.iterate_messages():
             now_s = read_monotonic_s()
-            self._record_suspension(now_s)
+            if now_s > self._handled_s + MIN_SUSPENSION_S:
+                self._record_suspension(now_s)
             self._record_pause(now_s)
             self._handle_message(message, now_s)
             for own_message in self.outbox.pop_own_messages():
