--- a/review/peers2.py
+++ b/review/peers2.py
@@ -780,11 +780,13 @@
     record.note(f"TROUBLE={'1' if TROUBLE else '0'}")
 
     async def main() -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             deployment = Deployment(record, Path(temporary))
             try:
                 return await asyncio.wait_for(play(deployment, record), 110)
-            except Exception as error:  # The case could not run.
+            except (Exception, asyncio.CancelledError) as error:
                 record.note(f"the case could not run: {error!r}")
                 return NOT_RUN
             finally:
