Stop starts in a data centre while the store has its evacuation row

Cause: the row evacuate/ZONE in the operator's table was ignored, so that hosts went on to start tasks in a data centre that the operator evacuates.

Change: hosts read evacuations with the configuration and tell them in heartbeats; the newest version of the store wins. An owner in an evacuated data centre claims no capacity, declines what it may and hands back all other waiting tasks; front hosts send them elsewhere or refuse their jobs. A table that is read in pages has the version of its first page, because a change between two pages was lost until the next change.

--- /dev/null
+++ b/gentianhub/capacity/evacuations.py
@@ -0,0 +1,64 @@
+"""Evacuated data centres, on whose targets no run may start.
+
+States are compared by the version of the store at which they were read. The store has
+one counter, so that a state with a greater version is at least as new, also if a data
+centre is missing from it because its row was removed.
+"""
+
+from attrs import define, field, frozen
+
+# An owner that knows no state starts nothing for this long after the start of its
+# process, s. It reads the state or hears of it much sooner; a store that can't be read
+# must not stop the service for longer.
+MAX_UNKNOWN_S = 2.0
+
+
+@frozen(kw_only=True)
+class Evacuations:
+    """The evacuated data centres at a version of the store; at version 0 unknown."""
+
+    version: int = 0
+    data_centres: frozenset[str] = frozenset()
+
+
+@frozen(kw_only=True)
+class EvacuationChanges:
+    """Data centres whose evacuation has begun or ended."""
+
+    begun: frozenset[str] = frozenset()
+    ended: frozenset[str] = frozenset()
+
+    def __bool__(self) -> bool:
+        return bool(self.begun or self.ended)
+
+
+@define(kw_only=True, eq=False)
+class KnownEvacuations:
+    """The newest state that a host has read or heard of.
+
+    Parameters
+    ----------
+    started_s : float
+        Monotonic time at which the process started, in seconds.
+    """
+
+    started_s: float = float("-inf")
+    current: Evacuations = field(init=False, factory=lambda: Evacuations())
+
+    def adopt(self, other: Evacuations) -> EvacuationChanges:
+        """Keep a state if it is newer; return what has changed with it."""
+        if other.version <= self.current.version:
+            return EvacuationChanges()
+        earlier, self.current = self.current.data_centres, other
+        return EvacuationChanges(
+            begun=other.data_centres - earlier, ended=earlier - other.data_centres
+        )
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Whether a data centre is known to be evacuated."""
+        return data_centre in self.current.data_centres
+
+    def allows_starts(self, data_centre: str, now_s: float) -> bool:
+        """Whether runs may start in a data centre."""
+        is_known = self.current.version or now_s >= self.started_s + MAX_UNKNOWN_S
+        return bool(is_known) and not self.is_evacuated(data_centre)
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from gentianhub.capacity.evacuations import Evacuations
 from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget, TaskKey
 from gentianhub.core import Incarnation
 
@@ -91,7 +92,8 @@
     """Outcome of a task, as reported to its front host.
 
     A `CRASHED` task has crashed the targets that started it. A `LOST` task may have run
-    on a target that is lost, and cannot be started again in time.
+    on a target that is lost, and cannot be started again in time. An `EVACUATED` task
+    has no run, and its cell starts none; it may run in another data centre.
     """
 
     DONE = "done"
@@ -101,6 +103,7 @@
     CANCELLED = "cancelled"
     CRASHED = "crashed"
     LOST = "lost"
+    EVACUATED = "evacuated"
 
 
 @frozen(kw_only=True)
@@ -144,7 +147,8 @@
     targets, which the sender could not read. `can_own` is set if the sender has the
     data that it needs to claim a cell. `is_idle` announces that the next heartbeat to
     the receiver follows after a longer interval. `requests_open_jobs` requests the open
-    jobs of the receiver in the claimed cells.
+    jobs of the receiver in the claimed cells. `evacuations` is the newest state that
+    the sender knows.
     """
 
     number: int
@@ -155,6 +159,7 @@
     can_own: bool = True
     is_idle: bool = False
     requests_open_jobs: bool = False
+    evacuations: Evacuations = Evacuations()
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -15,7 +15,8 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.jobs import CapacityJob, Cell, TaskKey
+from gentianhub.capacity.evacuations import KnownEvacuations
+from gentianhub.capacity.jobs import CapacityJob, Cell, TaskKey, build_task_keys
 from gentianhub.capacity.leases import CALLER_RETURN_S
 from gentianhub.capacity.ownership import CellOwner
 from gentianhub.capacity.routing import LoadView
@@ -55,6 +56,7 @@
 # an end for longer than the leases of its tasks allow for.
 MAX_SUSPENSION_S = 0.2
 SUSPENDED = "this host was suspended"
+ALL_EVACUATED = "all data centres are evacuated"
 # A host that has handled nothing for this long was frozen. Owners take it as lost and
 # forget its tasks 3 s after they have ended, so that they cannot tell which have run.
 MAX_PAUSE_S = 2.0
@@ -70,10 +72,13 @@
         The data centre of this host, whose cells are preferred.
     started_s : float
         Monotonic time at which the process started, in seconds.
+    evacuations : KnownEvacuations
+        The evacuated data centres, whose cells are sent no tasks.
     """
 
     data_centre: str
     started_s: float = float("-inf")
+    evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
     loads: LoadView = field(init=False)
     jobs: dict[str, FrontJob] = field(init=False, factory=dict)
     owners: dict[Cell, CellOwner] = field(init=False, factory=dict)
@@ -83,7 +88,9 @@
     _suspensions: deque[tuple[float, float]] = field(init=False, factory=deque)
 
     def __attrs_post_init__(self):
-        self.loads = LoadView(data_centre=self.data_centre)
+        self.loads = LoadView(
+            data_centre=self.data_centre, evacuations=self.evacuations
+        )
 
     def handle(self, event, now_s: float) -> Iterator:
         """Yield the effects of one event at the monotonic time `now_s`."""
@@ -193,6 +200,8 @@
             return f"not supported: {job.unsupported}"
         if not self.owners and now_s > self.started_s + STARTUP_GRACE_S:
             return "no cell of targets has an owner"
+        if self.loads.is_all_evacuated():
+            return ALL_EVACUATED
         return ""
 
     def _release_steps(self, job: FrontJob, now_s: float) -> Iterator:
@@ -201,10 +210,7 @@
             if number in job.released_steps or not is_due:
                 continue
             job.released_steps.add(number)
-            keys = [
-                TaskKey(job=job.job_id, step=number, index=index)
-                for index in range(step.count)
-            ]
+            keys = build_task_keys(job.job_id, number, range(step.count))
             yield from self._assign_tasks(job, number, keys, now_s)
 
     def _is_step_done(self, job: FrontJob, number: int) -> bool:
@@ -218,7 +224,9 @@
         is_final = max(job.offer_counts.get(key, 0) for key in keys) >= MAX_OFFERS
         remaining = list(keys)
         millicores = step.demand.cpu_millicores
-        for allocation in self.loads.divide(len(keys), millicores, is_final):
+        for allocation in self.loads.divide(
+            len(keys), millicores, is_final, job.evacuated_cells
+        ):
             assigned, remaining = (
                 remaining[: allocation.count],
                 remaining[allocation.count :],
@@ -289,10 +297,7 @@
         self.loads.mark_unreachable(request.cell)
         if job is None or request.is_repeat:
             return
-        keys = [
-            TaskKey(job=request.job, step=request.step_number, index=index)
-            for index in request.indexes
-        ]
+        keys = build_task_keys(request.job, request.step_number, request.indexes)
         for key in keys:
             del job.assigned_cells[key]
             job.offer_counts[key] -= 1
@@ -314,10 +319,7 @@
         if event.end is ev.TaskEnd.CANCELLED:
             yield from self._handle_confirmation(job, event.cell)
             return
-        keys = [
-            TaskKey(job=event.job, step=event.step_number, index=index)
-            for index in event.indexes
-        ]
+        keys = build_task_keys(event.job, event.step_number, event.indexes)
         keys = [key for key in keys if job.assigned_cells.get(key) == event.cell]
         if event.end is ev.TaskEnd.DECLINED:
             # The owner has declined an earlier request and runs the repeated one.
@@ -335,8 +337,15 @@
                 yield from self._advance(job, now_s)
             case ev.TaskEnd.DECLINED:
                 self.loads.mark_full(event.cell)
-                self._discard_unused_cell(job, event)
+                job.discard_unused_cell(event)
                 yield from self._assign_tasks(job, event.step_number, keys, now_s)
+            case ev.TaskEnd.EVACUATED:
+                job.evacuated_cells.add(event.cell)
+                job.discard_unused_cell(event)
+                if self.loads.is_all_evacuated():
+                    yield from self._abandon_job(job, ALL_EVACUATED, now_s)
+                else:
+                    yield from self._assign_tasks(job, event.step_number, keys, now_s)
             case ev.TaskEnd.FAILED:
                 job.has_started = True
                 reason = "a task has used up its attempts"
@@ -354,19 +363,6 @@
                     job, "no capacity before the deadline", now_s
                 )
 
-    def _discard_unused_cell(self, job: FrontJob, declined: ev.TasksEnded) -> None:
-        """Stop tracking a cell that declined all tasks it was sent of a job.
-
-        A later owner of the cell could not tell whether any of them has run, and the
-        job would be answered as interrupted although it can be submitted again.
-        """
-        if (
-            not declined.has_started
-            and declined.cell not in job.assigned_cells.values()
-        ):
-            job.requested_cells.discard(declined.cell)
-            del job.request_counts[declined.cell]
-
     def _is_current(self, event: ev.TasksEnded) -> bool:
         """Whether a report is still valid.
 
--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -57,6 +57,11 @@
     index: int
 
 
+def build_task_keys(job: str, step: int, indexes: Iterable[int]) -> list[TaskKey]:
+    """Return the keys of tasks of one step of a job."""
+    return [TaskKey(job=job, step=step, index=index) for index in indexes]
+
+
 def format_task_key(key: TaskKey) -> str:
     """Return a task's identifier for log lines, as JOB/STEP/INDEX."""
     return f"{key.job}/{key.step}/{key.index}"
--- a/gentianhub/capacity/routing.py
+++ b/gentianhub/capacity/routing.py
@@ -5,10 +5,11 @@
 capacity; if there are none, they go to the cell with the shortest queue for its size.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set
 
 from attrs import define, field, frozen
 
+from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.events import CellClaim
 from gentianhub.capacity.jobs import Cell
 
@@ -33,6 +34,7 @@
     """Estimates the load of each cell from its last claim and the tasks sent since."""
 
     data_centre: str
+    evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
     _claims: dict[Cell, CellClaim] = field(init=False, factory=dict)
     _sent_millicores: dict[Cell, int] = field(init=False, factory=dict)
     _unreachable: set[Cell] = field(init=False, factory=set)
@@ -89,16 +91,28 @@
         queued = claim.queued_millicore_s + beyond_free * ASSUMED_RUN_S
         return queued / max(1, claim.total_millicores)
 
+    def is_all_evacuated(self) -> bool:
+        """Whether there are cells and the data centres of all of them are evacuated."""
+        return bool(self._claims) and all(
+            self.evacuations.is_evacuated(cell.data_centre) for cell in self._claims
+        )
+
     def divide(
-        self, count: int, millicores: int, is_final: bool
+        self,
+        count: int,
+        millicores: int,
+        is_final: bool,
+        excluded: Set[Cell] = frozenset(),
     ) -> Iterator[TaskAllocation]:
         """Yield the cells for `count` tasks that request `millicores` each.
 
         Cells may decline the tasks unless `is_final` is set or no cell had capacity.
+        No task goes to an excluded cell.
         """
         remaining = count
+        usable = self._find_usable_cells(excluded)
         if not is_final:
-            for cell in self._sort_by_free_capacity():
+            for cell in self._sort_by_free_capacity(usable):
                 fitting = self.estimate_free_millicores(cell) // max(1, millicores)
                 assigned = min(remaining, fitting)
                 if assigned:
@@ -107,13 +121,22 @@
                     yield TaskAllocation(cell=cell, count=assigned, may_decline=True)
                 if not remaining:
                     return
-        yield from self._spread(remaining, millicores)
+        yield from self._spread(remaining, millicores, usable)
+
+    def _find_usable_cells(self, excluded: Set[Cell]) -> Set[Cell]:
+        return {
+            cell
+            for cell in self._claims.keys() - self._unreachable - excluded
+            if not self.evacuations.is_evacuated(cell.data_centre)
+        }
 
-    def _spread(self, count: int, millicores: int) -> Iterator[TaskAllocation]:
+    def _spread(
+        self, count: int, millicores: int, usable: Set[Cell]
+    ) -> Iterator[TaskAllocation]:
         """Assign each task in turn to the cell with the shortest estimated wait."""
         counts: dict[Cell, int] = {}
         for _ in range(count):
-            cell = self._find_shortest_queue()
+            cell = self._find_shortest_queue(usable)
             if cell is None:
                 return
             self.record_sent(cell, millicores)
@@ -121,22 +144,18 @@
         for cell, number in counts.items():
             yield TaskAllocation(cell=cell, count=number, may_decline=False)
 
-    def _sort_by_free_capacity(self) -> list[Cell]:
+    def _sort_by_free_capacity(self, usable: Set[Cell]) -> list[Cell]:
         return sorted(
-            self._claims.keys() - self._unreachable,
+            usable,
             key=lambda cell: (
                 cell.data_centre != self.data_centre,
                 -self.estimate_free_millicores(cell),
             ),
         )
 
-    def _find_shortest_queue(self) -> Cell | None:
+    def _find_shortest_queue(self, usable: Set[Cell]) -> Cell | None:
         return min(
-            (
-                cell
-                for cell in self._claims.keys() - self._unreachable
-                if self._claims[cell].total_millicores
-            ),
+            (cell for cell in usable if self._claims[cell].total_millicores),
             key=lambda cell: (
                 self.estimate_wait_s(cell)
                 + REMOTE_PENALTY_S * (cell.data_centre != self.data_centre),
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -22,6 +22,7 @@
 from gentianhub.capacity.earlier_runs import RunAtWork, RunOver, find_earlier_run
 from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.estimates import RunEstimates
+from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.jobs import Cell, TaskKey, format_task_key
 from gentianhub.capacity.leases import choose_lease_s
 from gentianhub.capacity.load import CellLoad
@@ -32,7 +33,7 @@
 from gentianhub.capacity.suspects import Suspects
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
-from gentianhub.capacity.tasks import CellJob, CellTask
+from gentianhub.capacity.tasks import CellJob, CellTask, group_waiting_tasks
 from gentianhub.capacity.trials import RouteTrials
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.capacity.waiting import WaitingTasks
@@ -49,18 +50,6 @@
 # Fraction of its slack that a task may wait; the rest covers the variance of run times
 # and the delivery of the answer.
 SLACK_FRACTION = 0.6
-# Verdicts that rule out that the task has run. The target of a stale run has had an
-# earlier run of the task.
-NOT_EXECUTED = frozenset(
-    {
-        ev.StartVerdict.NO_CAPACITY,
-        ev.StartVerdict.FENCED,
-        ev.StartVerdict.TOO_LATE,
-        ev.StartVerdict.UNHEALTHY,
-        ev.StartVerdict.OTHER_INCARNATION,
-        ev.StartVerdict.NOT_SENT,
-    }
-)
 
 
 @define(kw_only=True, eq=False)
@@ -77,6 +66,8 @@
         What is known about the targets of earlier owners.
     losses : LossLedger
         The losses of targets that this host knows of, in all cells.
+    evacuations : KnownEvacuations
+        The evacuated data centres that this host knows of.
     """
 
     cell: Cell
@@ -85,6 +76,7 @@
     handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
     estimates: RunEstimates = field(factory=lambda: RunEstimates())
     losses: LossLedger = field(factory=lambda: LossLedger())
+    evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
     tracker: TargetTracker = field(init=False)
     reporter: Reporter = field(init=False)
     load: CellLoad = field(init=False)
@@ -143,7 +135,7 @@
                 self.confirmations.drop_job(front_host, job_id)
                 job = self.jobs.get((front_host, job_id))
                 if job is not None:
-                    yield self._log_withdrawal(job, "cancelled")
+                    yield self.reporter.log_withdrawal(job, "cancelled")
                     yield from self._cancel_job(job, StopReason.CANCELLED, now_s)
                     job.is_withdrawn = True
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
@@ -162,11 +154,13 @@
                 yield from self._apply_tracker_events(
                     self.tracker.handle(event, now_s), now_s
                 )
+        yield from self._hand_back_tasks(now_s)
         yield from self._start_tasks(now_s)
 
     def build_claim(self, now_s: float) -> ev.CellClaim:
         """Return the claim on the cell with its current load."""
-        return self.load.describe(self.targets.values(), self.waiting.iterate(), now_s)
+        targets = self._find_startable_targets(now_s)
+        return self.load.describe(targets, self.waiting.iterate(), now_s)
 
     def has_work(self) -> bool:
         """Whether a task of a job that was not cancelled waits or runs."""
@@ -231,7 +225,7 @@
                 return
             if other is not None:
                 # The other front host may not have noticed that the caller has left it.
-                yield self._log_withdrawal(other, "submitted again")
+                yield self.reporter.log_withdrawal(other, "submitted again")
                 yield from self._give_up_job(other, StopReason.SUBMITTED_AGAIN, now_s)
             self.jobs[(front_host, job.name)] = job
             self._front_hosts[job.name] = front_host
@@ -397,7 +391,7 @@
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
-                yield self._log_withdrawal(job, "not open")
+                yield self.reporter.log_withdrawal(job, "not open")
                 yield from self._cancel_job(job, StopReason.NOT_OPEN, now_s)
             job.is_withdrawn = True
         self._may_start = self._may_start or self._awaits_confirmation
@@ -441,18 +435,6 @@
                 held.request, held.front_host, ev.TaskEnd.EXPIRED, False
             )
 
-    def _log_withdrawal(self, job: CellJob, reason: str) -> fx.LogDecision:
-        inputs = {
-            "cell": str(self.cell),
-            "front_host": str(job.front_host),
-            "reason": reason,
-            "waiting": sum(task.is_waiting for task in job.tasks.values()),
-            "running": sum(task.target is not None for task in job.tasks.values()),
-        }
-        return fx.LogDecision(
-            decision="tasks withdrawn", subject=job.name, inputs=inputs
-        )
-
     # Runs
 
     def _apply_tracker_events(self, items: Iterable, now_s: float) -> Iterator:
@@ -560,7 +542,7 @@
     ) -> Iterator:
         task = self._detach_run(run)
         self._may_start = True
-        if verdict in NOT_EXECUTED:
+        if verdict in te.NOT_EXECUTED:
             task.job.possible_runs -= 1
         if verdict is not ev.StartVerdict.STALE_RUN:
             task.avoid(target.name)
@@ -592,6 +574,22 @@
         if self._blocked and self.tracker.has_discovered_runs(now_s):
             yield from self._release_blocked(now_s)
 
+    # Evacuation
+
+    def _find_startable_targets(self, now_s: float) -> Iterable[TargetState]:
+        """Return the targets, or none while no run may start in the data centre."""
+        allows_starts = self.evacuations.allows_starts(self.cell.data_centre, now_s)
+        return self.targets.values() if allows_starts else ()
+
+    def _hand_back_tasks(self, now_s: float) -> Iterator:
+        """End the waiting tasks while the data centre is evacuated."""
+        if self._may_start and self.evacuations.is_evacuated(self.cell.data_centre):
+            for tasks in group_waiting_tasks(self.jobs.values()):
+                tasks[0].job.changed_s = now_s
+                for task in tasks:
+                    task.end = ev.TaskEnd.EVACUATED
+                yield self.reporter.build_end_report(tasks, ev.TaskEnd.EVACUATED)
+
     # Starts
 
     def _start_tasks(self, now_s: float) -> Iterator:
@@ -601,7 +599,8 @@
         self._may_start = False
         if not self.waiting:
             return
-        placement = PlacementRound(targets=self.targets.values(), now_s=now_s)
+        targets = self._find_startable_targets(now_s)
+        placement = PlacementRound(targets=targets, now_s=now_s)
         skipped = []
         skipped_suspects = []
         trials = []
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -91,6 +91,8 @@
     often each task was sent. `done_counts` counts the tasks done in each step.
     `released_steps` are the steps whose tasks have been sent.
     `binding_keys` are the tasks whose last request the owner may not decline.
+    `evacuated_cells` have handed back tasks and get no other ones, so that no late
+    report about a task concerns a newer request.
     `unconfirmed_cells` are the cells that have yet to confirm a cancellation, or None
     if none has been requested. `resumed_s` is when this host handled an event again
     after a pause for which owners may have forgotten the job, or None.
@@ -109,6 +111,7 @@
     done_counts: dict[int, int] = field(factory=dict)
     released_steps: set[int] = field(factory=set)
     binding_keys: set[TaskKey] = field(factory=set)
+    evacuated_cells: set[Cell] = field(factory=set)
     has_started: bool = False
     unconfirmed_cells: set[Cell] | None = None
     confirmation_deadline_s: float = 0.0
@@ -116,6 +119,16 @@
     ownerless_since_s: float | None = None
     resumed_s: float | None = None
 
+    def discard_unused_cell(self, unused: ev.TasksEnded) -> None:
+        """Stop tracking a cell that runs none of the tasks that it was sent.
+
+        A later owner of the cell could not tell whether any of them has run, and the
+        job would be answered as interrupted although it can be submitted again.
+        """
+        if not unused.has_started and unused.cell not in self.assigned_cells.values():
+            self.requested_cells.discard(unused.cell)
+            del self.request_counts[unused.cell]
+
 
 @frozen(kw_only=True)
 class KeptAnswer:
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -1,5 +1,7 @@
 """Jobs and tasks that front hosts have sent to a cell."""
 
+from collections.abc import Iterable, Iterator
+
 from attrs import define, field
 
 from gentianhub.capacity.events import RunTasks, TaskEnd
@@ -94,3 +96,13 @@
     def avoid(self, target: str) -> None:
         """Add a target to those that are used only if no other one is available."""
         self.avoided = self.avoided | {target}
+
+
+def group_waiting_tasks(jobs: Iterable[CellJob]) -> Iterator[list[CellTask]]:
+    """Yield the waiting tasks of each step of each job."""
+    for job in jobs:
+        steps: dict[int, list[CellTask]] = {}
+        for task in job.tasks.values():
+            if task.is_waiting:
+                steps.setdefault(task.key.step, []).append(task)
+        yield from steps.values()
--- a/gentianhub/capacity/tracker_events.py
+++ b/gentianhub/capacity/tracker_events.py
@@ -8,6 +8,19 @@
 from gentianhub.capacity.jobs import TaskKey
 from gentianhub.capacity.targets import Run, TargetState
 
+# Verdicts that rule out that the task has run. The target of a stale run has had an
+# earlier run of the task.
+NOT_EXECUTED = frozenset(
+    {
+        ev.StartVerdict.NO_CAPACITY,
+        ev.StartVerdict.FENCED,
+        ev.StartVerdict.TOO_LATE,
+        ev.StartVerdict.UNHEALTHY,
+        ev.StartVerdict.OTHER_INCARNATION,
+        ev.StartVerdict.NOT_SENT,
+    }
+)
+
 
 @frozen(kw_only=True)
 class RunEnded:
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -7,6 +7,7 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.estimates import RunEstimates
+from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.jobs import (
     Cell,
     ListedTarget,
@@ -41,6 +42,8 @@
         Returns the hosts that own the other cells.
     read_targets : callable
         Has the list of targets read from the store now.
+    evacuations : KnownEvacuations
+        The evacuated data centres, in which no task starts.
     """
 
     answers: Mailbox
@@ -49,6 +52,7 @@
     find_successors: Callable[[], tuple[Incarnation, ...]]
     find_other_owners: Callable[[], tuple[Incarnation, ...]] = lambda: ()
     read_targets: Callable[[], None] = lambda: None
+    evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -83,6 +87,7 @@
             handover=handover,
             estimates=self._estimates,
             losses=self.losses,
+            evacuations=self.evacuations,
         )
         self._schedulers[cell] = scheduler
         known = handover.merge_targets(self._find_cell_targets(cell))
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -7,6 +7,7 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
+from gentianhub.capacity.evacuations import Evacuations, KnownEvacuations
 from gentianhub.capacity.front import MAX_SUSPENSION_S, FrontJobRegistry
 from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
 from gentianhub.capacity.submissions import (
@@ -27,6 +28,8 @@
 from gentianhub.host.cells import OwnedCells
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.decision_log import log_decision
+from gentianhub.host.delays import DelayLog
+from gentianhub.host.evacuations import HostEvacuations
 from gentianhub.host.followers import decode_targets
 from gentianhub.host.links import HostLinks
 from gentianhub.host.membership import HeartbeatRecipients, Membership
@@ -60,10 +63,6 @@
 DEPARTURE_MARK_LIMIT = 64
 # A shorter suspension than this is the error of two readings, s.
 MIN_SUSPENSION_S = 0.01
-# Pauses of the process that are shorter are not logged, s.
-LOGGED_PAUSE_S = 0.2
-# Messages that wait longer than this in the mailbox are logged, once a second, s.
-LOGGED_MAILBOX_LAG_S = 0.2
 
 
 @define(kw_only=True, eq=False)
@@ -98,6 +97,7 @@
     configuration: ConfigurationCache = field(
         init=False, factory=lambda: ConfigurationCache()
     )
+    evacuations: HostEvacuations = field(init=False)
     outbox: Outbox = field(init=False)
     requests: RequestHandler = field(init=False)
     cells: OwnedCells = field(init=False)
@@ -109,7 +109,7 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
-    _lag_logged_s: float = field(init=False, default=float("-inf"))
+    _delays: DelayLog = field(init=False)
     _handled_s: float = field(init=False, default=float("inf"))
     _tick_count: int = field(init=False, default=0)
     _suspended_s: float = field(init=False)
@@ -118,10 +118,14 @@
     def __attrs_post_init__(self):
         self._suspended_s = self.read_suspended_s()
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
-        data_centre = self.local_host.name.data_centre
+        self._delays = DelayLog(local_host=self.local_host, metrics=self.metrics)
+        known = KnownEvacuations(started_s=self.started_s)
+        self.evacuations = HostEvacuations(known=known, metrics=self.metrics)
         self.requests = RequestHandler(
             job_registry=FrontJobRegistry(
-                data_centre=data_centre, started_s=self.started_s
+                data_centre=self.local_host.name.data_centre,
+                started_s=self.started_s,
+                evacuations=known,
             ),
             outbox=self.outbox,
             configuration=self.configuration,
@@ -144,12 +148,14 @@
             find_successors=lambda: self.membership.find_successors(),
             find_other_owners=self._find_other_owners,
             read_targets=self._read_targets,
+            evacuations=known,
         )
         self.membership = Membership(
             local_host=self.local_host,
             links=self.links,
             registry_commands=self.registry_commands,
             started_s=self.started_s,
+            evacuations=known,
         )
         self.open_jobs = OpenJobReports(
             local_host=self.local_host,
@@ -205,8 +211,8 @@
                 if self.links.record_received(link, now_s):
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
-                self._log_pause(message)
-                self._record_mailbox_lag(now_s - sent_s, now_s)
+                open_jobs = len(self.requests.job_registry.jobs)
+                self._delays.record_tick(message, open_jobs, len(self.mailbox), now_s)
                 heard = self.membership.list_heard_heartbeats()
                 self.open_jobs.progress.begin(sent_s, heard, now_s)
                 self._handle_tick(count, now_s)
@@ -228,6 +234,8 @@
                 self.links.dial_backoff.record_failure(dial_address, now_s)
             case ms.ConfigurationRead(content=content):
                 self.configuration.adopt(content, "store")
+            case ms.EvacuationsRead(evacuations=evacuations):
+                self._adopt_evacuations(evacuations, "store", now_s)
             case ms.HostsRead(hosts=hosts, versions=versions):
                 self.membership.update_hosts(hosts, versions)
             case ms.TargetsRead(targets=targets, rows=rows, sent_s=sent_s):
@@ -400,6 +408,7 @@
     def _handle_heartbeat(
         self, sender: Incarnation, heartbeat: ev.HostHeartbeat, now_s: float
     ) -> None:
+        self._adopt_evacuations(heartbeat.evacuations, str(sender), now_s)
         if self.membership.handle_heartbeat(sender, heartbeat, now_s):
             self._apply_ownership_changes(
                 self.membership.ownership.update_claims(now_s), now_s
@@ -418,6 +427,16 @@
             request = ev.ConfigurationRequest(known_version=self.configuration.version)
             self.links.send(sender, request)
 
+    def _adopt_evacuations(
+        self, evacuations: Evacuations, source: str, now_s: float
+    ) -> None:
+        """Adopt a newer state; an owner tells all hosts, with its loads, at once.
+
+        Front hosts learn of it before its tasks are handed back to them.
+        """
+        if self.evacuations.adopt(evacuations, source) and self.cells:
+            self._send_heartbeats_now(self.links.find_linked(), now_s)
+
     def _request_targets(self, now_s: float) -> None:
         """Request the list of targets of an owner that can probably read it."""
         if not self.cells:
@@ -491,30 +510,6 @@
             self.requests.resumed_s = now_s
         self.requests.handle_event(MachineSuspended(suspended_s=suspended_s), now_s)
 
-    def _log_pause(self, tick: ms.TimerTick) -> None:
-        """Log for how long the process did not run."""
-        if tick.late_s < LOGGED_PAUSE_S:
-            return
-        self.metrics.record_pause(tick.late_s)
-        log_decision(
-            "process paused",
-            str(self.local_host),
-            late_s=round(tick.late_s, 3),
-            open_jobs=len(self.requests.job_registry.jobs),
-        )
-
-    def _record_mailbox_lag(self, lag_s: float, now_s: float) -> None:
-        """Record how long a tick has waited in the mailbox; log long waits."""
-        self.metrics.record_mailbox_lag(lag_s)
-        if lag_s > LOGGED_MAILBOX_LAG_S and now_s > self._lag_logged_s + 1.0:
-            self._lag_logged_s = now_s
-            log_decision(
-                "mailbox behind",
-                str(self.local_host),
-                lag_s=round(lag_s, 3),
-                waiting=len(self.mailbox),
-            )
-
     @property
     def timer_period_ticks(self) -> int:
         """Period of the timer, in ticks."""
@@ -546,6 +541,9 @@
             self.membership.request_layout(self.cells.targets, now_s)
             self.membership.ownership.remove_expired_peers(now_s)
             self.membership.remove_lost_hosts(is_owner, now_s)
+            if self.membership.ownership.has_targets:
+                hosts = (self.local_host.name, *self.links.hosts)
+                self.evacuations.log_unknown(hosts, self.cells.targets)
         self._check_drained(now_s)
 
     def _start_drain(self, reply_to: Any, now_s: float) -> None:
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -10,6 +10,7 @@
 import capnp
 
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.evacuations import Evacuations
 from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget, TaskKey
 from gentianhub.capacity.resources import Resources
 from gentianhub.linking.frames import MalformedMessage
@@ -35,6 +36,7 @@
 MAX_INT32 = 2**31 - 1
 MAX_UINT16 = 2**16 - 1
 MAX_INT64 = 2**63 - 1
+MAX_UINT64 = 2**64 - 1
 
 
 def encode_message(message) -> bytes:
@@ -118,6 +120,8 @@
         "canOwn": heartbeat.can_own,
         "isIdle": heartbeat.is_idle,
         "requestsOpenJobs": heartbeat.requests_open_jobs,
+        "evacuationsVersion": _clamp(heartbeat.evacuations.version, MAX_UINT64),
+        "evacuatedDataCentres": sorted(heartbeat.evacuations.data_centres),
     }
 
 
@@ -241,14 +245,18 @@
 
 
 def _build_tasks_ended(ended: ev.TasksEnded) -> dict:
+    # Hosts of earlier versions do not know the end "evacuated".
+    is_evacuated = ended.end is ev.TaskEnd.EVACUATED
+    end = ev.TaskEnd.EXPIRED if is_evacuated else ended.end
     return {
         "cell": _build_cell(ended.cell),
         "job": ended.job,
         "stepNumber": ended.step_number,
         "indexes": list(ended.indexes),
-        "end": ended.end.value,
+        "end": end.value,
         "hasStarted": ended.has_started,
         "term": ended.term,
+        "isEvacuated": is_evacuated,
     }
 
 
@@ -272,6 +280,10 @@
         can_own=get("canOwn"),
         is_idle=get("isIdle"),
         requests_open_jobs=get("requestsOpenJobs"),
+        evacuations=Evacuations(
+            version=get("evacuationsVersion"),
+            data_centres=frozenset(get("evacuatedDataCentres")),
+        ),
     )
 
 
@@ -408,12 +420,13 @@
 
 def _read_tasks_ended(content) -> ev.TasksEnded:
     get = content._get
+    end = ev.TaskEnd(get("end"))
     return ev.TasksEnded(
         cell=_read_cell(get("cell")),
         job=get("job"),
         step_number=get("stepNumber"),
         indexes=tuple(get("indexes")),
-        end=ev.TaskEnd(get("end")),
+        end=ev.TaskEnd.EVACUATED if get("isEvacuated") else end,
         has_started=get("hasStarted"),
         term=get("term"),
     )
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -58,6 +58,11 @@
             "Longest wait of a message in the coordinator's mailbox",
             value=metrics.longest_mailbox_lag_s,
         )
+        yield GaugeMetricFamily(
+            "gentianhub_host_evacuations",
+            "Data centres that this host takes for evacuated",
+            value=metrics.evacuations,
+        )
         yield self._collect_responses()
 
     def _collect_responses(self) -> GaugeMetricFamily:
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -11,6 +11,7 @@
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Mailbox, PlatformError, read_monotonic_s
 from gentianhub.host import messages as ms
+from gentianhub.host.evacuations import EvacuationDecoder
 from gentianhub.host.registry import (
     HOSTS_TABLE,
     LAYOUT_TABLE,
@@ -87,6 +88,11 @@
     _version: int | None = field(init=False, default=None)
     _failures: int = field(init=False, default=0)
 
+    @property
+    def version(self) -> int:
+        """Version of the store at which the rows were read; 0 if none were."""
+        return self._version or 0
+
     def run(self) -> None:
         """Follow the table until killed."""
         with open_store(*self.address.as_host_and_port()) as store:
@@ -144,20 +150,24 @@
 def follow_configuration(
     address: Address, coordinator: Mailbox, is_candidate: Callable[[], bool]
 ) -> None:
-    """Report each new configuration of the operator."""
+    """Report each new configuration of the operator, and the evacuations with it."""
+    decoder = EvacuationDecoder()
 
     def report(rows: dict[str, StoredRow]) -> None:
+        evacuations = decoder.decode(rows, follower.version)
+        coordinator.put(ms.EvacuationsRead(evacuations=evacuations))
         row = rows.get(CONFIGURATION_KEY)
         if row is not None:
             coordinator.put(ms.ConfigurationRead(content=row.value))
 
-    TableFollower(
+    follower = TableFollower(
         table=OPERATOR_TABLE,
         address=address,
         coordinator=coordinator,
         report=report,
         get_wait_s=lambda: FEED_WAIT_S if is_candidate() else FRONT_FEED_WAIT_S,
-    ).run()
+    )
+    follower.run()
 
 
 def follow_hosts(address: Address, coordinator: Mailbox, name: str) -> None:
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -77,6 +77,7 @@
   end @4 :Text;
   hasStarted @5 :Bool;
   term @6 :UInt64;
+  isEvacuated @7 :Bool;
 }
 
 struct CellClaim {
@@ -96,6 +97,8 @@
   canOwn @5 :Bool;
   isIdle @6 :Bool;
   requestsOpenJobs @7 :Bool;
+  evacuationsVersion @8 :UInt64;
+  evacuatedDataCentres @9 :List(Text);
 }
 
 struct StoredRow {
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -7,6 +7,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.confirmations import SentHeartbeats
+from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.heartbeat_peers import (
     choose_candidates,
     choose_heartbeat_peers,
@@ -81,12 +82,15 @@
     ----------
     registry_commands : Mailbox
         Receives commands for the rows in the store.
+    evacuations : KnownEvacuations
+        The evacuated data centres, which heartbeats tell.
     """
 
     local_host: Incarnation
     links: HostLinks
     registry_commands: Mailbox
     started_s: float
+    evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
     ownership: ow.Ownership = field(init=False)
     heartbeat_peers: frozenset[ProcessName] = field(init=False, default=frozenset())
     _heartbeat_peer_inputs: HeartbeatPeerInputs | None = field(init=False, default=None)
@@ -154,6 +158,7 @@
             can_own=self.ownership.can_own,
             is_idle=is_idle,
             requests_open_jobs=requests_open_jobs,
+            evacuations=self.evacuations.current,
         )
         body = encode_message(heartbeat)
         for peer in peers:
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from gentianhub.capacity.evacuations import Evacuations
 from gentianhub.capacity.jobs import Cell, ListedTarget
 from gentianhub.core import Incarnation
 from gentianhub.host.registry import HostEntry
@@ -17,6 +18,13 @@
     content: bytes
 
 
+@frozen(kw_only=True)
+class EvacuationsRead:
+    """The evacuated data centres in the store."""
+
+    evacuations: Evacuations
+
+
 @frozen(kw_only=True)
 class HostsRead:
     """The whole registry of hosts; `versions` are those of the rows, by name."""
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -26,6 +26,7 @@
     longest_mailbox_lag_s: float = 0.0
     longest_pause_s: float = 0.0
     suspended_s: float = 0.0
+    evacuations: int = 0
     response_ms: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(create_response_histogram)
     )
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.evacuations import Evacuations
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.tests.builders import (
     build_host,
@@ -24,6 +25,12 @@
     ),
     ev.HostHeartbeat(number=5, claims=(), configuration_version=0, lacks_targets=True),
     ev.HostHeartbeat(number=6, claims=(), configuration_version=0, is_idle=True),
+    ev.HostHeartbeat(
+        number=7,
+        claims=(),
+        configuration_version=0,
+        evacuations=Evacuations(version=2**63, data_centres=frozenset({"bern", "b"})),
+    ),
     build_request("a", build_step(count=3, after=(0,), data_rack="r1"), is_repeat=True),
     ev.CancelTasks(cell=CELL, job="a"),
     ev.CancelRequest(
@@ -39,6 +46,15 @@
         end=ev.TaskEnd.DECLINED,
         has_started=True,
     ),
+    ev.TasksEnded(
+        cell=CELL,
+        term=3,
+        job="a",
+        step_number=1,
+        indexes=(0, 5),
+        end=ev.TaskEnd.EVACUATED,
+        has_started=False,
+    ),
     ev.ConfigurationRequest(known_version=2),
     ev.ConfigurationOffer(version=3, content=b"{}"),
     ev.CellTargets(
--- a/gentianhub/platform/store.py
+++ b/gentianhub/platform/store.py
@@ -18,6 +18,8 @@
 # Tables written by the operator and by the targets; a target is a `server` there.
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Prefix of the keys of evacuations in the operator's table; a data centre is a `zone`.
+EVACUATION_PREFIX = "evacuate/"
 TARGETS_TABLE = "servers"
 STATUS_GONE = 410
 
@@ -53,8 +55,13 @@
     _connection: HttpConnection
 
     def read_rows(self, table: str) -> RowsRead:
-        """Return all rows of a table; each page is a snapshot of its own."""
+        """Return all rows of a table, and the version of the first page.
+
+        Each page is a snapshot of its own, and a change between two pages may be
+        missing; it is among the changes after the first one.
+        """
         rows: list[StoredRow] = []
+        first_version = None
         start = ""
         while True:
             query = {"table": table, "part": ""}
@@ -63,8 +70,9 @@
             _, content = self._get("/api/rows-get", query, 0.0)
             page, version = self._decode_rows(content)
             rows += page
+            first_version = version if first_version is None else first_version
             if not read_field(content, "has_more", bool, False) or not page:
-                return RowsRead(rows=tuple(rows), version=version)
+                return RowsRead(rows=tuple(rows), version=first_version)
             # `from` is inclusive; the smallest key after it has a zero byte appended.
             start = page[-1].key + "\0"
 
