--- a/gentianhub/capacity/evacuations.py
+++ b/gentianhub/capacity/evacuations.py
@@ -11,6 +11,12 @@
 # process, s. It reads the state or hears of it much sooner; a store that can't be read
 # must not stop the service for longer.
 MAX_UNKNOWN_S = 2.0
+# After a pause of a host that is longer than this, its state may be older than the 5 s
+# within which starts have to end, s.
+MAX_PAUSE_S = 3.0
+# Such a host starts nothing for this long, s. It reads the table again at once, or a
+# tenth of a second or two later if its connection to the store has closed meanwhile.
+PAUSE_NOTICE_S = 0.5
 
 
 @frozen(kw_only=True)
@@ -44,6 +50,7 @@
 
     started_s: float = float("-inf")
     current: Evacuations = field(init=False, factory=lambda: Evacuations())
+    _resumed_s: float = field(init=False, default=float("-inf"))
 
     def adopt(self, other: Evacuations) -> EvacuationChanges:
         """Keep a state if it is newer; return what has changed with it."""
@@ -54,11 +61,19 @@
             begun=other.data_centres - earlier, ended=earlier - other.data_centres
         )
 
+    def record_pause(self, paused_s: float, now_s: float) -> None:
+        """Record that this host runs again after a time in which it has not run."""
+        if paused_s > MAX_PAUSE_S:
+            self._resumed_s = now_s
+
     def is_evacuated(self, data_centre: str) -> bool:
         """Whether a data centre is known to be evacuated."""
         return data_centre in self.current.data_centres
 
     def allows_starts(self, data_centre: str, now_s: float) -> bool:
         """Whether runs may start in a data centre."""
-        is_known = self.current.version or now_s >= self.started_s + MAX_UNKNOWN_S
-        return bool(is_known) and not self.is_evacuated(data_centre)
+        if not self.current.version and now_s < self.started_s + MAX_UNKNOWN_S:
+            return False
+        if now_s < self._resumed_s + PAUSE_NOTICE_S:
+            return False
+        return not self.is_evacuated(data_centre)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -192,6 +192,7 @@
         """Note a time in which this host, which ticks more often, has not run."""
         if now_s > self._handled_s + HOST_SILENCE_TIMEOUT_S:
             self.membership.ownership.record_pause(now_s)
+            self.evacuations.known.record_pause(now_s - self._handled_s, now_s)
         self._handled_s = now_s
 
     def _handle_message(self, message, now_s: float) -> None:
@@ -573,6 +574,7 @@
         return {
             "host": str(self.local_host),
             "configuration": self.configuration.version,
+            "evacuated": sorted(self.evacuations.known.current.data_centres),
             "draining": self.is_draining,
             "open_jobs": len(self.requests.job_registry.jobs),
             "links": [str(peer) for peer in self.links.find_linked()],
