--- a/gentianhub/capacity/routing.py
+++ b/gentianhub/capacity/routing.py
@@ -110,9 +110,8 @@
         No task goes to an excluded cell.
         """
         remaining = count
-        usable = self._find_usable_cells(excluded)
         if not is_final:
-            for cell in self._sort_by_free_capacity(usable):
+            for cell in self._sort_by_free_capacity(self._find_usable_cells(excluded)):
                 fitting = self.estimate_free_millicores(cell) // max(1, millicores)
                 assigned = min(remaining, fitting)
                 if assigned:
@@ -121,14 +120,16 @@
                     yield TaskAllocation(cell=cell, count=assigned, may_decline=True)
                 if not remaining:
                     return
+        # A cell may have become unreachable since the first allocation.
+        usable = self._find_usable_cells(excluded)
         yield from self._spread(remaining, millicores, usable)
 
     def _find_usable_cells(self, excluded: Set[Cell]) -> Set[Cell]:
-        return {
-            cell
-            for cell in self._claims.keys() - self._unreachable - excluded
-            if not self.evacuations.is_evacuated(cell.data_centre)
-        }
+        usable = self._claims.keys() - self._unreachable - excluded
+        evacuated = self.evacuations.current.data_centres
+        if not evacuated:
+            return usable
+        return {cell for cell in usable if cell.data_centre not in evacuated}
 
     def _spread(
         self, count: int, millicores: int, usable: Set[Cell]
