Test the version of a table in pages and the log line of unknown names

Both are parts of the evacuation that no test covered: a row written between two pages of the operator's table, and the name of a data centre that has no host and no target.

--- a/gentianhub/host/tests/test_evacuations.py
+++ b/gentianhub/host/tests/test_evacuations.py
@@ -150,12 +150,26 @@
                 self.assertEqual(starts, len(owner.targets.starts))
 
 
+class TestUnknownDataCentre(unittest.TestCase):
+    def test_a_name_without_hosts_and_targets_is_logged_once(self):
+        """An operator who mistypes a name would take the data centre for evacuated."""
+        deployment = SimulatedDeployment()
+        self.enterContext(deployment)
+        with self.assertLogs("gentianhub.host") as logs:
+            read_rows(deployment.owners[0], 5, "bern", "oltn")
+            deployment.run(3.0)
+        name = "evacuation of an unknown data centre"
+        records = [r for r in logs.records if r.getMessage() == name]
+        hosts = len(deployment.hosts)
+        self.assertEqual(["oltn"] * hosts, [record.id for record in records])
+
+
 class ScriptedStore(FakeStore):
-    """Returns tables of the keys of rows, and follows them as scripted."""
+    """Returns one table of keys after another, as the history is lost meanwhile."""
 
-    def __init__(self, tables, follow=lambda: HistoryExpired()):
+    def __init__(self, tables):
         super().__init__()
-        self.tables, self.follow = list(tables), follow
+        self.tables = list(tables)
 
     def read_rows(self, table):
         self.requests += 1
