Name the owner's term in orders

Cause: an order that waited in a socket while the cell moved to another host and back was handled as a first order; its task ran beside the run that the owner in between had started. Change: RunTasks carries the term that its sender relies on, and an owner with another term treats it as a repeat.

test_encoding: the order that is encoded and decoded names a term as well.

--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -21,7 +21,8 @@
     message. `deadline_in_s` is counted from the sending. `may_decline` allows the owner
     to decline tasks for which it has no capacity at once. `is_repeat` marks tasks that
     an earlier owner may have started. `heard_heartbeat` is the number of the owner's
-    last heartbeat that the front host had handled; 0 if it tells none.
+    last heartbeat that the front host had handled; 0 if it tells none. `term` is the
+    term of the owner that the front host relies on; 0 if it tells none.
     """
 
     cell: Cell
@@ -41,6 +42,22 @@
     may_decline: bool = False
     is_repeat: bool = False
     heard_heartbeat: int = 0
+    term: int = 0
+
+    def list_keys(self) -> list[TaskKey]:
+        """Return the keys of the tasks."""
+        return [
+            TaskKey(job=self.job, step=self.step_number, index=index)
+            for index in self.indexes
+        ]
+
+    def is_repeat_in(self, term: int) -> bool:
+        """Whether an owner other than that of `term` may have started the tasks.
+
+        While an order of another term was under way, an owner in between may have been
+        sent a repeated one.
+        """
+        return self.is_repeat or self.term not in (0, term)
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -271,6 +271,7 @@
             deadline_in_s=job.deadline_s - now_s,
             may_decline=may_decline,
             is_repeat=is_repeat,
+            term=self.owners[cell].claim.term,
         )
         return self._address(cell, request)
 
@@ -289,10 +290,7 @@
         self.loads.mark_unreachable(request.cell)
         if job is None or request.is_repeat:
             return
-        keys = [
-            TaskKey(job=request.job, step=request.step_number, index=index)
-            for index in request.indexes
-        ]
+        keys = request.list_keys()
         for key in keys:
             del job.assigned_cells[key]
             job.offer_counts[key] -= 1
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -206,10 +206,7 @@
         if submitted_s is None:
             submitted_s = min(confirmed_s, now_s) - request.age_s
         job = self.jobs.get((front_host, request.job))
-        keys = [
-            TaskKey(job=request.job, step=request.step_number, index=index)
-            for index in request.indexes
-        ]
+        keys = request.list_keys()
         end = self.suspects.find_end(keys)
         if end is not None:
             yield self.suspects.log_given_up(keys, end)
@@ -280,6 +277,7 @@
                 cutoff_start_s=accepted_s + last_end_s - predicted_s,
                 sort_key_s=accepted_s + early_slack_s,
                 expected_s=predicted_s,
+                is_repeat=request.is_repeat_in(self.term),
             )
 
     def _resend_ends(self, job: CellJob, keys: list[TaskKey]) -> Iterator:
@@ -314,7 +312,7 @@
 
     def _may_have_later_run(self, task: CellTask, now_s: float) -> bool:
         """Whether a target that has not listed its runs may have a run of the task."""
-        return task.request.is_repeat and not self.tracker.has_discovered_runs(now_s)
+        return task.is_repeat and not self.tracker.has_discovered_runs(now_s)
 
     def _adopt_run(self, task: CellTask, target: TargetState, now_s: float) -> Iterator:
         number = target.orphans[task.key]
@@ -477,7 +475,7 @@
                     task.avoid(target.name)
                     yield from self._end_run(task, ev.RunEnd.LEASE_EXPIRED, now_s)
                 case te.TargetLost():
-                    repeated = [t.key for t in self._blocked if t.request.is_repeat]
+                    repeated = [t.key for t in self._blocked if t.is_repeat]
                     yield from self.suspects.record_loss(item, repeated, now_s)
                 case te.TargetAnswered():
                     yield from self.suspects.resolve_losses(item, now_s)
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -55,7 +55,7 @@
     A start after `objective_start_s` is likely to miss the latency objective; after
     `cutoff_start_s` the task is no longer started. Waiting tasks are sorted by
     `sort_key_s`, the time by which the task should be considered for a start. All times
-    are monotonic.
+    are monotonic. `is_repeat` is set if an earlier owner may have started the task.
     """
 
     key: TaskKey
@@ -65,6 +65,7 @@
     cutoff_start_s: float
     sort_key_s: float
     expected_s: float
+    is_repeat: bool = False
     target: str | None = None
     end: TaskEnd | None = None
     is_blocked: bool = False
--- a/gentianhub/capacity/tests/simulated_cell.py
+++ b/gentianhub/capacity/tests/simulated_cell.py
@@ -15,6 +15,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.confirmations import HEARTBEAT_RETENTION_S
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
 from gentianhub.capacity.leases import (
     CLOCK_DRIFT,
@@ -61,6 +62,8 @@
 SUSPENSION_S = (0.3, 2.8)
 # Time from the end of a suspension until the front hosts have new links.
 RECONNECTION_S = (0.01, 0.5)
+# Time from a claim until the new owner has read what was sent to it in earlier terms.
+PIPE_READ_S = (0.0, 0.3)
 
 
 @frozen(kw_only=True)
@@ -70,11 +73,14 @@
     A front host learns of a departure late by a time in the range `departure_s`. It
     names a heartbeat that is newer by up to `dating_s` than what it has read. An owner
     pauses for up to `pause_s` between a decision and the sending of what it orders.
+    A first order waits with `pipe_probability` in a socket of its owner's host, which
+    reads it when it owns the cell again, one or two changes of owner later.
     """
 
     departure_s: tuple[float, float] = (0.0, 0.0)
     dating_s: float = 0.0
     pause_s: float = 0.0
+    pipe_probability: float = 0.0
 
 
 @define(kw_only=True, eq=False)
@@ -135,6 +141,7 @@
     faults: MachineFaults = MachineFaults()
     random: Random = field(init=False)
     fault_random: Random = field(init=False)
+    pipe_random: Random = field(init=False)
     now_s: float = field(init=False, default=0.0)
     owner: CellScheduler | None = field(init=False, default=None)
     targets: dict[str, SimulatedTarget] = field(init=False, factory=dict)
@@ -152,6 +159,8 @@
     late_starts_s: list[float] = field(init=False, factory=list)
     lapsed: int = field(init=False, default=0)
     suspended_s: float | None = field(init=False, default=None)
+    piped_count: int = field(init=False, default=0)
+    _pipes: dict[int, list] = field(init=False, factory=dict)
     _waiting: list = field(init=False, factory=list)
     _term: int = field(init=False, default=0)
     _queue: list = field(init=False, factory=list)
@@ -161,6 +170,7 @@
         self.random = Random(self.seed)
         # The draws of a seed stay as they are without these faults.
         self.fault_random = Random(f"faults of {self.seed}")
+        self.pipe_random = Random(f"pipes of {self.seed}")
         for number in range(self.target_count):
             entry = build_target(f"t{number}", port=8000 + number, cores=90)
             self.targets[entry.name] = SimulatedTarget(entry=entry)
@@ -212,9 +222,43 @@
         front_host, count = self.jobs[job]
         step = build_step(count=count, cores=20, estimate_s=1.0)
         request = build_request(
-            job, step, deadline_in_s=20.0, stretch=20.0, is_repeat=is_repeat
+            job,
+            step,
+            deadline_in_s=20.0,
+            stretch=20.0,
+            is_repeat=is_repeat,
+            term=self._term,
         )
-        self.feed(request, front_host)
+        if is_repeat or not self.faults.pipe_probability:
+            self.feed(request, front_host)
+        elif self.pipe_random.random() >= self.faults.pipe_probability:
+            self.feed(request, front_host)
+        else:
+            self.hold_in_pipe(request, front_host)
+
+    def hold_in_pipe(self, request: ev.RunTasks, front_host: Incarnation) -> None:
+        """Keep a first order until the owner has changed once or twice.
+
+        With one change, the front host has repeated the request over a new link to the
+        same owner; with two, it repeats it to the owner in between.
+        """
+        changes = self.pipe_random.randint(1, 2)
+        item = (request, front_host, self.now_s)
+        self._pipes.setdefault(self._term + changes, []).append(item)
+        if changes == 1:
+            delay_s = self.pipe_random.uniform(*RECONNECTION_S)
+            self.schedule(delay_s, self.repeat, request.job)
+
+    def read_pipe(self) -> None:
+        """Let a new owner read the orders that its host was sent in earlier terms."""
+        for request, front_host, sent_s in self._pipes.pop(self._term, ()):
+            delay_s = self.pipe_random.uniform(*PIPE_READ_S)
+            self.schedule(delay_s, self.feed_piped, request, front_host, sent_s)
+
+    def feed_piped(self, request, front_host: Incarnation, sent_s: float) -> None:
+        self.piped_count += self.owner is not None
+        is_known = self.now_s <= sent_s + HEARTBEAT_RETENTION_S
+        self.feed(request, front_host, sent_s if is_known else float("-inf"))
 
     def confirm(self, front_host: Incarnation) -> None:
         """Confirm the open jobs of a live front host, again and again."""
@@ -358,6 +402,13 @@
             delay_s = HOST_SILENCE_TIMEOUT_S + self.random.uniform(0, 2 * TICK_S)
             self.schedule(delay_s, self.replace_owner)
 
+    def hand_over(self) -> None:
+        """Let the owner drain: the next one claims the cell at once."""
+        if self.owner is not None and self.suspended_s is None:
+            self.owner = None
+            delay_s = self.pipe_random.uniform(*LATENCY_S)
+            self.schedule(delay_s, self.replace_owner)
+
     def replace_owner(self) -> None:
         """Start the next owner, which knows all targets of the last one."""
         self._term += 1
@@ -373,6 +424,7 @@
         self.list_targets()
         for job in self.jobs:
             self.schedule(self.random.uniform(0, REPEAT_S), self.repeat, job)
+        self.read_pipe()
 
     def repeat(self, job: str) -> None:
         if job in self.jobs and self.jobs[job][0] not in self.lost_s:
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -35,6 +35,7 @@
 MAX_INT32 = 2**31 - 1
 MAX_UINT16 = 2**16 - 1
 MAX_INT64 = 2**63 - 1
+MAX_UINT64 = 2**64 - 1
 
 
 def encode_message(message) -> bytes:
@@ -150,6 +151,7 @@
         "mayDecline": request.may_decline,
         "isRepeat": request.is_repeat,
         "heardHeartbeat": request.heard_heartbeat,
+        "term": _clamp(request.term, MAX_UINT64),
     }
 
 
@@ -305,6 +307,7 @@
         may_decline=content.mayDecline,
         is_repeat=content.isRepeat,
         heard_heartbeat=content.heardHeartbeat,
+        term=content.term,
     )
 
 
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -43,6 +43,7 @@
   mayDecline @14 :Bool;
   isRepeat @15 :Bool;
   heardHeartbeat @16 :UInt64;
+  term @17 :UInt64;
 }
 
 struct CancelTasks {
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -24,7 +24,12 @@
     ),
     ev.HostHeartbeat(number=5, claims=(), configuration_version=0, lacks_targets=True),
     ev.HostHeartbeat(number=6, claims=(), configuration_version=0, is_idle=True),
-    build_request("a", build_step(count=3, after=(0,), data_rack="r1"), is_repeat=True),
+    build_request(
+        "a",
+        build_step(count=3, after=(0,), data_rack="r1"),
+        is_repeat=True,
+        term=2**52,
+    ),
     ev.CancelTasks(cell=CELL, job="a"),
     ev.CancelRequest(
         job="a", asked_by=build_host("e1"), number=2**40, is_passed_on=True
@@ -85,6 +90,12 @@
         decoded = decode_message(encode_message(heartbeat))
         self.assertEqual(2**32 - 1, decoded.claims[0].queued_millicore_s)
 
+    def test_a_term_outside_the_range_of_its_field_is_clamped(self):
+        """An exception that Cap'n Proto raises in a greenlet ends the process."""
+        for term, expected in ((-1, 0), (2**65, 2**64 - 1)):
+            decoded = decode_message(encode_message(build_request("a", term=term)))
+            self.assertEqual(expected, decoded.term)
+
     def test_damaged_bodies_are_rejected(self):
         """A damaged body must not be handled as a request to run tasks."""
         for body in (b"", b"\x00" * 8, encode_message(MESSAGES[3])[:40]):
