Move the handling of front hosts' requests out of the scheduler

Cause: scheduler.py had 752 lines and several subjects. Change: the sections on requests and confirmations of front hosts, and the expiry of jobs, form the state machine FrontRequests in front_requests.py. Like the tracker it yields effects and events (TaskRequested, StartsDue, JobEnded, JobsConfirmed); the scheduler applies each event before the next item is produced, so that the order of all effects stays. scheduler.py has 549 lines.

All modules of capacity/tests and eight of host/tests pass.

test_forgotten_ends and test_lost_ends import END_RETENTION_S from its new module.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -13,15 +13,19 @@
 from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.confirmations import (
     CellConfirmations,
-    HeldRequest,
     describe_age,
-    is_confirmation_due,
-    is_given_up,
     is_recent,
 )
 from gentianhub.capacity.earlier_runs import RunAtWork, RunOver, find_earlier_run
 from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.estimates import RunEstimates
+from gentianhub.capacity.front_requests import (
+    FrontRequests,
+    JobEnded,
+    JobsConfirmed,
+    StartsDue,
+    TaskRequested,
+)
 from gentianhub.capacity.jobs import Cell, TaskKey, format_task_key
 from gentianhub.capacity.leases import choose_lease_s
 from gentianhub.capacity.load import CellLoad
@@ -38,17 +42,8 @@
 from gentianhub.capacity.waiting import WaitingTasks
 from gentianhub.core import Incarnation
 
-# Ends of tasks are kept for this long, for a front host that repeats its request.
-END_RETENTION_S = 3.0
 # Number of tasks that fit on no target now and may be skipped in favour of later ones.
 MAX_SKIPPED_TASKS = 12
-# An answer later than this multiple of its objective is of no use to the caller, so a
-# task that would end later is dropped. 1.5 left more jobs of a load peak without an
-# answer.
-LATE_FACTOR = 3.0
-# Fraction of its slack that a task may wait; the rest covers the variance of run times
-# and the delivery of the answer.
-SLACK_FRACTION = 0.6
 # Verdicts that rule out that the task has run. The target of a stale run has had an
 # earlier run of the task.
 NOT_EXECUTED = frozenset(
@@ -90,11 +85,10 @@
     load: CellLoad = field(init=False)
     suspects: Suspects = field(init=False)
     confirmations: CellConfirmations = field(init=False)
-    jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
+    requests: FrontRequests = field(init=False)
     waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
     trials: RouteTrials = field(init=False, factory=lambda: RouteTrials())
-    _front_hosts: dict[str, Incarnation] = field(init=False, factory=dict)
     _started_tasks: dict[TaskKey, CellTask] = field(init=False, factory=dict)
     _blocked: list[CellTask] = field(init=False, factory=list)
     _may_start: bool = field(init=False, default=False)
@@ -105,6 +99,16 @@
         self.load = CellLoad(cell=self.cell, term=self.term)
         self.suspects = Suspects(cell=self.cell, term=self.term, losses=self.losses)
         self.confirmations = CellConfirmations(cell=self.cell)
+        self.requests = FrontRequests(
+            cell=self.cell,
+            term=self.term,
+            reporter=self.reporter,
+            load=self.load,
+            suspects=self.suspects,
+            confirmations=self.confirmations,
+            estimates=self.estimates,
+            turnover=self.turnover,
+        )
         self.tracker = TargetTracker(
             cell=self.cell,
             term=self.term,
@@ -117,6 +121,11 @@
         """The cell's targets by name."""
         return self.tracker.targets
 
+    @property
+    def jobs(self) -> dict[tuple[Incarnation, str], CellJob]:
+        """The jobs that front hosts have sent, by front host and name."""
+        return self.requests.jobs
+
     def handle(
         self,
         event,
@@ -131,32 +140,19 @@
         """
         confirmed_s = now_s if confirmed_s is None else confirmed_s
         match event:
-            case ev.RunTasks() if not is_recent(confirmed_s, now_s):
-                yield from self.confirmations.hold_request(
-                    event, front_host, confirmed_s, now_s
+            case ev.RunTasks() | ev.OpenJobs() | ev.CancelTasks() | ev.FrontLost():
+                yield from self._apply_request_events(
+                    self.requests.handle(event, now_s, front_host, confirmed_s), now_s
                 )
-            case ev.RunTasks():
-                yield from self._handle_run_tasks(event, front_host, confirmed_s, now_s)
-            case ev.OpenJobs(jobs=names):
-                yield from self._handle_open_jobs(names, front_host, confirmed_s, now_s)
-            case ev.CancelTasks(job=job_id):
-                self.confirmations.drop_job(front_host, job_id)
-                job = self.jobs.get((front_host, job_id))
-                if job is not None:
-                    yield self._log_withdrawal(job, "cancelled")
-                    yield from self._cancel_job(job, StopReason.CANCELLED, now_s)
-                    job.is_withdrawn = True
-                yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
-            case ev.FrontLost(front_host=lost):
-                yield from self._give_up_front_host(lost, now_s)
             case ev.Tick():
                 # Tasks expire, and targets return from an ejection.
                 self._may_start = True
                 yield from self._apply_tracker_events(
                     self.tracker.handle(event, now_s), now_s
                 )
-                yield from self._give_up_unconfirmed(now_s)
-                self._prune_jobs(now_s)
+                yield from self._apply_request_events(
+                    self.requests.handle(event, now_s, front_host, confirmed_s), now_s
+                )
                 yield from self._release_after_discovery(now_s)
             case _:
                 yield from self._apply_tracker_events(
@@ -170,121 +166,35 @@
 
     def has_work(self) -> bool:
         """Whether a task of a job that was not cancelled waits or runs."""
-        return bool(self.confirmations) or any(
-            job.has_open_tasks() for job in self.jobs.values() if not job.is_cancelled
-        )
+        return self.requests.has_work()
 
     def find_front_host(self, name: str) -> Incarnation | None:
         """Return the host that has sent tasks of an open job, or None."""
-        job = self.jobs.get((self._front_hosts.get(name), name))
-        return job.front_host if job is not None and not job.is_withdrawn else None
+        return self.requests.find_front_host(name)
 
     def find_unconfirmed_hosts(self, now_s: float) -> Iterator[Incarnation]:
         """Yield the front hosts that should confirm their open jobs."""
-        yield from self.confirmations.find_waiting_hosts()
-        yield from (
-            job.front_host
-            for job in self.jobs.values()
-            if is_confirmation_due(job, now_s)
-        )
-
-    # Requests of front hosts
+        return self.requests.find_unconfirmed_hosts(now_s)
 
-    def _handle_run_tasks(
-        self,
-        request: ev.RunTasks,
-        front_host: Incarnation,
-        confirmed_s: float,
-        now_s: float,
-        submitted_s: float | None = None,
-    ) -> Iterator:
-        """Queue the tasks of a request, unless they are known.
+    # Jobs and tasks of front hosts
 
-        The caller submitted the job at `submitted_s` at the earliest; None if only the
-        confirmation tells.
-        """
-        if submitted_s is None:
-            submitted_s = min(confirmed_s, now_s) - request.age_s
-        job = self.jobs.get((front_host, request.job))
-        keys = request.list_keys()
-        end = self.suspects.find_end(keys)
-        if end is not None:
-            yield self.suspects.log_given_up(keys, end)
-            yield self.reporter.build_refusal(request, front_host, end, True)
-            yield from self._cancel_job(job, StopReason.JOB_ENDED, now_s)
-            return
-        if job is None or job.is_withdrawn:
-            job = CellJob(
-                front_host=front_host,
-                name=request.job,
-                changed_s=now_s,
-                submitted_s=submitted_s,
-            )
-            other = self._find_other_submission(job)
-            if other is not None and other.submitted_s > job.submitted_s:
-                yield self.reporter.build_refusal(
-                    request, front_host, ev.TaskEnd.EXPIRED, False
-                )
-                return
-            if other is not None:
-                # The other front host may not have noticed that the caller has left it.
-                yield self._log_withdrawal(other, "submitted again")
-                yield from self._give_up_job(other, StopReason.SUBMITTED_AGAIN, now_s)
-            self.jobs[(front_host, job.name)] = job
-            self._front_hosts[job.name] = front_host
-        if is_given_up(job, now_s):
-            yield from self._give_up_job(job, StopReason.NOT_CONFIRMED, now_s)
-        job.confirmed_s = max(job.confirmed_s, confirmed_s)
-        if job.is_cancelled:
-            # The owner considered the front host lost and cancelled its jobs.
-            yield self.reporter.build_refusal(
-                request, front_host, ev.TaskEnd.EXPIRED, job.has_started
-            )
-            return
-        new_keys = [key for key in keys if key not in job.tasks]
-        self.load.record_demand(request.step)
-        yield from self._resend_ends(job, [k for k in keys if k in job.tasks])
-        for task in self._build_tasks(request, job, new_keys, now_s):
-            job.tasks[task.key] = task
-            yield from self._admit_task(task, now_s)
-        if request.may_decline:
-            yield from self._start_tasks(now_s)
-            yield from self._decline_waiting(job, new_keys)
-
-    def _find_other_submission(self, job: CellJob) -> CellJob | None:
-        """Return an open submission of the same job through another front host."""
-        other = self.jobs.get((self._front_hosts.get(job.name), job.name))
-        if other is None or other.front_host == job.front_host or other.is_cancelled:
-            return None
-        return other if other.has_open_tasks() else None
-
-    def _build_tasks(
-        self, request: ev.RunTasks, job: CellJob, keys: list[TaskKey], now_s: float
-    ) -> Iterator[CellTask]:
-        predicted_s = self.estimates.predict(request.route, request.step.estimate_s)
-        accepted_s = now_s - request.age_s
-        objective_s = request.objective_s + request.stretch * predicted_s
-        deadline_s = request.deadline_in_s + request.age_s
-        slack_s = SLACK_FRACTION * (objective_s - predicted_s)
-        last_end_s = min(deadline_s, LATE_FACTOR * objective_s)
-        early_slack_s = slack_s - self.turnover.estimate_wait_s(len(keys))
-        for key in keys:
-            yield CellTask(
-                key=key,
-                job=job,
-                request=request,
-                objective_start_s=accepted_s + slack_s,
-                cutoff_start_s=accepted_s + last_end_s - predicted_s,
-                sort_key_s=accepted_s + early_slack_s,
-                expected_s=predicted_s,
-                is_repeat=request.is_repeat_in(self.term),
-            )
-
-    def _resend_ends(self, job: CellJob, keys: list[TaskKey]) -> Iterator:
-        for key in keys:
-            task = job.tasks[key]
-            if task.end is not None:
-                yield self.reporter.build_end_report([task], task.end)
+    def _apply_request_events(self, items: Iterable, now_s: float) -> Iterator:
+        """Yield effects unchanged, and apply the events of front hosts' requests."""
+        for item in items:
+            match item:
+                case TaskRequested(task=task):
+                    yield from self._admit_task(task, now_s)
+                case StartsDue():
+                    yield from self._start_tasks(now_s)
+                case JobEnded(job=job, reason=reason):
+                    yield from self._cancel_job(job, reason, now_s)
+                case JobsConfirmed(tasks=tasks):
+                    self._may_start = self._may_start or self._awaits_confirmation
+                    self._awaits_confirmation = False
+                    for task in tasks:
+                        self._push_waiting(task, now_s)
+                case _:
+                    yield item
 
     def _admit_task(self, task: CellTask, now_s: float) -> Iterator:
         """Queue a task, adopt its run, or block it until earlier runs are known."""
@@ -334,18 +244,8 @@
         self._started_tasks[task.key] = task
         yield from self.tracker.adopt_run(target, run, now_s)
 
-    def _decline_waiting(self, job: CellJob, keys: list[TaskKey]) -> Iterator:
-        declined = [job.tasks[key] for key in keys if job.tasks[key].is_waiting]
-        for task in declined:
-            del job.tasks[task.key]
-            task.is_blocked = True
-        if declined:
-            yield self.reporter.build_end_report(declined, ev.TaskEnd.DECLINED)
-
-    def _cancel_job(
-        self, job: CellJob | None, reason: StopReason, now_s: float
-    ) -> Iterator:
-        if job is None or job.is_cancelled:
+    def _cancel_job(self, job: CellJob, reason: StopReason, now_s: float) -> Iterator:
+        if job.is_cancelled:
             return
         job.is_cancelled = True
         job.changed_s = now_s
@@ -358,99 +258,6 @@
             if run is not None and run.phase is not RunPhase.STOPPING:
                 yield self.tracker.stop_run(target, run, reason, now_s)
 
-    def _give_up_front_host(self, lost: Incarnation, now_s: float) -> Iterator:
-        """Cancel the jobs of a front host that is considered lost, and report this.
-
-        A host that is only slow would wait for its tasks until its callers' deadline.
-        """
-        yield from self._refuse_requests(self.confirmations.release_requests(lost))
-        for job in [job for job in self.jobs.values() if job.front_host == lost]:
-            if not job.is_cancelled and job.has_open_tasks():
-                yield from self._give_up_job(job, StopReason.FRONT_HOST_LOST, now_s)
-
-    def _give_up_job(self, job: CellJob, reason: StopReason, now_s: float) -> Iterator:
-        open_tasks = [task for task in job.tasks.values() if task.end is None]
-        yield from self._cancel_job(job, reason, now_s)
-        steps: dict[int, list[CellTask]] = {}
-        for task in open_tasks:
-            steps.setdefault(task.key.step, []).append(task)
-        for tasks in steps.values():
-            yield self.reporter.build_end_report(tasks, ev.TaskEnd.EXPIRED)
-
-    # Confirmations of front hosts
-
-    def _handle_open_jobs(
-        self,
-        names: tuple[str, ...],
-        front_host: Incarnation,
-        confirmed_s: float,
-        now_s: float,
-    ) -> Iterator:
-        """Confirm the listed jobs of a front host; end its other ones."""
-        listed = set(names)
-        for job in [job for job in self.jobs.values() if job.front_host == front_host]:
-            if job.name in listed:
-                if is_given_up(job, now_s):
-                    yield from self._give_up_job(job, StopReason.NOT_CONFIRMED, now_s)
-                job.confirmed_s = max(job.confirmed_s, confirmed_s)
-                continue
-            if not job.is_cancelled and job.has_open_tasks():
-                yield self._log_withdrawal(job, "not open")
-                yield from self._cancel_job(job, StopReason.NOT_OPEN, now_s)
-            job.is_withdrawn = True
-        self._may_start = self._may_start or self._awaits_confirmation
-        self._awaits_confirmation = False
-        for task in self.confirmations.release_tasks(now_s):
-            self._push_waiting(task, now_s)
-        for held in self.confirmations.release_requests(front_host):
-            if held.request.job not in listed:
-                continue
-            if is_recent(confirmed_s, now_s):
-                yield from self._handle_run_tasks(
-                    held.build_delayed_request(now_s),
-                    front_host,
-                    confirmed_s,
-                    now_s,
-                    held.submitted_s,
-                )
-            else:
-                self.confirmations.hold_again(held)
-
-    def _give_up_unconfirmed(self, now_s: float) -> Iterator:
-        """End what no front host has confirmed in time, and report it."""
-        self.confirmations.forget_requests(now_s)
-        for job in [job for job in self.jobs.values() if is_given_up(job, now_s)]:
-            yield fx.LogDecision(
-                decision="job not confirmed",
-                subject=job.name,
-                inputs={
-                    "cell": str(self.cell),
-                    "front_host": str(job.front_host),
-                    "age_s": round(now_s - job.confirmed_s, 3),
-                },
-            )
-            yield from self._give_up_job(job, StopReason.NOT_CONFIRMED, now_s)
-        yield from self._refuse_requests(self.confirmations.release_expired(now_s))
-
-    def _refuse_requests(self, refused: list[HeldRequest]) -> Iterator:
-        """Report held requests as not run."""
-        for held in refused:
-            yield self.reporter.build_refusal(
-                held.request, held.front_host, ev.TaskEnd.EXPIRED, False
-            )
-
-    def _log_withdrawal(self, job: CellJob, reason: str) -> fx.LogDecision:
-        inputs = {
-            "cell": str(self.cell),
-            "front_host": str(job.front_host),
-            "reason": reason,
-            "waiting": sum(task.is_waiting for task in job.tasks.values()),
-            "running": sum(task.target is not None for task in job.tasks.values()),
-        }
-        return fx.LogDecision(
-            decision="tasks withdrawn", subject=job.name, inputs=inputs
-        )
-
     # Runs
 
     def _apply_tracker_events(self, items: Iterable, now_s: float) -> Iterator:
@@ -740,13 +547,3 @@
             decided_s=now_s,
             lease_s=lease_s,
         )
-
-    # Expiry of finished jobs
-
-    def _prune_jobs(self, now_s: float) -> None:
-        """Remove finished jobs that no front host will request again."""
-        for key, job in list(self.jobs.items()):
-            if now_s >= job.changed_s + END_RETENTION_S and job.is_finished():
-                del self.jobs[key]
-                if self._front_hosts.get(job.name) == job.front_host:
-                    del self._front_hosts[job.name]
--- a/gentianhub/capacity/tests/test_forgotten_ends.py
+++ b/gentianhub/capacity/tests/test_forgotten_ends.py
@@ -8,7 +8,7 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.front import CONFIRMATION_TIMEOUT_S
-from gentianhub.capacity.scheduler import END_RETENTION_S
+from gentianhub.capacity.front_requests import END_RETENTION_S
 from gentianhub.capacity.tests import test_lost_ends
 from gentianhub.capacity.tests.builders import (
     CELL,
--- a/gentianhub/capacity/tests/test_lost_ends.py
+++ b/gentianhub/capacity/tests/test_lost_ends.py
@@ -13,10 +13,10 @@
     OWNERLESS_TIMEOUT_S,
     FrontJobRegistry,
 )
+from gentianhub.capacity.front_requests import END_RETENTION_S
 from gentianhub.capacity.jobs import CapacityJob
 from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
 from gentianhub.capacity.ownership import CellOwner
-from gentianhub.capacity.scheduler import END_RETENTION_S
 from gentianhub.capacity.submissions import OwnersChanged, SubmitCapacityJob
 from gentianhub.capacity.tests.builders import (
     CELL,
