--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -279,6 +279,7 @@
             deadline_in_s=job.deadline_s - now_s,
             may_decline=may_decline,
             is_repeat=is_repeat,
+            term=self.owners[cell].claim.term,
         )
         return self._address(cell, request)
 
@@ -297,7 +298,7 @@
         self.loads.mark_unreachable(request.cell)
         if job is None or request.is_repeat:
             return
-        keys = build_task_keys(request.job, request.step_number, request.indexes)
+        keys = request.list_keys()
         for key in keys:
             del job.assigned_cells[key]
             job.offer_counts[key] -= 1
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -154,6 +154,7 @@
         "mayDecline": request.may_decline,
         "isRepeat": request.is_repeat,
         "heardHeartbeat": request.heard_heartbeat,
+        "term": _clamp(request.term, MAX_UINT64),
     }
 
 
@@ -317,6 +318,7 @@
         may_decline=content.mayDecline,
         is_repeat=content.isRepeat,
         heard_heartbeat=content.heardHeartbeat,
+        term=content.term,
     )
 
 
