Wait for the state of evacuations only where the platform bounds them

Cause: a new owner without a state starts nothing for up to 3.5 s; with a store that is away, that would delay the first starts of deployments that know no evacuations. Change: the wait applies only if the settings have bounds.evacuate_ms. Measured: the new test fails without the change; the tests of evacuations and settings pass.

--- a/gentianhub/capacity/evacuations.py
+++ b/gentianhub/capacity/evacuations.py
@@ -46,9 +46,13 @@
     ----------
     started_s : float
         Monotonic time at which the process started, in seconds.
+    is_bounded : bool
+        Whether the platform bounds the time of starts after an evacuation. Only then
+        do starts wait for a state that is unknown, or that a pause has made old.
     """
 
     started_s: float = float("-inf")
+    is_bounded: bool = True
     current: Evacuations = field(init=False, factory=lambda: Evacuations())
     _resumed_s: float = field(init=False, default=float("-inf"))
 
@@ -72,8 +76,12 @@
 
     def allows_starts(self, data_centre: str, now_s: float) -> bool:
         """Whether runs may start in a data centre."""
-        if not self.current.version and now_s < self.started_s + MAX_UNKNOWN_S:
-            return False
-        if now_s < self._resumed_s + PAUSE_NOTICE_S:
+        if self.is_bounded and self._is_uncertain(now_s):
             return False
         return not self.is_evacuated(data_centre)
+
+    def _is_uncertain(self, now_s: float) -> bool:
+        is_unknown = not self.current.version
+        return (is_unknown and now_s < self.started_s + MAX_UNKNOWN_S) or (
+            now_s < self._resumed_s + PAUSE_NOTICE_S
+        )
--- a/gentianhub/capacity/tests/test_evacuations.py
+++ b/gentianhub/capacity/tests/test_evacuations.py
@@ -118,6 +118,12 @@
         self.driver.now_s = MAX_UNKNOWN_S
         self.assertEqual(1, len(find_starts(self.driver.feed(ev.Tick()))))
 
+    def test_without_a_bound_on_evacuations_the_first_start_does_not_wait(self):
+        """A store that is away would delay deployments that know no evacuations."""
+        known = KnownEvacuations(started_s=0.0, is_bounded=False)
+        self.driver = SchedulerDriver([build_target("t1")], evacuations=known)
+        self.assertEqual(1, len(find_starts(self.run_tasks())))
+
 
 class TestFrontHost(FrontTest):
     def setUp(self):
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -81,6 +81,8 @@
         Receives messages that come back behind all departures that had arrived.
     read_suspended_s : callable
         Returns for how long this machine has been suspended since it started, s.
+    bounds_evacuations : bool
+        Whether the platform bounds the time of starts after an evacuation.
     """
 
     local_host: Incarnation
@@ -93,6 +95,7 @@
     )
     started_s: float = field(factory=read_monotonic_s)
     read_suspended_s: Callable[[], float] = read_suspended_s
+    bounds_evacuations: bool = True
     metrics: HostMetrics = field(init=False, factory=lambda: HostMetrics())
     configuration: ConfigurationCache = field(
         init=False, factory=lambda: ConfigurationCache()
@@ -119,7 +122,9 @@
         self._suspended_s = self.read_suspended_s()
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
         self._delays = DelayLog(local_host=self.local_host, metrics=self.metrics)
-        known = KnownEvacuations(started_s=self.started_s)
+        known = KnownEvacuations(
+            started_s=self.started_s, is_bounded=self.bounds_evacuations
+        )
         self.evacuations = HostEvacuations(known=known, metrics=self.metrics)
         self.requests = RequestHandler(
             job_registry=FrontJobRegistry(
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -71,6 +71,7 @@
             registry_commands=self.registry_commands,
             target_polls=Mailbox(limit=1),
             links=self._build_links(),
+            bounds_evacuations=self.settings.evacuate_s is not None,
         )
         self.callers = CallerHandler(
             coordinator=self.mailbox, is_draining=lambda: self.coordinator.is_draining
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -45,7 +45,8 @@
     The host listens on `caller_address` for callers, on `readiness_address` for the
     platform's readiness probe, and on `link_address` for links from other hosts. A
     caller whose connection broke comes again after `caller_return_s`; a target stops a
-    run within `stop_s` and grants leases of up to `max_lease_s`.
+    run within `stop_s` and grants leases of up to `max_lease_s`. `evacuate_s` bounds
+    the starts in a data centre after its evacuation; None if the platform sets none.
     """
 
     name: ProcessName
@@ -60,6 +61,7 @@
     caller_return_s: float
     stop_s: float
     max_lease_s: float
+    evacuate_s: float | None = None
 
 
 def load_host_settings() -> HostSettings:
@@ -108,6 +110,11 @@
         / 1000,
         stop_s=read_field(bounds, "stop_ms", float, STOP_S * 1000) / 1000,
         max_lease_s=read_field(bounds, "hold_max_ms", float, MAX_LEASE_S * 1000) / 1000,
+        evacuate_s=(
+            read_field(bounds, "evacuate_ms", float) / 1000
+            if "evacuate_ms" in bounds
+            else None
+        ),
     )
 
 
