--- a/gentianhub/host/tests/host_processes.py
+++ b/gentianhub/host/tests/host_processes.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 import unittest
+from collections.abc import Mapping
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -53,9 +54,13 @@
 
 
 class HostProcessesTest(unittest.TestCase):
-    """`host_count` hosts that share the two targets of one data centre."""
+    """`host_count` hosts that share the two targets of one data centre.
+
+    `limits` are those of the hosts' machines.
+    """
 
     host_count = 1
+    limits: Mapping[str, float] = {}
 
     def setUp(self):
         self.addresses = build_addresses(self.host_count)
@@ -98,6 +103,7 @@
             address=address,
             ports=HostPorts(callers=self.callers, ready=self.ready, links=self.links),
             store=f"{self.store_address[0]}:{self.store_address[1]}",
+            limits=self.limits,
         )
         process = start_host(settings, self.open_log(address))
         self.stack.callback(process.wait)
--- /dev/null
+++ b/gentianhub/host/tests/hostile_clients.py
@@ -0,0 +1,191 @@
+"""Clients that send what no caller would: one data class for each kind."""
+
+import struct
+from collections.abc import Iterator
+
+import gevent
+from attrs import frozen
+from gevent import socket
+
+HEAD = b"POST /jobs/00000000000000aa HTTP/1.1\r\nHost: desk.example\r\n"
+PIECE_BYTES = 16_384
+# Time for a host to take what it will ever take, s. No check depends on what is
+# served within it.
+SEND_S = 20.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@frozen(kw_only=True)
+class HeldBody:
+    """Announces a body, and sends all of it but the last byte."""
+
+    size: int
+
+
+@frozen(kw_only=True)
+class SentBody:
+    """Announces a body, and sends it."""
+
+    size: int
+
+
+@frozen(kw_only=True)
+class EndlessChunks:
+    """Sends chunks up to a size, and no last one."""
+
+    chunk: int
+    size: int
+
+
+@frozen(kw_only=True)
+class EndlessHead:
+    """Sends header lines up to a size, and no end of the head."""
+
+    line: int
+    size: int
+
+
+@frozen(kw_only=True)
+class EmptyLines:
+    """Sends empty lines up to a size, and no request."""
+
+    size: int
+
+
+@frozen(kw_only=True)
+class ManyHeaders:
+    """Sends a request with more headers than any client has."""
+
+    count: int
+
+
+@frozen(kw_only=True)
+class Malformed:
+    """Sends a line that is not HTTP."""
+
+    number: int
+
+
+@frozen(kw_only=True)
+class Reset:
+    """Resets the connection within a body."""
+
+    size: int
+
+
+@frozen(kw_only=True)
+class Silent:
+    """Sends nothing."""
+
+
+@frozen(kw_only=True)
+class Dripping:
+    """Sends a byte now and then, never a whole request or greeting."""
+
+    interval_s: float
+    count: int
+
+
+@frozen(kw_only=True)
+class UnreadAnswers:
+    """Sends requests and reads no answer."""
+
+    path: str
+    count: int
+
+
+def iterate_input(client) -> Iterator[bytes]:
+    """Yield the pieces that a client sends."""
+    match client:
+        case HeldBody(size=size) | SentBody(size=size) | Reset(size=size):
+            yield HEAD + b"Content-Length: %d\r\n\r\n" % size
+            kept = 0 if isinstance(client, SentBody) else 1
+            yield from iterate_pieces(b"x", size - kept)
+        case EndlessChunks(chunk=chunk, size=size):
+            yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+            yield from iterate_pieces(b"%x\r\n%b\r\n" % (chunk, b"x" * chunk), size)
+        case EndlessHead(line=line, size=size):
+            yield HEAD
+            yield from iterate_pieces(b"X-Line: " + b"x" * line + b"\r\n", size)
+        case EmptyLines(size=size):
+            yield from iterate_pieces(b"\r\n", size)
+        case ManyHeaders(count=count):
+            yield HEAD + b"".join(b"X-%d: 1\r\n" % n for n in range(count)) + b"\r\n"
+        case Malformed(number=number):
+            yield b"no such request %d %%s\r\n\r\n" % number
+        case Silent():
+            return
+        case Dripping(interval_s=interval_s, count=count):
+            for _ in range(count):
+                yield b"G"
+                gevent.sleep(interval_s)
+        case UnreadAnswers(path=path, count=count):
+            request = f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+            yield from iterate_pieces(request, count * len(request))
+
+
+def iterate_pieces(unit: bytes, size: int) -> Iterator[bytes]:
+    """Yield `size` bytes of a repeated unit in pieces."""
+    piece = unit * max(1, PIECE_BYTES // len(unit))
+    for position in range(0, size, len(piece)):
+        yield piece[: size - position]
+
+
+@frozen(kw_only=True)
+class Outcome:
+    """What a client has sent, and what it has received."""
+
+    sent: int
+    received: bytes
+
+
+def send_input(client, sock) -> int:
+    """Send a client's input; return how many bytes were sent before an error."""
+    sent = 0
+    try:
+        for piece in iterate_input(client):
+            sock.sendall(piece)
+            sent += len(piece)
+    except OSError:
+        pass
+    return sent
+
+
+def run_client(client, address: tuple[str, int]) -> Outcome:
+    """Send a client's input, and then read until the server ends the connection."""
+    with socket.create_connection(address, timeout=SEND_S) as sock:
+        sent = send_input(client, sock)
+        if isinstance(client, Reset):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            return Outcome(sent=sent, received=b"")
+        received = b""
+        try:
+            while piece := sock.recv(65_536):
+                received += piece
+        except OSError:
+            pass
+        return Outcome(sent=sent, received=received)
+
+
+def open_clients(client, address: tuple[str, int], count: int) -> list:
+    """Connect `count` clients that send at the same time; return their sockets.
+
+    A connection that isn't made or that breaks is left as it is. The clients stay
+    connected until their sockets are closed.
+    """
+    sockets = []
+
+    def connect() -> None:
+        sock = socket.socket()
+        sock.settimeout(SEND_S)
+        sockets.append(sock)
+        try:
+            sock.connect(address)
+        except OSError:
+            return
+        send_input(client, sock)
+
+    greenlets = [gevent.spawn(connect) for _ in range(count)]
+    gevent.joinall(greenlets, timeout=SEND_S)
+    gevent.killall(greenlets)
+    return sockets
--- a/gentianhub/stand_ins/hosts.py
+++ b/gentianhub/stand_ins/hosts.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 from typing import BinaryIO
 
@@ -31,6 +32,7 @@
     ports: HostPorts,
     store: str,
     grace_s: float = 6.0,
+    limits: Mapping[str, float] | None = None,
 ) -> None:
     """Write a host's settings file in the format of the platform.
 
@@ -42,7 +44,10 @@
         Address of the store as `IP:PORT`.
     grace_s : float
         Longest time that the host may take to drain.
+    limits : Mapping[str, float], optional
+        Limits of the machine, such as `memory_mb` and `max_fds`.
     """
+    limit_lines = "\n".join(f"{key} = {value}" for key, value in (limits or {}).items())
     path.write_text(
         f"""
         node = "{name}"
@@ -55,6 +60,8 @@
         address = "{store}"
         [bounds]
         grace_s = {grace_s}
+        [limits]
+        {limit_lines}
         """
     )
 
--- a/tools/tests.py
+++ b/tools/tests.py
@@ -1,7 +1,8 @@
 """Runs the tests with nose2; reports and tolerates failures listed in KNOWN-RED.txt.
 
-Each test module runs in its own process, a few at a time. Within a process the tests
-run sequentially, so that the tests of a module do not compete for processes and ports.
+Each test module runs in its own process, a few at a time, and those that load the whole
+machine alone after all others. Within a process the tests run sequentially, so that the
+tests of a module do not compete for processes and ports.
 """
 
 import json
@@ -12,6 +13,7 @@
 import tempfile
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from itertools import chain
 from pathlib import Path
 
 import nose2
@@ -21,6 +23,8 @@
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
 # Half the cores of a common machine, as many tests start processes of their own.
 MAX_PARALLEL_MODULES = 4
+# Modules that run one at a time after all others, because they load the machine.
+LONE_MODULES = ("gentianhub.host.tests.test_hostile_clients",)
 # Names the file to which the process of one module writes its outcomes.
 OUTCOME_VARIABLE = "GENTIANHUB_TEST_OUTCOMES"
 _ENTRY_PATTERN = re.compile(r"^test: (\S+)$", re.MULTILINE)
@@ -84,13 +88,25 @@
 
 
 def run_modules(modules: list[str]) -> Iterator[dict[str, list[str]]]:
-    """Run modules in parallel; print the output of each and yield its outcomes."""
+    """Run modules, lone ones last; print the output of each and yield its outcomes."""
+    parallel = [module for module in modules if module not in LONE_MODULES]
+    lone = [module for module in modules if module in LONE_MODULES]
     with ThreadPoolExecutor(MAX_PARALLEL_MODULES) as pool:
-        for output, outcomes in pool.map(run_module, modules):
+        for output, outcomes in chain(
+            pool.map(run_module, parallel), run_alone(pool, lone)
+        ):
             print(output, end="", flush=True)
             yield outcomes
 
 
+def run_alone(
+    pool: ThreadPoolExecutor, modules: list[str]
+) -> Iterator[tuple[str, dict[str, list[str]]]]:
+    """Run modules one after the other, and yield what `run_module` returns."""
+    for module in modules:
+        yield pool.submit(run_module, module).result()
+
+
 def run_in_process(names: list[str]) -> dict[str, list[str]]:
     """Run the named tests in this process and return their outcomes."""
     nose2.discover(argv=["nose2", *names], exit=False, plugins=["tools.tests"])
