Bound what clients can make a host keep

Cause: nothing counted what was read and not answered, heads and bodies had no total limit in bytes or time, and connections none below max_fds. Change: one table of the connections of all HTTP ports of a process, with a budget for what they have sent, which each read asks; limits of heads, bodies, chunks and times, with the operator's names; refusals whose answers arrive; a limit of connections without a greeting on the link port; counted refusals with one log line in 10 s. The time-out of a body is BODY_TIMEOUT_S in web/bodies.py now, and test_slow_sender_is_timed_out patches it there; its check is the same.

--- a/gentianhub/callers/tests/test_bad_input.py
+++ b/gentianhub/callers/tests/test_bad_input.py
@@ -104,7 +104,7 @@
         self.assertEqual(self.operations, [])
 
     def test_slow_sender_is_timed_out(self):
-        with mock.patch("gentianhub.web.server.SOCKET_TIMEOUT_S", 0.2):
+        with mock.patch("gentianhub.web.bodies.BODY_TIMEOUT_S", 0.2):
             head = b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n"
             status, _ = self.send(head + b"{")
         self.assertEqual(status, 408)
--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterable
 from itertools import islice
 
-from attrs import field, frozen
+from attrs import Factory, field, frozen
 
 from gentianhub.capacity.resources import Resources
+from gentianhub.core.request_limits import RequestLimits
 
 # The owner of a cell of 59 targets used at most 0.38 of a core at the load peak of the
 # users' grown deployment. Larger cells waste less capacity by fragmentation.
@@ -97,7 +98,7 @@
 
     version: int
     routes: tuple[Route, ...] = ()
-    max_body_bytes: int = 262_144
+    limits: RequestLimits = Factory(RequestLimits)
     _routes_by_host: dict[str, list[Route]] = field(init=False, eq=False, repr=False)
 
     @_routes_by_host.default
--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -9,12 +9,14 @@
 
 from gentianhub.core import Mailbox, read_monotonic_s
 from gentianhub.host import messages as ms
+from gentianhub.host.client_limits import CALLERS
 from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.callers import DEADLINE_HEADER, encode_error
 from gentianhub.platform.settings import Address
 from gentianhub.web import (
     BodyError,
     ConnectionEnd,
+    ConnectionTable,
     ConnectionWatches,
     Request,
     Response,
@@ -23,15 +25,15 @@
     open_server,
 )
 
-# Most concurrent connections of callers; the host may open 4,100 file descriptors.
-MAX_CALLERS = 2000
 # Longest wait for an answer that a caller can request, s.
 MAX_WAIT_S = 86_400.0
-MAX_BODY_BYTES = 1_048_576
 # All requests are answered before the servers stop, but callers keep idle connections
 # open until the process exits, which must happen within the grace period.
 STOP_TIMEOUT_S = 0.1
-MAX_OPERATIONS_CONNECTIONS = 64
+# A readiness probe or a request for metrics has no body.
+MAX_OPERATIONS_BODY_BYTES = 4096
+# Time after which a caller may come again that was refused for want of memory, s.
+RETRY_AFTER_S = 1.0
 # deploy/system.toml names this port in the metrics address.
 METRICS_PORT = 9464
 CALLER_LEFT = "the caller has closed its connection"
@@ -120,22 +122,34 @@
 
 
 def _refuse_body(error: BodyError) -> Response:
-    return encode_error(error.status, error.reason)
+    retry_after_s = RETRY_AFTER_S if error.status == 503 else None
+    return encode_error(error.status, error.reason, retry_after_s)
 
 
 @contextmanager
-def serve_callers(address: Address, handler: CallerHandler) -> Iterator[None]:
+def serve_callers(
+    address: Address, handler: CallerHandler, connections: ConnectionTable
+) -> Iterator[None]:
     """Serve callers until the end of the block; wait briefly for open requests."""
-    application = build_application(handler.handle, _refuse_body, MAX_BODY_BYTES)
+    application = build_application(handler.handle, _refuse_body)
     with open_server(
-        address.as_host_and_port(), application, MAX_CALLERS, STOP_TIMEOUT_S
+        address.as_host_and_port(),
+        application,
+        connections.max_connections[CALLERS],
+        STOP_TIMEOUT_S,
+        connections,
+        CALLERS,
     ):
         yield
 
 
 @contextmanager
 def serve_operations(
-    address: Address, coordinator: Mailbox, is_ready: Callable[[], bool]
+    address: Address,
+    coordinator: Mailbox,
+    is_ready: Callable[[], bool],
+    connections: ConnectionTable,
+    port: str,
 ) -> Iterator[None]:
     """Serve readiness, metrics and the state dump until the end of the block."""
 
@@ -150,12 +164,14 @@
             case _:
                 return Response(status=200 if is_ready() else 503)
 
-    application = build_application(handle, _refuse_body, MAX_BODY_BYTES)
+    application = build_application(handle, _refuse_body, MAX_OPERATIONS_BODY_BYTES)
     with open_server(
         address.as_host_and_port(),
         application,
-        MAX_OPERATIONS_CONNECTIONS,
+        connections.max_connections[port],
         STOP_TIMEOUT_S,
+        connections,
+        port,
     ):
         yield
 
--- a/gentianhub/host/configuration.py
+++ b/gentianhub/host/configuration.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from gentianhub.capacity.jobs import Configuration
+from gentianhub.core.request_limits import RequestLimits
 from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.content import ConfigurationDecoder
 from gentianhub.platform.fields import FieldError
@@ -36,6 +37,11 @@
         """Version of the configuration; 0 without one."""
         return self.current.version if self.current else 0
 
+    @property
+    def limits(self) -> RequestLimits:
+        """Limits of requests; the defaults without a configuration."""
+        return self.current.limits if self.current else RequestLimits()
+
     def adopt(self, content: bytes, source: str) -> None:
         """Decode and keep a configuration if it is newer than the current one."""
         try:
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -43,6 +43,12 @@
         yield _build_family(
             "departures", "Callers that have left", "end", metrics.departures
         )
+        yield _build_family(
+            "refused_requests",
+            "Requests refused and connections closed before a request was complete",
+            "reason",
+            metrics.refusals,
+        )
         yield GaugeMetricFamily(
             "gentianhub_host_suspended_s",
             "Time for which the machine was suspended since the host started",
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -27,12 +27,19 @@
     serve_callers,
     serve_operations,
 )
+from gentianhub.host.client_limits import (
+    METRICS,
+    READINESS,
+    build_connection_table,
+    choose_max_handshakes,
+)
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
 from gentianhub.host.progress import return_behind_departures
 from gentianhub.host.registry import HostEntry
 from gentianhub.linking.handshake import Hello
+from gentianhub.linking.handshake_limits import PendingHandshakes
 from gentianhub.linking.link_events import DialAddress
 from gentianhub.linking.links import LinkContext, accept_link
 from gentianhub.platform.settings import HostSettings
@@ -89,6 +96,9 @@
             codec=build_codec(),
             manager_mailbox=self.mailbox,
             dispatcher_mailbox=self.mailbox,
+            handshakes=PendingHandshakes(
+                max_sockets=choose_max_handshakes(self.settings.max_fds)
+            ),
         )
         seeds = tuple(
             DialAddress(name=None, host=seed.host, port=seed.port)
@@ -204,19 +214,29 @@
             lambda sock, _: accept_link(sock, context),
         )
         link_server.start()
+        connections = build_connection_table(
+            self.settings.memory_mb,
+            self.settings.max_fds,
+            lambda: self.coordinator.configuration.limits,
+            self.coordinator.metrics.refusals,
+        )
         try:
             with (
                 serve_operations(
                     self.settings.readiness_address,
                     self.mailbox,
                     lambda: self.coordinator.is_ready,
+                    connections,
+                    READINESS,
                 ),
                 serve_operations(
                     evolve(self.settings.readiness_address, port=METRICS_PORT),
                     self.mailbox,
                     lambda: self.coordinator.is_ready,
+                    connections,
+                    METRICS,
                 ),
-                serve_callers(self.settings.caller_address, self.callers),
+                serve_callers(self.settings.caller_address, self.callers, connections),
             ):
                 yield
         finally:
--- a/gentianhub/linking/links.py
+++ b/gentianhub/linking/links.py
@@ -29,6 +29,7 @@
     encode_frame,
 )
 from gentianhub.linking.handshake import PROTOCOL_VERSION, Hello
+from gentianhub.linking.handshake_limits import PendingHandshakes
 from gentianhub.linking.link_events import (
     DialAddress,
     DialFailed,
@@ -38,6 +39,8 @@
 )
 
 HANDSHAKE_TIMEOUT_S = 1.0
+# Time for a whole greeting of an incoming connection, s.
+GREETING_TIMEOUT_S = 2.0
 # About one second of slot messages at one per 4 ms; a slower peer's link is closed.
 LINK_QUEUE_LIMIT = 256
 MAX_HELLO_BYTES = 4096
@@ -66,13 +69,15 @@
 class LinkContext:
     """State shared by all links of a process.
 
-    It holds the process's greeting, the encoding of messages, and two mailboxes.
+    It holds the process's greeting, the encoding of messages, two mailboxes, and the
+    incoming connections without a greeting.
     """
 
     hello: Hello
     codec: LinkCodec
     manager_mailbox: Mailbox
     dispatcher_mailbox: Mailbox
+    handshakes: PendingHandshakes = field(factory=PendingHandshakes)
 
 
 @frozen(kw_only=True)
@@ -140,7 +145,10 @@
 def accept_link(sock, context: LinkContext) -> None:
     """Exchange greetings with a connected process, and run the link until it ends."""
     frames = FrameReader(sock=sock)
-    match _exchange_hello(frames, context, None):
+    greeting = HandshakeFailed(reason="no greeting in time")
+    with context.handshakes.keep(sock), gevent.Timeout(GREETING_TIMEOUT_S, False):
+        greeting = _exchange_hello(frames, context, None)
+    match greeting:
         case HandshakeFailed(reason=reason):
             # Port checks by the service manager also end here.
             logger.debug("incoming link rejected: %s", reason)
--- a/gentianhub/platform/content.py
+++ b/gentianhub/platform/content.py
@@ -9,6 +9,7 @@
 
 from gentianhub.capacity.jobs import Configuration, ListedTarget, Route
 from gentianhub.capacity.resources import Resources
+from gentianhub.core.request_limits import RequestLimits
 from gentianhub.platform.fields import (
     FieldError,
     describe_value,
@@ -29,6 +30,10 @@
 MAX_ATTEMPTS = 2**31 - 1
 MAX_STRETCH = 1e6
 MAX_DURATION_MS = 1e9
+# Limits of requests: the memory of a host is below this, and no client sends a head in
+# less time.
+MAX_LIMIT_BYTES = 2**30
+MIN_TIMEOUT_MS = 100
 # The version of a configuration is encoded in 64 bits.
 MAX_VERSION = 2**63 - 1
 # A target's name is sent in a header.
@@ -99,7 +104,6 @@
             If a field is missing or has the wrong type.
         """
         decoded = decode_json(content)
-        limits = read_field(decoded, "limits", dict, {})
         version = read_number(decoded, "version", int, 0, MAX_VERSION)
         rows = read_field(decoded, "routes", list, [])
         decoded_rows = list(self._decode_routes(rows, version))
@@ -107,7 +111,7 @@
         return Configuration(
             version=version,
             routes=tuple(route for _, route in decoded_rows),
-            max_body_bytes=read_field(limits, "max_body_bytes", int, 262_144),
+            limits=decode_limits(decoded),
         )
 
     def _decode_routes(
@@ -140,6 +144,42 @@
         return self._known[name][1] if is_known else None
 
 
+def decode_limits(content: dict) -> RequestLimits:
+    """Return the limits of requests; one that cannot be used is logged and skipped."""
+    defaults = RequestLimits()
+
+    def read_limit(name: str, smallest: int, largest: int, default: float) -> float:
+        try:
+            limits = read_field(content, "limits", dict, {})
+            return read_number(limits, name, int, smallest, largest, default)
+        except FieldError as error:
+            logger.warning("limit not usable", extra={"id": name, "reason": str(error)})
+            return default
+
+    return RequestLimits(
+        max_header_bytes=read_limit(
+            "max_header_bytes", 256, MAX_LIMIT_BYTES, defaults.max_header_bytes
+        ),
+        max_body_bytes=read_limit(
+            "max_body_bytes", 1, MAX_LIMIT_BYTES, defaults.max_body_bytes
+        ),
+        header_timeout_s=read_limit(
+            "header_timeout_ms",
+            MIN_TIMEOUT_MS,
+            int(MAX_DURATION_MS),
+            defaults.header_timeout_s * 1000,
+        )
+        / 1000,
+        idle_timeout_s=read_limit(
+            "idle_timeout_ms",
+            MIN_TIMEOUT_MS,
+            int(MAX_DURATION_MS),
+            defaults.idle_timeout_s * 1000,
+        )
+        / 1000,
+    )
+
+
 def decode_configuration(content: bytes) -> Configuration:
     """Return the operator's configuration, see `ConfigurationDecoder.decode`."""
     return ConfigurationDecoder().decode(content)
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -23,6 +23,9 @@
 SETTINGS_VARIABLE = "GENTIANHUB_BOOT"
 MAX_NAME_LENGTH = 31
 MAX_PORT = 2**16 - 1
+# Machine of a host whose settings do not describe it.
+DEFAULT_MEMORY_MB = 512.0
+DEFAULT_MAX_FDS = 4096.0
 _PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
@@ -45,7 +48,8 @@
     The host listens on `caller_address` for callers, on `readiness_address` for the
     platform's readiness probe, and on `link_address` for links from other hosts. A
     caller whose connection broke comes again after `caller_return_s`; a target stops a
-    run within `stop_s` and grants leases of up to `max_lease_s`.
+    run within `stop_s` and grants leases of up to `max_lease_s`. The process may use
+    `memory_mb` and open `max_fds` file descriptors.
     """
 
     name: ProcessName
@@ -60,6 +64,8 @@
     caller_return_s: float
     stop_s: float
     max_lease_s: float
+    memory_mb: float
+    max_fds: int
 
 
 def load_host_settings() -> HostSettings:
@@ -108,6 +114,8 @@
         / 1000,
         stop_s=read_field(bounds, "stop_ms", float, STOP_S * 1000) / 1000,
         max_lease_s=read_field(bounds, "hold_max_ms", float, MAX_LEASE_S * 1000) / 1000,
+        memory_mb=read_field(limits, "memory_mb", float, DEFAULT_MEMORY_MB),
+        max_fds=int(read_field(limits, "max_fds", float, DEFAULT_MAX_FDS)),
     )
 
 
--- a/gentianhub/web/__init__.py
+++ b/gentianhub/web/__init__.py
@@ -1,12 +1,13 @@
 """HTTP servers and client connections shared by the other packages."""
 
+from gentianhub.web.bodies import BodyError
 from gentianhub.web.connection import (
     HTTP_ERRORS,
     HttpConnection,
     open_connection,
 )
+from gentianhub.web.connections import ConnectionTable
 from gentianhub.web.server import (
-    BodyError,
     ConnectionEnd,
     ConnectionWatches,
     Request,
@@ -20,6 +21,7 @@
     "HTTP_ERRORS",
     "BodyError",
     "ConnectionEnd",
+    "ConnectionTable",
     "ConnectionWatches",
     "HttpConnection",
     "Request",
--- /dev/null
+++ b/gentianhub/web/bodies.py
@@ -0,0 +1,130 @@
+"""Reading the body of a request."""
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field, frozen
+
+from gentianhub.web.connections import ClientConnection, Phase, RequestRefused
+from gentianhub.web.request_reader import LimitedLines
+
+# Time for a whole body, s. A body of 16 MiB takes 14 s at 9.5 Mbit/s.
+BODY_TIMEOUT_S = 60.0
+READ_BYTES = 65_536
+# Most chunks of a body; each costs processor time. A body of the largest default size
+# has 16 bytes in each of them then.
+MAX_CHUNKS = 16_384
+# Part of the memory budget that one body may use.
+BODY_SHARE = 1 / 8
+# Longest line with the size of a chunk, without extensions, bytes.
+_CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r\n")
+
+
+@frozen(kw_only=True)
+class BodyError:
+    """Error status and reason of a request body that could not be read."""
+
+    status: int
+    reason: str
+
+
+@define(kw_only=True, eq=False)
+class RequestBody:
+    """Body of one request; `length` is None for a chunked body.
+
+    `send_continue` tells a client that expects it to send the body.
+    """
+
+    rfile: Any
+    connection: ClientConnection
+    length: int | None
+    send_continue: Callable[[], None] | None = None
+    is_refused: bool = field(init=False, default=False)
+
+    @property
+    def max_bytes(self) -> int:
+        """Largest body that the connection's limits and the memory admit."""
+        table, limits = self.connection.table, self.connection.limits
+        return min(limits.max_body_bytes, int(table.max_bytes * BODY_SHARE))
+
+    def read_whole(self, max_bytes: int) -> bytes | BodyError:
+        """Return the complete body, or the error that prevented reading it."""
+        content = self._read_within(max_bytes)
+        if isinstance(content, BodyError):
+            self.is_refused = True
+            self.connection.table.record_refusal(content.reason)
+        else:
+            self.connection.phase = Phase.ANSWERING
+        return content
+
+    def _read_within(self, max_bytes: int) -> bytes | BodyError:
+        if self.length == 0:
+            return b""
+        too_large = BodyError(status=413, reason=f"body larger than {max_bytes} bytes")
+        if self.length is not None and self.length > max_bytes:
+            return too_large
+        self.connection.start_body(BODY_TIMEOUT_S)
+        try:
+            if self.send_continue is not None:
+                self.send_continue()
+            if self.length is None:
+                body = self._read_chunks(max_bytes)
+                return too_large if body is None else body
+            body = self.rfile.read(self.length)
+        except TimeoutError:
+            reason = f"body not sent within {BODY_TIMEOUT_S} s"
+            return BodyError(status=408, reason=reason)
+        except OSError:
+            return BodyError(status=400, reason="body could not be read")
+        except RequestRefused as error:
+            return BodyError(status=error.status, reason=error.reason)
+        if len(body) < self.length:
+            reason = "body shorter than its Content-Length"
+            return BodyError(status=400, reason=reason)
+        return body
+
+    def _read_chunks(self, max_bytes: int) -> bytes | None:
+        """Return the content of all chunks, or None if it is too large."""
+        content = bytearray()
+        extras = LimitedLines(
+            rest=self.rfile,
+            left=self.connection.limits.max_header_bytes,
+            status=400,
+            reason="chunk extensions and trailers too long",
+        )
+        chunks = 0
+        while size := self._read_chunk_size(extras):
+            chunks += 1
+            if chunks > MAX_CHUNKS:
+                raise RequestRefused(400, "too many chunks")
+            if len(content) + size > max_bytes:
+                return None
+            while size:
+                piece = self.rfile.read(min(size, READ_BYTES))
+                if not piece:
+                    raise RequestRefused(400, "body ends within a chunk")
+                content += piece
+                size -= len(piece)
+            if self.rfile.read(2) != b"\r\n":
+                raise RequestRefused(400, "chunk without its end")
+        while line := extras.readline():
+            if line == b"\r\n":
+                return bytes(content)
+            if b":" not in line or not line.endswith(b"\r\n"):
+                break
+        raise RequestRefused(400, "malformed trailer")
+
+    def _read_chunk_size(self, extras: LimitedLines) -> int:
+        line = extras.readline()
+        match = _CHUNK_SIZE_PATTERN.fullmatch(line)
+        if match is None:
+            raise RequestRefused(400, "malformed chunk size")
+        # The limit is for extensions; sizes are bounded by the chunks they stand for.
+        plain = len(line) - len(match[2] or b"")
+        extras.left += plain
+        self.connection.table.release(self.connection, plain + 2)
+        return int(match[1], 16)
+
+    def _discard(self) -> None:
+        """Do nothing: the server closes a connection whose body it has not read."""
--- /dev/null
+++ b/gentianhub/web/bounded_requests.py
@@ -0,0 +1,169 @@
+"""Limits of requests and connections for handlers of gevent's HTTP server."""
+
+import io
+import socket
+
+from gevent.pywsgi import WSGIHandler
+
+from gentianhub.core import read_monotonic_s
+from gentianhub.web.bodies import RequestBody
+from gentianhub.web.connections import ClientConnection, Phase, RequestRefused
+from gentianhub.web.request_reader import (
+    ConnectionReader,
+    LimitedLines,
+    check_framing,
+    read_request_line,
+)
+
+# Time for a client to take a part of its answer, s.
+WRITE_TIMEOUT_S = 30.0
+# Input that is read and dropped after a refusal, so that the answer arrives: bytes and
+# time, s. A client that sends a body of 1 MiB before it reads gets its answer.
+LINGER_BYTES = 4 * 2**20
+LINGER_S = 5.0
+HEADERS_TOO_LARGE = "headers too large"
+STATUS_LINES = {
+    400: b"400 Bad Request",
+    408: b"408 Request Timeout",
+    414: b"414 URI Too Long",
+    431: b"431 Request Header Fields Too Large",
+    503: b"503 Service Unavailable",
+}
+# Content that is dropped; all connections may share it.
+_DROPPED = bytearray(65_536)
+
+
+def encode_refusal(status: int) -> bytes:
+    """Return the answer to a request that was not read completely."""
+    retry = b"Retry-After: 1\r\n" if status == 503 else b""
+    return b"HTTP/1.1 %b\r\n%bConnection: close\r\nContent-Length: 0\r\n\r\n" % (
+        STATUS_LINES[status],
+        retry,
+    )
+
+
+class BoundedRequests(WSGIHandler):
+    """Reads requests within the limits of a `ClientConnection`.
+
+    A refusal is answered, and the connection is closed once the answer can arrive.
+    """
+
+    def __init__(self, connection: ClientConnection, address, server):
+        self.connection = connection
+        reader = io.BufferedReader(ConnectionReader(connection))
+        super().__init__(connection.sock, address, server, reader)
+
+    def handle_one_request(self):
+        """Handle one request; return True if another one may follow."""
+        connection = self.connection
+        connection.start_waiting()
+        self.wsgi_input = None
+        try:
+            result = super().handle_one_request()
+        except RequestRefused as error:
+            result = self._handle_client_error(error)
+        if isinstance(result, tuple):
+            self._send_refusal(result[1])
+        elif result is None and self.wsgi_input and self.wsgi_input.is_refused:
+            self._linger()
+        return True if result is True else None
+
+    def read_requestline(self) -> bytes:
+        """Return the first line of a request; nothing at the end of the connection."""
+        try:
+            return read_request_line(self.rfile)
+        except TimeoutError as error:
+            if self.connection.phase is Phase.READING:
+                raise RequestRefused(408, "head not sent in time") from error
+            return b""
+
+    def MessageClass(self, rfile, *_):
+        """Return the headers.
+
+        The size of each line is counted unless all are in the buffer already.
+        """
+        limit = self.connection.limits.max_header_bytes
+        if not 0 <= rfile.peek().find(b"\r\n\r\n") < limit:
+            rfile = LimitedLines(
+                rest=rfile, left=limit, status=431, reason=HEADERS_TOO_LARGE
+            )
+        headers = super().MessageClass(rfile)
+        rows = getattr(headers, "rows", None)
+        if rows is None:
+            rows = headers.items()
+        check_framing([(name.lower(), value) for name, value in rows])
+        return headers
+
+    def get_environ(self):
+        """Return the WSGI environment, with a body that has limits."""
+        environ = super().get_environ()
+        is_chunked = self.headers.get("transfer-encoding") is not None
+        expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
+        self.wsgi_input = environ["wsgi.input"] = RequestBody(
+            rfile=self.rfile,
+            connection=self.connection,
+            length=None if is_chunked else self.content_length or 0,
+            send_continue=self._send_continue if expects else None,
+        )
+        return environ
+
+    def _send_continue(self) -> None:
+        self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _sendall(self, data) -> None:
+        self.connection.start_writing(len(data))
+        self.socket.settimeout(WRITE_TIMEOUT_S)
+        super()._sendall(data)
+
+    def _handle_client_error(self, ex):
+        """Count a refused request; return status and answer, if there is one."""
+        match ex:
+            case RequestRefused(status=status, reason=reason):
+                pass
+            case TimeoutError():
+                status, reason = 408, "head not sent in time"
+            case OSError():
+                status, reason = None, "connection broken"
+            case ValueError():
+                status, reason = 400, "malformed request"
+            case _:
+                # The library's parser of headers raises it for more than a hundred.
+                status, reason = 431, HEADERS_TOO_LARGE
+        self.connection.table.record_refusal(reason)
+        return None if status is None else (str(status), encode_refusal(status))
+
+    def handle_error(self, t, v, tb):
+        """Close a broken connection without a log line of its own."""
+        if issubclass(t, OSError):
+            self.connection.table.record_refusal("connection broken")
+            self.close_connection = True
+        else:
+            super().handle_error(t, v, tb)
+
+    def _send_refusal(self, answer: bytes) -> None:
+        try:
+            self.socket.settimeout(WRITE_TIMEOUT_S)
+            self.socket.sendall(answer)
+        except OSError:
+            # The client has ended the connection.
+            return
+        self._linger()
+
+    def _linger(self) -> None:
+        """Read until the client ends, as unread input would drop the answer."""
+        connection, sock = self.connection, self.socket
+        connection.phase = Phase.CLOSING
+        connection.table.release(connection)
+        until_s = read_monotonic_s() + LINGER_S
+        left = LINGER_BYTES
+        try:
+            sock.shutdown(socket.SHUT_WR)
+            while left > 0 and (left_s := until_s - read_monotonic_s()) > 0:
+                sock.settimeout(left_s)
+                size = sock.recv_into(_DROPPED)
+                if not size:
+                    return
+                left -= size
+        except OSError:
+            # The client has ended the connection, or sends nothing.
+            return
--- /dev/null
+++ b/gentianhub/web/connections.py
@@ -0,0 +1,306 @@
+"""The connections of a process's clients, and the memory of what they have sent."""
+
+import enum
+import logging
+import socket
+import sys
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from typing import Any
+
+from attrs import Factory, define, field
+from gevent import get_hub
+
+from gentianhub.core import read_monotonic_s
+from gentianhub.core.request_limits import RequestLimits
+
+# Memory of a connection apart from what it sends: greenlet, socket, handler and buffer.
+CONNECTION_BYTES = 24 * 1024
+# Requests up to this size may use the whole budget. The text of a job has 4,000 bytes.
+ORDINARY_BYTES = 16 * 1024
+# Part of the budget that larger requests may use.
+LARGE_SHARE = 0.75
+# Part of a port's connections that is closed together, so that the cost of choosing
+# them is shared.
+EVICTED_SHARE = 1 / 32
+# Shortest time between two log lines about refusals, s.
+LOG_INTERVAL_S = 10.0
+
+logger = logging.getLogger(__name__)
+
+
+class Phase(enum.Enum):
+    """What the server does for a connection."""
+
+    WAITING = "waiting"
+    READING = "reading"
+    ANSWERING = "answering"
+    WRITING = "writing"
+    CLOSING = "closing"
+
+
+class RequestRefused(ValueError):
+    """A request is refused before it was read completely.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    reason : str
+        One of a few constant texts, which are counted.
+    """
+
+    def __init__(self, status: int, reason: str):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+OVER_BUDGET = "over the memory budget"
+
+
+@define(kw_only=True, eq=False)
+class ClientConnection:
+    """One connection, owned by the greenlet that handles it.
+
+    `held_bytes` have been read and are not answered. `since_s` and `deadline_s` are
+    monotonic times: of the end of the last request, and of the end of the phase.
+    """
+
+    sock: Any
+    address: str
+    port: str
+    table: "ConnectionTable"
+    since_s: float
+    deadline_s: float = float("inf")
+    phase: Phase = Phase.WAITING
+    held_bytes: int = 0
+    is_evicted: bool = False
+    limits: RequestLimits = field(factory=RequestLimits)
+
+    def start_waiting(self) -> None:
+        """Wait for the next request."""
+        self.table.release(self)
+        self.limits = self.table.read_limits()
+        self.is_evicted = False
+        self.phase = Phase.WAITING
+        self.since_s = read_monotonic_s()
+        self.deadline_s = self.since_s + self.limits.idle_timeout_s
+
+    def receive(self, size: int) -> None:
+        """Count bytes that were read.
+
+        Raises
+        ------
+        RequestRefused
+            If there is no room for them.
+        """
+        if self.phase is Phase.WAITING and size:
+            self.phase = Phase.READING
+            self.deadline_s = read_monotonic_s() + self.limits.header_timeout_s
+        self.check()
+        if not self.table.reserve(self, size):
+            raise RequestRefused(503, OVER_BUDGET)
+
+    def check(self) -> None:
+        """Raise `RequestRefused` if the request was ended for another one."""
+        if self.is_evicted:
+            raise RequestRefused(503, OVER_BUDGET)
+
+    def start_body(self, timeout_s: float) -> None:
+        """Read the body within a time, s."""
+        self.deadline_s = read_monotonic_s() + timeout_s
+
+    def start_writing(self, size: int) -> None:
+        """Count a large answer until the client has taken it.
+
+        Raises
+        ------
+        ConnectionAbortedError
+            If there is no room for it.
+        """
+        self.phase = Phase.WRITING
+        self.since_s = read_monotonic_s()
+        if size > ORDINARY_BYTES and not self.table.reserve(self, size):
+            raise ConnectionAbortedError(OVER_BUDGET)
+
+
+@define(kw_only=True, eq=False)
+class ConnectionTable:
+    """All connections of the HTTP ports of a process.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Memory for all connections and for what was read from them and is not answered.
+    max_connections : Mapping[str, int]
+        Most connections by port; a port that is not named has no limit here.
+    interruptible_ports : frozenset[str]
+        Ports whose requests may be ended while they are handled, as they change
+        nothing.
+    read_limits : callable
+        Returns the present limits of a request.
+    refusals : Counter
+        Refused requests and closed connections by reason.
+    """
+
+    max_bytes: int = sys.maxsize
+    max_connections: Mapping[str, int] = Factory(dict)
+    interruptible_ports: frozenset[str] = frozenset()
+    read_limits: Callable[[], RequestLimits] = RequestLimits
+    refusals: Counter = field(factory=Counter)
+    held_bytes: int = field(init=False, default=0)
+    _connections: dict[ClientConnection, None] = field(init=False, factory=dict)
+    _counts: Counter = field(init=False, factory=Counter)
+    _logged_s: float = field(init=False, default=float("-inf"))
+    _logged: Counter = field(init=False, factory=Counter)
+
+    @contextmanager
+    def admit(self, sock, address: str, port: str) -> Iterator[ClientConnection | None]:
+        """Keep a connection until the end of the block; None if there is no room."""
+        limit = self.max_connections.get(port, sys.maxsize)
+        if not self._make_room_for_connection(port, limit):
+            self.record_refusal("too many connections")
+            yield None
+            return
+        connection = ClientConnection(
+            sock=sock,
+            address=address,
+            port=port,
+            table=self,
+            since_s=read_monotonic_s(),
+        )
+        self._connections[connection] = None
+        self._counts[port] += 1
+        self.held_bytes += CONNECTION_BYTES
+        try:
+            yield connection
+        finally:
+            self.release(connection)
+            self._remove(connection)
+
+    def _remove(self, connection: ClientConnection) -> None:
+        """Forget a connection, unless it was closed for another one."""
+        if connection in self._connections:
+            del self._connections[connection]
+            self._counts[connection.port] -= 1
+            self.held_bytes -= CONNECTION_BYTES
+
+    def reserve(self, connection: ClientConnection, size: int) -> bool:
+        """Count bytes of a connection; return whether there is room for them.
+
+        Bytes without room stay counted until the caller has dropped them.
+        """
+        connection.held_bytes += size
+        self.held_bytes += size
+        if self.held_bytes <= self.max_bytes * LARGE_SHARE:
+            return True
+        return self._make_room_for_bytes(connection)
+
+    def release(self, connection: ClientConnection, size: int | None = None) -> None:
+        """Stop counting bytes of a connection, or all of them."""
+        size = connection.held_bytes if size is None else size
+        size = min(size, connection.held_bytes)
+        connection.held_bytes -= size
+        self.held_bytes -= size
+
+    def record_refusal(self, reason: str) -> None:
+        """Count a refusal; log the counts from time to time."""
+        self.refusals[reason] += 1
+        now_s = read_monotonic_s()
+        if now_s < self._logged_s + LOG_INTERVAL_S:
+            return
+        counts = self.refusals - self._logged
+        self._logged_s, self._logged = now_s, self.refusals.copy()
+        logger.warning(
+            "requests refused",
+            extra={
+                "counts": dict(counts),
+                "connections": len(self._connections),
+                "held_bytes": self.held_bytes,
+            },
+        )
+
+    def _make_room_for_bytes(self, connection: ClientConnection) -> bool:
+        """End the largest requests that are being read until the bytes fit."""
+        is_ordinary = connection.held_bytes <= ORDINARY_BYTES
+        limit = self.max_bytes if is_ordinary else self.max_bytes * LARGE_SHARE
+        while self.held_bytes > limit:
+            victim = self._find_largest(connection)
+            if victim is connection:
+                return False
+            self._end_request(victim)
+        return True
+
+    def _find_largest(self, requester: ClientConnection) -> ClientConnection:
+        """Return the largest request of the address that holds most."""
+        candidates = [
+            connection
+            for connection in self._connections
+            if connection.held_bytes
+            and connection.phase in (Phase.READING, Phase.WRITING)
+        ]
+        if requester not in candidates:
+            candidates.append(requester)
+        totals: Counter = Counter()
+        for candidate in candidates:
+            totals[candidate.address] += candidate.held_bytes
+        return max(
+            candidates,
+            key=lambda candidate: (totals[candidate.address], candidate.held_bytes),
+        )
+
+    def _end_request(self, connection: ClientConnection) -> None:
+        """Make the owner of a connection give up its request."""
+        self.release(connection)
+        connection.is_evicted = True
+        if connection.phase is Phase.WRITING:
+            self._shut_down(connection)
+        else:
+            # Wakes the owner if it waits for input; otherwise its next read ends it.
+            get_hub().cancel_wait(
+                connection.sock._read_event, RequestRefused(503, OVER_BUDGET)
+            )
+
+    def _make_room_for_connection(self, port: str, limit: int) -> bool:
+        """Close connections that wait longest, if a port or the memory is full."""
+        is_port_full = self._counts[port] >= limit
+        if not is_port_full and self.held_bytes + CONNECTION_BYTES <= self.max_bytes:
+            return True
+        candidates = [
+            connection
+            for connection in self._connections
+            if self._may_close(connection)
+            and (connection.port == port or not is_port_full)
+        ]
+        if not candidates:
+            return False
+        counts = Counter(candidate.address for candidate in candidates)
+        ((address, count),) = counts.most_common(1)
+        oldest = sorted(
+            (candidate for candidate in candidates if candidate.address == address),
+            key=lambda candidate: candidate.since_s,
+        )
+        for connection in oldest[: 1 + int(count * EVICTED_SHARE)]:
+            self.release(connection)
+            self._remove(connection)
+            self._shut_down(connection)
+            self.record_refusal("closed for a new connection")
+        return True
+
+    def _may_close(self, connection: ClientConnection) -> bool:
+        """Whether no request is being handled that may change anything."""
+        return (
+            connection.phase is not Phase.ANSWERING
+            or connection.port in self.interruptible_ports
+        )
+
+    def _shut_down(self, connection: ClientConnection) -> None:
+        """End a connection; its owner closes the socket."""
+        connection.is_evicted = True
+        try:
+            connection.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The client has ended it.
+            return
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -5,6 +5,7 @@
 import re
 import select
 import socket
+import sys
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
@@ -16,8 +17,13 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from gentianhub.core import send_message
+from gentianhub.core.request_limits import RequestLimits
+from gentianhub.web.bodies import BodyError
+from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
+from gentianhub.web.connections import ConnectionTable
 
-SOCKET_TIMEOUT_S = 30.0
+# Connections that have been closed for others and have not ended yet.
+SPARE_CONNECTIONS = 32
 # A connection ends if its peer answers none of two probes, each after 1 s. No reset may
 # reach the server when a connection is cut off, and the job of its caller would stay
 # open until the deadline.
@@ -97,14 +103,6 @@
     RESET = "reset"
 
 
-@frozen(kw_only=True)
-class BodyError:
-    """Error status and reason of a request body that could not be read."""
-
-    status: int
-    reason: str
-
-
 @define(kw_only=True, eq=False)
 class PlainHeaders:
     """Headers of a request, with the methods of a message that gevent's server uses.
@@ -206,53 +204,52 @@
         """Write no access log, and do not format its lines either."""
 
 
+class _BoundedHandler(BoundedRequests, _ConnectionHandler):
+    """Handler whose requests have limits."""
+
+
 class _NoDelayServer(WSGIServer):
-    """WSGI server with TCP_NODELAY, probes and a read timeout on its connections."""
+    """WSGI server with TCP_NODELAY, probes and limits on its connections.
 
-    handler_class = _ConnectionHandler
+    `connections` are those of the process, and `port` names the port there.
+    """
+
+    handler_class = _BoundedHandler
+
+    def __init__(self, *args, connections: ConnectionTable, port: str, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.connections = connections
+        self.port = port
 
     def handle(self, sock, address):
-        # Nagle's algorithm delays keep-alive replies by 40 ms.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        for name, value in KEEPALIVE_OPTIONS:
-            sock.setsockopt(socket.IPPROTO_TCP, name, value)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.settimeout(SOCKET_TIMEOUT_S)
-        super().handle(sock, address)
-
-
-def read_body(environ: Mapping, max_bytes: int) -> bytes | BodyError:
-    """Return the complete request body, or the error that prevented reading it."""
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length and int(length) > max_bytes:
-        return BodyError(status=413, reason=f"body larger than {max_bytes} bytes")
-    try:
-        body = environ["wsgi.input"].read(int(length) if length else max_bytes + 1)
-    except TimeoutError:
-        return BodyError(
-            status=408, reason=f"body not sent within {SOCKET_TIMEOUT_S} s"
-        )
-    except OSError as error:
-        return BodyError(status=400, reason=f"body could not be read: {error}")
-    if len(body) > max_bytes:
-        return BodyError(status=413, reason=f"body larger than {max_bytes} bytes")
-    if length and len(body) < int(length):
-        return BodyError(status=400, reason="body shorter than its Content-Length")
-    return body
+        with self.connections.admit(sock, address[0], self.port) as connection:
+            if connection is None:
+                # The answer fits the buffer of a new socket.
+                sock.settimeout(0.0)
+                send_message(sock, encode_refusal(503))
+                return
+            # Nagle's algorithm delays keep-alive replies by 40 ms.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for name, value in KEEPALIVE_OPTIONS:
+                sock.setsockopt(socket.IPPROTO_TCP, name, value)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            self.handler_class(connection, address, self).handle()
 
 
 def build_application(
     handle: Callable[[Request], Response],
     refuse: Callable[[BodyError], Response],
-    max_body_bytes: int,
+    max_body_bytes: int = sys.maxsize,
 ):
     """Return a WSGI application that calls `handle` for each complete request.
 
-    `refuse` builds the response to a request whose body could not be read.
+    `refuse` builds the response to a request whose body could not be read. The limits
+    of a connection may be lower than `max_body_bytes`.
     """
 
     def application(environ, start_response) -> list[bytes]:
-        body = read_body(environ, max_body_bytes)
+        source = environ["wsgi.input"]
+        body = source.read_whole(min(max_body_bytes, source.max_bytes))
         match body:
             case BodyError():
                 response = refuse(body)
@@ -381,19 +378,28 @@
     application,
     max_connections: int,
     stop_timeout_s: float = STOP_TIMEOUT_S,
+    connections: ConnectionTable | None = None,
+    port: str = "",
 ) -> Iterator[WSGIServer]:
     """Serve a WSGI application while the context is open.
 
     At the end, requests in flight are given `stop_timeout_s` seconds to finish; then
-    all connections are closed, including idle ones.
+    all connections are closed, including idle ones. Connections beyond the limit wait,
+    unless `connections` limits those of `port`: it closes others for them.
     """
+    if connections is None:
+        connections = ConnectionTable(
+            read_limits=lambda: RequestLimits(max_body_bytes=sys.maxsize)
+        )
     server = _NoDelayServer(
         address,
         application,
-        spawn=Pool(max_connections),
+        spawn=Pool(max_connections + SPARE_CONNECTIONS * bool(port)),
         log=None,
         error_log=logger,
         backlog=1024,
+        connections=connections,
+        port=port,
     )
     server.start()
     try:
