--- a/gentianhub/web/bodies.py
+++ b/gentianhub/web/bodies.py
@@ -15,8 +15,8 @@
 # Most chunks of a body; each costs processor time. A body of the largest default size
 # has 16 bytes in each of them then.
 MAX_CHUNKS = 16_384
-# Part of the memory budget that one body may use.
-BODY_SHARE = 1 / 8
+# One body may use the memory budget divided by this.
+BODY_PARTS = 8
 # Longest line with the size of a chunk, without extensions, bytes.
 _CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r\n")
 
@@ -45,8 +45,10 @@
     @property
     def max_bytes(self) -> int:
         """Largest body that the connection's limits and the memory admit."""
-        table, limits = self.connection.table, self.connection.limits
-        return min(limits.max_body_bytes, int(table.max_bytes * BODY_SHARE))
+        connection = self.connection
+        largest = connection.limits.max_body_bytes
+        affordable = connection.table.max_bytes // BODY_PARTS
+        return largest if largest < affordable else affordable
 
     def read_whole(self, max_bytes: int) -> bytes | BodyError:
         """Return the complete body, or the error that prevented reading it."""
--- a/gentianhub/web/bounded_requests.py
+++ b/gentianhub/web/bounded_requests.py
@@ -12,6 +12,7 @@
     ConnectionReader,
     LimitedLines,
     check_framing,
+    has_plain_framing,
     read_request_line,
 )
 
@@ -21,6 +22,7 @@
 # time, s. A client that sends a body of 1 MiB before it reads gets its answer.
 LINGER_BYTES = 4 * 2**20
 LINGER_S = 5.0
+END_OF_HEAD = b"\r\n\r\n"
 HEADERS_TOO_LARGE = "headers too large"
 STATUS_LINES = {
     400: b"400 Bad Request",
@@ -83,21 +85,20 @@
         The size of each line is counted unless all are in the buffer already.
         """
         limit = self.connection.limits.max_header_bytes
-        if not 0 <= rfile.peek().find(b"\r\n\r\n") < limit:
+        end = rfile.peek().find(END_OF_HEAD)
+        if not 0 <= end <= limit - len(END_OF_HEAD):
             rfile = LimitedLines(
                 rest=rfile, left=limit, status=431, reason=HEADERS_TOO_LARGE
             )
         headers = super().MessageClass(rfile)
-        rows = getattr(headers, "rows", None)
-        if rows is None:
-            rows = headers.items()
-        check_framing([(name.lower(), value) for name, value in rows])
+        if not has_plain_framing(headers):
+            check_framing(headers.items())
         return headers
 
     def get_environ(self):
         """Return the WSGI environment, with a body that has limits."""
         environ = super().get_environ()
-        is_chunked = self.headers.get("transfer-encoding") is not None
+        is_chunked = "HTTP_TRANSFER_ENCODING" in environ
         expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
         self.wsgi_input = environ["wsgi.input"] = RequestBody(
             rfile=self.rfile,
@@ -112,7 +113,7 @@
 
     def _sendall(self, data) -> None:
         self.connection.start_writing(len(data))
-        self.socket.settimeout(WRITE_TIMEOUT_S)
+        self.socket.timeout = WRITE_TIMEOUT_S
         super()._sendall(data)
 
     def _handle_client_error(self, ex):
--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -81,7 +81,8 @@
 
     def start_waiting(self) -> None:
         """Wait for the next request."""
-        self.table.release(self)
+        if self.held_bytes:
+            self.table.release(self)
         self.limits = self.table.read_limits()
         self.is_evicted = False
         self.phase = Phase.WAITING
@@ -99,8 +100,7 @@
         if self.phase is Phase.WAITING and size:
             self.phase = Phase.READING
             self.deadline_s = read_monotonic_s() + self.limits.header_timeout_s
-        self.check()
-        if not self.table.reserve(self, size):
+        if self.is_evicted or not self.table.reserve(self, size):
             raise RequestRefused(503, OVER_BUDGET)
 
     def check(self) -> None:
--- a/gentianhub/web/request_reader.py
+++ b/gentianhub/web/request_reader.py
@@ -2,6 +2,7 @@
 
 import io
 import re
+from collections.abc import Iterable
 from typing import Any
 
 import gevent
@@ -14,11 +15,10 @@
 MAX_REQUEST_LINE = 8192
 # Some clients send an empty line after the body of the request before.
 MAX_EMPTY_LINES = 4
-# A read that takes less time has not waited for its input, s.
-IMMEDIATE_S = 0.000_1
-# Reads without a wait after which other connections run.
-MAX_IMMEDIATE_READS = 8
-_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
+# Reads that fill the buffer after which other connections run.
+MAX_FULL_READS = 8
+MAX_LENGTH_DIGITS = 18
+_LENGTH_PATTERN = re.compile(rf"[0-9]{{1,{MAX_LENGTH_DIGITS}}}")
 
 
 class ConnectionReader(io.RawIOBase):
@@ -26,7 +26,7 @@
 
     def __init__(self, connection: ClientConnection):
         self.connection = connection
-        self._immediate_reads = 0
+        self._full_reads = 0
 
     def readable(self) -> bool:
         """Whether bytes can be read; always true."""
@@ -43,24 +43,24 @@
             If there is no memory for the request.
         """
         connection = self.connection
-        now_s = read_monotonic_s()
-        if connection.deadline_s <= now_s:
+        left_s = connection.deadline_s - read_monotonic_s()
+        if left_s <= 0:
             raise TimeoutError("the client is too slow")
-        connection.check()
-        connection.sock.settimeout(connection.deadline_s - now_s)
-        size = connection.sock.recv_into(buffer)
+        if connection.is_evicted:
+            connection.check()
+        sock = connection.sock
+        sock.timeout = left_s
+        size = sock.recv_into(buffer)
         connection.receive(size)
-        self._yield_after_immediate_reads(now_s)
+        if size == len(buffer):
+            self._yield_after_full_reads()
         return size
 
-    def _yield_after_immediate_reads(self, started_s: float) -> None:
+    def _yield_after_full_reads(self) -> None:
         """Let other connections run if this one's input never ends."""
-        if read_monotonic_s() - started_s > IMMEDIATE_S:
-            self._immediate_reads = 0
-            return
-        self._immediate_reads += 1
-        if self._immediate_reads >= MAX_IMMEDIATE_READS:
-            self._immediate_reads = 0
+        self._full_reads += 1
+        if self._full_reads >= MAX_FULL_READS:
+            self._full_reads = 0
             gevent.sleep(0)
 
 
@@ -106,7 +106,17 @@
     raise RequestRefused(400, "empty lines before a request")
 
 
-def check_framing(rows: list[tuple[str, str]]) -> None:
+def has_plain_framing(headers) -> bool:
+    """Whether headers that may have repeated names have one length or none."""
+    if getattr(headers, "has_repeated_names", True):
+        return False
+    if headers.get("transfer-encoding") is not None:
+        return False
+    length = headers.get("content-length")
+    return length is None or (length.isdecimal() and len(length) <= MAX_LENGTH_DIGITS)
+
+
+def check_framing(rows: Iterable[tuple[str, str]]) -> None:
     """Refuse headers that leave the end of the body open to interpretation.
 
     Raises
@@ -114,8 +124,9 @@
     RequestRefused
         If there are two lengths, a length beside an encoding, or an unknown one.
     """
-    lengths = [value.strip() for name, value in rows if name == "content-length"]
-    encodings = [value.strip() for name, value in rows if name == "transfer-encoding"]
+    framing = [(name.lower(), value.strip()) for name, value in rows]
+    lengths = [value for name, value in framing if name == "content-length"]
+    encodings = [value for name, value in framing if name == "transfer-encoding"]
     if len(lengths) + len(encodings) > 1:
         raise RequestRefused(400, "more than one length of a body")
     if encodings and encodings[0].lower() != "chunked":
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
+from functools import lru_cache
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -129,6 +130,15 @@
         self.rows = [row for row in self.rows if row[0].lower() != lower_name]
         self._first_values.pop(lower_name, None)
 
+    def items(self) -> list[tuple[str, str]]:
+        """Return the names and values of the headers."""
+        return self.rows
+
+    @property
+    def has_repeated_names(self) -> bool:
+        """Whether a name occurs more than once."""
+        return len(self._first_values) != len(self.rows)
+
     @property
     def headers(self) -> Iterator[str]:
         """Yield the lines of the headers."""
@@ -140,6 +150,22 @@
         return self.get("content-type")
 
 
+# Callers use few names; others must not fill the memory.
+@lru_cache(maxsize=256)
+def _find_environ_key(name: str) -> str | None:
+    """Return the key of a header in the environment, or None if it has none there."""
+    key = name.replace("-", "_").upper()
+    if "_" in name or key in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+        return None
+    return f"HTTP_{key}"
+
+
+@lru_cache(maxsize=256)
+def _find_header_name(key: str) -> str:
+    """Return the name of a header, in lower case, from its key in the environment."""
+    return key[5:].replace("_", "-").lower()
+
+
 @define(kw_only=True, eq=False)
 class _ReplayedLines:
     """File that returns lines which have been read already, and then the others."""
@@ -173,6 +199,19 @@
             rows.append((match[1].decode(), match[2].decode("latin-1")))
         return super().MessageClass(_ReplayedLines(lines=lines, rest=rfile))
 
+    def _headers(self):
+        """Yield the names and values of the environment's headers.
+
+        The library writes each header as a line and parses it again.
+        """
+        if not isinstance(self.headers, PlainHeaders):
+            yield from super()._headers()
+            return
+        for name, value in self.headers.rows:
+            key = _find_environ_key(name)
+            if key is not None:
+                yield key, value.strip()
+
     def get_environ(self):
         environ = super().get_environ()
         environ[CONNECTION_KEY] = self.socket
@@ -267,15 +306,16 @@
 
 
 def _build_request(environ: Mapping, body: bytes) -> Request:
-    query = parse_qs(environ.get("QUERY_STRING", ""))
+    text = environ.get("QUERY_STRING")
+    query = parse_qs(text) if text else {}
     return Request(
         method=environ["REQUEST_METHOD"],
         path=environ.get("PATH_INFO", "/"),
         query={name: values[-1] for name, values in query.items()},
         headers={
-            name[5:].replace("_", "-").lower(): value
-            for name, value in environ.items()
-            if name.startswith("HTTP_")
+            _find_header_name(key): value
+            for key, value in environ.items()
+            if key[:5] == "HTTP_"
         },
         body=body,
         peer=environ.get("REMOTE_ADDR", "unknown"),
