--- a/gentianhub/web/tests/test_request_reader.py
+++ b/gentianhub/web/tests/test_request_reader.py
@@ -35,6 +35,14 @@
     b"5\r\nhello\r\n", b"0\r\n\r\n", b"0\r\n", b"fffffffffffffff\r\n", b"5;a=b\r\n",
     b"Trailer: x\r\n\r\n", b"hello", b"x" * 900, b"\x00\xff", b"%s%n",
 )  # fmt: skip
+# Starts of valid requests, so that what follows their heads is generated too.
+STARTS = (
+    b"",
+    HEAD,
+    HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+    HEAD + b"Content-Length: 5\r\n\r\n",
+    HEAD + b"Content-Length: 4000\r\nExpect: 100-continue\r\n\r\n",
+)
 
 
 def build_table() -> ConnectionTable:
@@ -86,14 +94,17 @@
 
     @settings(max_examples=1500, derandomize=True, database=None, deadline=None)
     @given(
+        start=st.sampled_from(STARTS),
         fragments=st.lists(
             st.one_of(st.sampled_from(FRAGMENTS), st.binary(max_size=40)), max_size=25
         ),
         size=st.integers(min_value=1, max_value=3000),
         ending=st.sampled_from(Ending),
     )
-    def test_any_input_is_served_refused_or_closed(self, fragments, size, ending):
-        content = b"".join(fragments)
+    def test_any_input_is_served_refused_or_closed(
+        self, start, fragments, size, ending
+    ):
+        content = start + b"".join(fragments)
         pieces = [content[n : n + size] for n in range(0, len(content), size)]
         self.check(pieces, ending)
 
