Parse plain headers that are in the buffer at once

Cause: the limits made an ordinary request 5 % dearer for the server's part. Change: a section that is complete in the buffer is parsed by one pattern; each match is one line, and any other line leaves the section to the library as before. The headers of all complete sections are those of the library (new test).

--- a/gentianhub/web/bounded_requests.py
+++ b/gentianhub/web/bounded_requests.py
@@ -85,16 +85,27 @@
         The size of each line is counted unless all are in the buffer already.
         """
         limit = self.connection.limits.max_header_bytes
-        end = rfile.peek().find(END_OF_HEAD)
-        if not 0 <= end <= limit - len(END_OF_HEAD):
+        buffered = rfile.peek()
+        end = buffered.find(END_OF_HEAD)
+        headers = None
+        if 0 <= end <= limit - len(END_OF_HEAD):
+            headers = self.parse_section(buffered[: end + 2])
+        else:
             rfile = LimitedLines(
                 rest=rfile, left=limit, status=431, reason=HEADERS_TOO_LARGE
             )
-        headers = super().MessageClass(rfile)
+        if headers is None:
+            headers = super().MessageClass(rfile)
+        else:
+            rfile.read(end + len(END_OF_HEAD))
         if not has_plain_framing(headers):
             check_framing(headers.items())
         return headers
 
+    def parse_section(self, section: bytes):
+        """Return the headers of a complete section, or None to read them by line."""
+        return None
+
     def get_environ(self):
         """Return the WSGI environment, with a body that has limits."""
         environ = super().get_environ()
--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -27,6 +27,8 @@
 # Shortest time between two log lines about refusals, s.
 LOG_INTERVAL_S = 10.0
 
+DEFAULT_LIMITS = RequestLimits()
+
 logger = logging.getLogger(__name__)
 
 
@@ -77,7 +79,7 @@
     phase: Phase = Phase.WAITING
     held_bytes: int = 0
     is_evicted: bool = False
-    limits: RequestLimits = field(factory=RequestLimits)
+    limits: RequestLimits = DEFAULT_LIMITS
 
     def start_waiting(self) -> None:
         """Wait for the next request."""
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -65,6 +65,9 @@
 _PLAIN_HEADER_PATTERN = re.compile(
     rb"([!#$%&'*+.^`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*)\r\n"
 )
+_PLAIN_SECTION_PATTERN = re.compile(
+    f"^{_PLAIN_HEADER_PATTERN.pattern.decode()}", re.MULTILINE
+)
 _END_OF_HEADERS = (b"\r\n", b"\n", b"")
 
 logger = logging.getLogger(__name__)
@@ -246,6 +249,13 @@
 class _BoundedHandler(BoundedRequests, _ConnectionHandler):
     """Handler whose requests have limits."""
 
+    def parse_section(self, section: bytes) -> PlainHeaders | None:
+        """Return the headers of a section whose lines are all plain."""
+        rows = _PLAIN_SECTION_PATTERN.findall(section.decode("latin-1"))
+        # Each match is one line, so that equal numbers leave no other line.
+        is_plain = len(rows) == section.count(b"\n") <= MAX_PLAIN_HEADERS
+        return PlainHeaders(rows=rows) if is_plain else None
+
 
 class _NoDelayServer(WSGIServer):
     """WSGI server with TCP_NODELAY, probes and limits on its connections.
--- a/gentianhub/web/tests/test_request_headers.py
+++ b/gentianhub/web/tests/test_request_headers.py
@@ -1,15 +1,18 @@
 """Parsing of request headers, and the packets of a response."""
 
 import unittest
-from io import BytesIO
+from http.client import HTTPException
+from io import BufferedReader, BytesIO
 from unittest import mock
 
 from gevent import pywsgi
 from gevent import socket as gsocket
 
+from gentianhub.core.request_limits import RequestLimits
 from gentianhub.stand_ins.processes import LOOPBACK, find_free_ports
 from gentianhub.web import Response, build_application, open_server
-from gentianhub.web.server import PlainHeaders, _ConnectionHandler
+from gentianhub.web.connections import RequestRefused
+from gentianhub.web.server import PlainHeaders, _BoundedHandler, _ConnectionHandler
 
 HEADER_SECTIONS = (
     b"Host: desk.example\r\nContent-Length: 12\r\nDeadline-Ms: 1500\r\n\r\nbody",
@@ -61,6 +64,32 @@
                     read_environ_headers(_ConnectionHandler, section),
                 )
 
+    def test_headers_in_the_buffer_are_those_of_the_library(self):
+        """Sections that are complete in the buffer are parsed at once."""
+        for section in HEADER_SECTIONS:
+            is_complete = b"\r\n\r\n" in section[:8192]
+            if not is_complete:
+                continue
+            with self.subTest(section=section[:60]):
+                expected = read_environ_headers(pywsgi.WSGIHandler, section)
+                handler = _BoundedHandler.__new__(_BoundedHandler)
+                handler.connection = mock.Mock(limits=RequestLimits())
+                rest = BufferedReader(BytesIO(section))
+                try:
+                    handler.headers = headers = handler.MessageClass(rest, 0)
+                except RequestRefused:
+                    # Two lengths, which the library accepts.
+                    self.assertIn(b"content-length: 4", section)
+                    continue
+                except HTTPException as error:
+                    self.assertIs(expected, type(error))
+                    continue
+                found = list(handler._headers())
+                self.assertEqual(expected[3:], (found, rest.read()))
+                del headers["content-length"]
+                values = [headers.get(name, "absent") for name in NAMES]
+                self.assertEqual(expected[2], values)
+
     def test_first_values_are_those_of_the_library(self):
         """Guards against another choice between two lengths of one body."""
         for section in HEADER_SECTIONS[:3]:
