--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -5,8 +5,10 @@
 import re
 import select
 import socket
+import sys
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
+from functools import lru_cache
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -16,8 +18,13 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from gentianhub.core import send_message
+from gentianhub.core.request_limits import RequestLimits
+from gentianhub.web.bodies import BodyError
+from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
+from gentianhub.web.connections import ConnectionTable
 
-SOCKET_TIMEOUT_S = 30.0
+# Connections that have been closed for others and have not ended yet.
+SPARE_CONNECTIONS = 32
 # A connection ends if its peer answers none of two probes, each after 1 s. No reset may
 # reach the server when a connection is cut off, and the job of its caller would stay
 # open until the deadline.
@@ -58,6 +65,9 @@
 _PLAIN_HEADER_PATTERN = re.compile(
     rb"([!#$%&'*+.^`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*)\r\n"
 )
+_PLAIN_SECTION_PATTERN = re.compile(
+    f"^{_PLAIN_HEADER_PATTERN.pattern.decode()}", re.MULTILINE
+)
 _END_OF_HEADERS = (b"\r\n", b"\n", b"")
 
 logger = logging.getLogger(__name__)
@@ -97,14 +107,6 @@
     RESET = "reset"
 
 
-@frozen(kw_only=True)
-class BodyError:
-    """Error status and reason of a request body that could not be read."""
-
-    status: int
-    reason: str
-
-
 @define(kw_only=True, eq=False)
 class PlainHeaders:
     """Headers of a request, with the methods of a message that gevent's server uses.
@@ -131,6 +133,15 @@
         self.rows = [row for row in self.rows if row[0].lower() != lower_name]
         self._first_values.pop(lower_name, None)
 
+    def items(self) -> list[tuple[str, str]]:
+        """Return the names and values of the headers."""
+        return self.rows
+
+    @property
+    def has_repeated_names(self) -> bool:
+        """Whether a name occurs more than once."""
+        return len(self._first_values) != len(self.rows)
+
     @property
     def headers(self) -> Iterator[str]:
         """Yield the lines of the headers."""
@@ -142,6 +153,22 @@
         return self.get("content-type")
 
 
+# Callers use few names; others must not fill the memory.
+@lru_cache(maxsize=256)
+def _find_environ_key(name: str) -> str | None:
+    """Return the key of a header in the environment, or None if it has none there."""
+    key = name.replace("-", "_").upper()
+    if "_" in name or key in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+        return None
+    return f"HTTP_{key}"
+
+
+@lru_cache(maxsize=256)
+def _find_header_name(key: str) -> str:
+    """Return the name of a header, in lower case, from its key in the environment."""
+    return key[5:].replace("_", "-").lower()
+
+
 @define(kw_only=True, eq=False)
 class _ReplayedLines:
     """File that returns lines which have been read already, and then the others."""
@@ -175,6 +202,19 @@
             rows.append((match[1].decode(), match[2].decode("latin-1")))
         return super().MessageClass(_ReplayedLines(lines=lines, rest=rfile))
 
+    def _headers(self):
+        """Yield the names and values of the environment's headers.
+
+        The library writes each header as a line and parses it again.
+        """
+        if not isinstance(self.headers, PlainHeaders):
+            yield from super()._headers()
+            return
+        for name, value in self.headers.rows:
+            key = _find_environ_key(name)
+            if key is not None:
+                yield key, value.strip()
+
     def get_environ(self):
         environ = super().get_environ()
         environ[CONNECTION_KEY] = self.socket
@@ -206,53 +246,59 @@
         """Write no access log, and do not format its lines either."""
 
 
+class _BoundedHandler(BoundedRequests, _ConnectionHandler):
+    """Handler whose requests have limits."""
+
+    def parse_section(self, section: bytes) -> PlainHeaders | None:
+        """Return the headers of a section whose lines are all plain."""
+        rows = _PLAIN_SECTION_PATTERN.findall(section.decode("latin-1"))
+        # Each match is one line, so that equal numbers leave no other line.
+        is_plain = len(rows) == section.count(b"\n") <= MAX_PLAIN_HEADERS
+        return PlainHeaders(rows=rows) if is_plain else None
+
+
 class _NoDelayServer(WSGIServer):
-    """WSGI server with TCP_NODELAY, probes and a read timeout on its connections."""
+    """WSGI server with TCP_NODELAY, probes and limits on its connections.
 
-    handler_class = _ConnectionHandler
+    `connections` are those of the process, and `port` names the port there.
+    """
+
+    handler_class = _BoundedHandler
+
+    def __init__(self, *args, connections: ConnectionTable, port: str, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.connections = connections
+        self.port = port
 
     def handle(self, sock, address):
-        # Nagle's algorithm delays keep-alive replies by 40 ms.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        for name, value in KEEPALIVE_OPTIONS:
-            sock.setsockopt(socket.IPPROTO_TCP, name, value)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.settimeout(SOCKET_TIMEOUT_S)
-        super().handle(sock, address)
-
-
-def read_body(environ: Mapping, max_bytes: int) -> bytes | BodyError:
-    """Return the complete request body, or the error that prevented reading it."""
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length and int(length) > max_bytes:
-        return BodyError(status=413, reason=f"body larger than {max_bytes} bytes")
-    try:
-        body = environ["wsgi.input"].read(int(length) if length else max_bytes + 1)
-    except TimeoutError:
-        return BodyError(
-            status=408, reason=f"body not sent within {SOCKET_TIMEOUT_S} s"
-        )
-    except OSError as error:
-        return BodyError(status=400, reason=f"body could not be read: {error}")
-    if len(body) > max_bytes:
-        return BodyError(status=413, reason=f"body larger than {max_bytes} bytes")
-    if length and len(body) < int(length):
-        return BodyError(status=400, reason="body shorter than its Content-Length")
-    return body
+        with self.connections.admit(sock, address[0], self.port) as connection:
+            if connection is None:
+                # The answer fits the buffer of a new socket.
+                sock.settimeout(0.0)
+                send_message(sock, encode_refusal(503))
+                return
+            # Nagle's algorithm delays keep-alive replies by 40 ms.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for name, value in KEEPALIVE_OPTIONS:
+                sock.setsockopt(socket.IPPROTO_TCP, name, value)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            self.handler_class(connection, address, self).handle()
 
 
 def build_application(
     handle: Callable[[Request], Response],
     refuse: Callable[[BodyError], Response],
-    max_body_bytes: int,
+    max_body_bytes: int = sys.maxsize,
 ):
     """Return a WSGI application that calls `handle` for each complete request.
 
-    `refuse` builds the response to a request whose body could not be read.
+    `refuse` builds the response to a request whose body could not be read. The limits
+    of a connection may be lower than `max_body_bytes`.
     """
 
     def application(environ, start_response) -> list[bytes]:
-        body = read_body(environ, max_body_bytes)
+        source = environ["wsgi.input"]
+        body = source.read_whole(min(max_body_bytes, source.max_bytes))
         match body:
             case BodyError():
                 response = refuse(body)
@@ -270,15 +316,16 @@
 
 
 def _build_request(environ: Mapping, body: bytes) -> Request:
-    query = parse_qs(environ.get("QUERY_STRING", ""))
+    text = environ.get("QUERY_STRING")
+    query = parse_qs(text) if text else {}
     return Request(
         method=environ["REQUEST_METHOD"],
         path=environ.get("PATH_INFO", "/"),
         query={name: values[-1] for name, values in query.items()},
         headers={
-            name[5:].replace("_", "-").lower(): value
-            for name, value in environ.items()
-            if name.startswith("HTTP_")
+            _find_header_name(key): value
+            for key, value in environ.items()
+            if key[:5] == "HTTP_"
         },
         body=body,
         peer=environ.get("REMOTE_ADDR", "unknown"),
@@ -381,19 +428,28 @@
     application,
     max_connections: int,
     stop_timeout_s: float = STOP_TIMEOUT_S,
+    connections: ConnectionTable | None = None,
+    port: str = "",
 ) -> Iterator[WSGIServer]:
     """Serve a WSGI application while the context is open.
 
     At the end, requests in flight are given `stop_timeout_s` seconds to finish; then
-    all connections are closed, including idle ones.
+    all connections are closed, including idle ones. Connections beyond the limit wait,
+    unless `connections` limits those of `port`: it closes others for them.
     """
+    if connections is None:
+        connections = ConnectionTable(
+            read_limits=lambda: RequestLimits(max_body_bytes=sys.maxsize)
+        )
     server = _NoDelayServer(
         address,
         application,
-        spawn=Pool(max_connections),
+        spawn=Pool(max_connections + SPARE_CONNECTIONS * bool(port)),
         log=None,
         error_log=logger,
         backlog=1024,
+        connections=connections,
+        port=port,
     )
     server.start()
     try:
