Move the starts of waiting tasks to a module of their own

Change: the section "Starts" becomes TaskStarts in starts.py. The end of a task and of its job is yielded as TaskGivenUp, which the scheduler applies before the pass goes on, as before. No behaviour changes.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -14,7 +14,6 @@
 from gentianhub.capacity.confirmations import (
     CellConfirmations,
     HeldRequest,
-    describe_age,
     is_confirmation_due,
     is_given_up,
     is_recent,
@@ -22,26 +21,21 @@
 from gentianhub.capacity.earlier_runs import RunAtWork, RunOver, find_earlier_run
 from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.estimates import RunEstimates
-from gentianhub.capacity.jobs import Cell, TaskKey, format_task_key
-from gentianhub.capacity.leases import choose_lease_s
+from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.losses import LossLedger
-from gentianhub.capacity.placement import PlacementRound
 from gentianhub.capacity.reports import Reporter
+from gentianhub.capacity.starts import TaskGivenUp, TaskStarts
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.suspects import Suspects
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
 from gentianhub.capacity.tasks import CellJob, CellTask
-from gentianhub.capacity.trials import RouteTrials
 from gentianhub.capacity.turnover import SlotTurnover
-from gentianhub.capacity.waiting import WaitingTasks
 from gentianhub.core import Incarnation
 
 # Ends of tasks are kept for this long, for a front host that repeats its request.
 END_RETENTION_S = 3.0
-# Number of tasks that fit on no target now and may be skipped in favour of later ones.
-MAX_SKIPPED_TASKS = 12
 # An answer later than this multiple of its objective is of no use to the caller, so a
 # task that would end later is dropped. 1.5 left more jobs of a load peak without an
 # answer.
@@ -90,15 +84,11 @@
     load: CellLoad = field(init=False)
     suspects: Suspects = field(init=False)
     confirmations: CellConfirmations = field(init=False)
+    starts: TaskStarts = field(init=False)
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
-    waiting: WaitingTasks = field(init=False, factory=lambda: WaitingTasks())
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
-    trials: RouteTrials = field(init=False, factory=lambda: RouteTrials())
     _front_hosts: dict[str, Incarnation] = field(init=False, factory=dict)
-    _started_tasks: dict[TaskKey, CellTask] = field(init=False, factory=dict)
     _blocked: list[CellTask] = field(init=False, factory=list)
-    _may_start: bool = field(init=False, default=False)
-    _awaits_confirmation: bool = field(init=False, default=False)
 
     def __attrs_post_init__(self):
         self.reporter = Reporter(cell=self.cell, term=self.term)
@@ -111,6 +101,13 @@
             owner_since_s=self.owner_since_s,
             handover=self.handover,
         )
+        self.starts = TaskStarts(
+            cell=self.cell,
+            term=self.term,
+            targets=self.targets,
+            suspects=self.suspects,
+            confirmations=self.confirmations,
+        )
 
     @property
     def targets(self) -> dict[str, TargetState]:
@@ -151,7 +148,7 @@
                 yield from self._give_up_front_host(lost, now_s)
             case ev.Tick():
                 # Tasks expire, and targets return from an ejection.
-                self._may_start = True
+                self.starts.may_start = True
                 yield from self._apply_tracker_events(
                     self.tracker.handle(event, now_s), now_s
                 )
@@ -166,7 +163,9 @@
 
     def build_claim(self, now_s: float) -> ev.CellClaim:
         """Return the claim on the cell with its current load."""
-        return self.load.describe(self.targets.values(), self.waiting.iterate(), now_s)
+        return self.load.describe(
+            self.targets.values(), self.starts.waiting.iterate(), now_s
+        )
 
     def has_work(self) -> bool:
         """Whether a task of a job that was not cancelled waits or runs."""
@@ -290,7 +289,7 @@
 
     def _admit_task(self, task: CellTask, now_s: float) -> Iterator:
         """Queue a task, adopt its run, or block it until earlier runs are known."""
-        earlier = self._started_tasks.get(task.key)
+        earlier = self.starts.started_tasks.get(task.key)
         if earlier is not None:
             # The job was submitted again; targets reject a number that was used before.
             task.is_blocked = True
@@ -310,7 +309,7 @@
                 task.last_run = end.run
                 yield from self._end_run(task, end.end, now_s)
             case _:
-                self._push_waiting(task, now_s)
+                self.starts.push(task, now_s)
 
     def _may_have_later_run(self, task: CellTask, now_s: float) -> bool:
         """Whether a target that has not listed its runs may have a run of the task."""
@@ -333,7 +332,7 @@
         )
         task.target, task.last_run = target.name, max(task.last_run, number)
         task.job.possible_runs += 1
-        self._started_tasks[task.key] = task
+        self.starts.started_tasks[task.key] = task
         yield from self.tracker.adopt_run(target, run, now_s)
 
     def _decline_waiting(self, job: CellJob, keys: list[TaskKey]) -> Iterator:
@@ -400,10 +399,9 @@
                 yield self._log_withdrawal(job, "not open")
                 yield from self._cancel_job(job, StopReason.NOT_OPEN, now_s)
             job.is_withdrawn = True
-        self._may_start = self._may_start or self._awaits_confirmation
-        self._awaits_confirmation = False
+        self.starts.resume_after_confirmation()
         for task in self.confirmations.release_tasks(now_s):
-            self._push_waiting(task, now_s)
+            self.starts.push(task, now_s)
         for held in self.confirmations.release_requests(front_host):
             if held.request.job not in listed:
                 continue
@@ -460,9 +458,9 @@
         for item in items:
             match item:
                 case te.TargetUsable():
-                    self._may_start = True
+                    self.starts.may_start = True
                 case te.RunEnded(target=target, run=run, end=end):
-                    self._may_start = True
+                    self.starts.may_start = True
                     self.turnover.record_end(now_s)
                     task = self._detach_run(run)
                     self._record_result(target, run, task, end, now_s)
@@ -470,7 +468,7 @@
                         task.avoid(target.name)
                     yield from self._end_run(task, end, now_s)
                 case te.RunLost(target=target, run=run, cause=cause):
-                    self._may_start = True
+                    self.starts.may_start = True
                     task = self._detach_run(run)
                     if cause is te.LossCause.NOT_STARTED:
                         task.job.possible_runs -= 1
@@ -484,7 +482,7 @@
                 case te.TargetRefuses(target=target):
                     yield from self._end_hopeless_tasks(target, now_s)
                 case te.RunStalled(target=target, run=run):
-                    self._started_tasks[run.key].avoid(target.name)
+                    self.starts.started_tasks[run.key].avoid(target.name)
                 case te.StartRefused(target=target, run=run, verdict=verdict):
                     yield from self._handle_refused_start(target, run, verdict, now_s)
                 case te.OrphanFound(target=target, key=key):
@@ -500,14 +498,14 @@
         Their callers would be held for the rest of the lease without any effect.
         """
         for run in list(target.runs.values()):
-            task = self._started_tasks[run.key]
+            task = self.starts.started_tasks[run.key]
             is_open = task.end is None and not task.job.is_cancelled
             if is_open and task.is_too_late(target.lease_expiry_s):
                 yield from self._end_task(task, ev.TaskEnd.LOST, now_s)
                 yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
 
     def _detach_run(self, run: Run) -> CellTask:
-        task = self._started_tasks.pop(run.key)
+        task = self.starts.started_tasks.pop(run.key)
         task.target = None
         return task
 
@@ -559,7 +557,7 @@
         self, target: TargetState, run: Run, verdict: ev.StartVerdict, now_s: float
     ) -> Iterator:
         task = self._detach_run(run)
-        self._may_start = True
+        self.starts.may_start = True
         if verdict in NOT_EXECUTED:
             task.job.possible_runs -= 1
         if verdict is not ev.StartVerdict.STALE_RUN:
@@ -595,153 +593,14 @@
     # Starts
 
     def _start_tasks(self, now_s: float) -> Iterator:
-        """Start waiting tasks if any may have become startable since the last call."""
-        if not self._may_start:
-            return
-        self._may_start = False
-        if not self.waiting:
-            return
-        placement = PlacementRound(targets=self.targets.values(), now_s=now_s)
-        skipped = []
-        skipped_suspects = []
-        trials = []
-        for task in self.waiting.pop_ordered(now_s):
-            is_late = task.is_too_late(now_s)
-            if is_late and not self.trials.may_start(task, now_s):
-                yield from self._expire_task(task, placement, now_s)
-                continue
-            end = self.suspects.find_end([task.key])
-            if end is not None:
-                yield self.suspects.log_given_up([task.key], end)
-                yield from self._end_task(task, end, now_s)
-                yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
-                continue
-            if is_late:
-                trials.append(task)
-                continue
-            if not is_recent(task.job.confirmed_s, now_s):
-                yield from self.confirmations.hold_task(task, now_s)
-                continue
-            is_suspect = self.suspects.has_to_run_alone(task.key)
-            choose_target = (
-                placement.choose_exclusive_target
-                if is_suspect
-                else placement.choose_target
-            )
-            confirmed_s = task.job.confirmed_s
-            target = choose_target(
-                task.step, task.request.service, task.avoided, confirmed_s
-            )
-            if target is not None:
-                yield self._start_task(task, target, now_s, is_suspect)
-                continue
-            if placement.needs_confirmation:
-                self._awaits_confirmation = True
-                front_host = task.job.front_host
-                yield from self.confirmations.request_open_jobs(front_host, now_s)
-            (skipped_suspects if is_suspect else skipped).append(task)
-            if len(skipped) >= MAX_SKIPPED_TASKS:
-                break
-        for task in skipped + skipped_suspects:
-            self.waiting.push(task, now_s)
-        for task in trials:
-            yield from self._start_trial(task, placement, now_s)
-
-    def _start_trial(
-        self, task: CellTask, placement: PlacementRound, now_s: float
-    ) -> Iterator:
-        """Start a task on trial if there is idle capacity; end its job otherwise."""
-        if not task.is_waiting:
-            return
-        target = None
-        may_start = (
-            self.trials.may_start(task, now_s)
-            and is_recent(task.job.confirmed_s, now_s)
-            and not self.suspects.has_to_run_alone(task.key)
-        )
-        if may_start:
-            target = placement.choose_target(
-                task.step, task.request.service, task.avoided, task.job.confirmed_s
-            )
-        if target is not None:
-            yield self._start_task(task, target, now_s, False)
-        elif task.job.is_trial:
-            self.waiting.push(task, now_s)
-        else:
-            yield from self._expire_task(task, placement, now_s)
-
-    def _expire_task(
-        self, task: CellTask, placement: PlacementRound, now_s: float
-    ) -> Iterator:
-        """End a waiting task, and with it its job, which is too late for its caller."""
-        yield self._log_expiry(task, placement, now_s)
-        yield from self._end_task(task, ev.TaskEnd.EXPIRED, now_s)
-        yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
-
-    def _log_expiry(
-        self, task: CellTask, placement: PlacementRound, now_s: float
-    ) -> fx.LogDecision:
-        """Return the log line of a job that ends because of its expected run time."""
-        inputs = {
-            "cell": str(self.cell),
-            "left_s": round(task.last_end_s - now_s, 4),
-            "expected_s": round(task.expected_s, 4),
-            "declared_s": task.step.estimate_s,
-            "usable_targets": len(placement.usable),
-            "idle_targets": sum(not target.runs for target in placement.usable),
-        }
-        return fx.LogDecision(
-            decision="start too late", subject=format_task_key(task.key), inputs=inputs
-        )
-
-    def _push_waiting(self, task: CellTask, now_s: float) -> None:
-        self.waiting.push(task, now_s)
-        self._may_start = True
-
-    def _start_task(
-        self, task: CellTask, state: TargetState, now_s: float, is_exclusive: bool
-    ) -> fx.StartRun:
-        self.trials.record_start(task, now_s)
-        task.last_run += 1
-        task.target = state.name
-        task.job.possible_runs += 1
-        self._started_tasks[task.key] = task
-        run = Run(
-            key=task.key,
-            number=task.last_run,
-            job=task.job,
-            demand=task.step.demand,
-            sent_s=now_s,
-            expected_s=task.expected_s * state.pace.value,
-            is_exclusive=is_exclusive,
-        )
-        inputs = {
-            "term": self.term,
-            "front_host": str(task.job.front_host),
-            "confirmed_age_s": describe_age(task.job.confirmed_s, now_s),
-            "slack_s": round(task.objective_start_s - now_s, 4),
-            "expected_s": round(run.expected_s, 4),
-            "pace": round(state.pace.value, 2),
-            "room_millicores": state.available.cpu_millicores,
-            "report_age_s": round(now_s - state.last_report_s, 4),
-        }
-        if is_exclusive:
-            inputs["exclusive"] = True
-        if task.job.is_trial:
-            inputs["trial"] = True
-        state.add_run(run)
-        lease_s = choose_lease_s(now_s - state.find_confirmed_s(now_s))
-        state.extend_lease(now_s, lease_s)
-        return fx.StartRun(
-            inputs=inputs,
-            target=state.entry,
-            key=task.key,
-            run=run.number,
-            payload=task.request.payload,
-            term=self.term,
-            decided_s=now_s,
-            lease_s=lease_s,
-        )
+        """Start waiting tasks, and end the jobs that the pass over them has ended."""
+        for item in self.starts.start_tasks(now_s):
+            match item:
+                case TaskGivenUp(task=task, end=end):
+                    yield from self._end_task(task, end, now_s)
+                    yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
+                case _:
+                    yield item
 
     # Expiry of finished jobs
 
