Estimate the backlog of a cell and choose the jobs to refuse

Cause: a job that cannot be served in time is noticed only when its last useful start has passed, and priorities are not used. Change: a fluid estimate of what can be started until a time, the worth of a job, bounds on the share that a route or size class may lose, the rule of Moore and Hodgson within each priority, and an order of starts by priority. Nothing uses them yet.

--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -178,6 +178,15 @@
     inputs: dict[str, Any]
 
 
+@frozen(kw_only=True)
+class ShedJob:
+    """Log and count a job that is refused because of overload, with its estimate."""
+
+    job: str
+    priority: int
+    inputs: dict[str, Any]
+
+
 CellEffect = (
     StartRun
     | StopRun
@@ -190,5 +199,6 @@
     | RequestOpenJobs
     | SendToFront
     | LogDecision
+    | ShedJob
 )
-FrontEffect = SendToOwner | AnswerCaller | LogDecision
+FrontEffect = SendToOwner | AnswerCaller | LogDecision | ShedJob
--- /dev/null
+++ b/gentianhub/capacity/refusals.py
@@ -0,0 +1,125 @@
+"""Choice of the waiting jobs to refuse when they do not fit in the capacity.
+
+The rule is that of Moore and Hodgson, for one priority after the other. Jobs are walked
+in the order of their latest start. Whenever one could not start in time, the job with
+the least worth per core-second among those so far is refused. This minimizes the number
+of refused jobs if all need the same work, at a cost of n log n.
+"""
+
+import enum
+import heapq
+from collections.abc import Iterable, Iterator
+from itertools import groupby
+
+from attrs import define, field, frozen
+
+from gentianhub.capacity.backlog import CapacityCurve
+from gentianhub.capacity.shares import ServedShares
+from gentianhub.capacity.tasks import CellJob
+from gentianhub.capacity.worth import JobWorth
+
+
+class RefusalReason(enum.Enum):
+    """Why a waiting job is refused, for log lines."""
+
+    TOO_LATE = "too late"
+    NO_CAPACITY = "no capacity in time"
+    LESS_WORTH = "others are worth more"
+
+
+@frozen(kw_only=True, eq=False)
+class Candidate:
+    """A waiting job; its `work` here is in millicores times seconds.
+
+    `start_work` is the part of it that its own start takes: its tasks need not have
+    ended when the last of them starts. `may_refuse` is false for a job of which a task
+    may have started.
+    """
+
+    job: CellJob
+    worth: JobWorth
+    work: float
+    start_work: float
+    latest_start_s: float
+    may_refuse: bool
+
+
+@frozen(kw_only=True, eq=False)
+class Refusal:
+    """A job to refuse.
+
+    `work` is the work of the jobs before it and its own, and `startable` the work that
+    can start in time, in millicores times seconds.
+    """
+
+    candidate: Candidate
+    reason: RefusalReason
+    work: float
+    startable: float
+
+
+@define(kw_only=True, eq=False)
+class RefusalChoice:
+    """One walk over the waiting jobs of a cell.
+
+    After the walk, `work` is the work of the jobs that were kept.
+    """
+
+    curve: CapacityCurve
+    shares: ServedShares
+    work: float = field(init=False, default=0.0)
+    _fixed_work: float = field(init=False, default=0.0)
+    _kept: list[tuple[bool, float, float, int, Candidate]] = field(
+        init=False, factory=list
+    )
+
+    def choose(self, candidates: Iterable[Candidate]) -> Iterator[Refusal]:
+        """Yield the jobs to refuse, and count them as losses."""
+        ordered = sorted(candidates, key=lambda c: (c.job.rank, c.latest_start_s))
+        for _, group in groupby(ordered, key=lambda c: c.job.rank):
+            # Work of lower ranks starts later, and has no effect on that of this one.
+            self._fixed_work = self.work
+            self._kept.clear()
+            yield from self._choose_in_rank(group)
+
+    def _choose_in_rank(self, candidates: Iterable[Candidate]) -> Iterator[Refusal]:
+        for number, candidate in enumerate(candidates):
+            startable = self.curve.find_startable(candidate.latest_start_s)
+            if not candidate.may_refuse:
+                self.work += candidate.work
+                self._fixed_work += candidate.work
+            elif candidate.latest_start_s < self.curve.now_s:
+                yield self._refuse(candidate, RefusalReason.TOO_LATE, startable)
+            elif self._fixed_work + candidate.start_work > startable:
+                yield self._refuse(candidate, RefusalReason.NO_CAPACITY, startable)
+            else:
+                self.work += candidate.work
+                self._push(candidate, number)
+                yield from self._make_room(candidate, startable)
+
+    def _make_room(self, candidate: Candidate, startable: float) -> Iterator[Refusal]:
+        own_rest = candidate.work - candidate.start_work
+        while self._kept and self.work - own_rest > startable:
+            is_protected, *_, number, refused = heapq.heappop(self._kept)
+            if not is_protected and self.shares.is_protected(refused.worth):
+                # Other jobs of its route or class were refused since it was pushed.
+                self._push(refused, number)
+                continue
+            yield self._refuse(refused, RefusalReason.LESS_WORTH, startable)
+            self.work -= refused.work
+            if refused is candidate:
+                return
+
+    def _push(self, candidate: Candidate, number: int) -> None:
+        is_protected = self.shares.is_protected(candidate.worth)
+        # Among equals, the one that has waited for the shortest time is refused.
+        key = (is_protected, candidate.worth.per_core_s, -candidate.latest_start_s)
+        heapq.heappush(self._kept, (*key, number, candidate))
+
+    def _refuse(
+        self, candidate: Candidate, reason: RefusalReason, startable: float
+    ) -> Refusal:
+        self.shares.record_loss(candidate.worth, self.curve.now_s)
+        return Refusal(
+            candidate=candidate, reason=reason, work=self.work, startable=startable
+        )
--- /dev/null
+++ b/gentianhub/capacity/shares.py
@@ -0,0 +1,76 @@
+"""Bounds on the share of its jobs that a route or a size class may lose."""
+
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from gentianhub.capacity.worth import JobWorth, SizeClass
+
+# Time after which an earlier arrival or loss counts half, s.
+HALF_LIFE_S = 5.0
+# A route is served at least this fraction as often as all routes together.
+MIN_ROUTE_FRACTION = 0.3
+# A size class is served at least this fraction as often as its route. The requirement
+# is a half; the rest covers jobs that are given up later, and errors of the estimates.
+MIN_CLASS_FRACTION = 0.6
+# Counts are scaled down when the weight of a new event exceeds this.
+MAX_WEIGHT = 2.0**40
+
+ShareKey = tuple[str, SizeClass | None]
+# Key of all routes together.
+ALL_ROUTES: ShareKey = ("", None)
+
+
+@define(kw_only=True, eq=False)
+class ServedShares:
+    """Arrivals and losses of jobs, by route and by size class of a route.
+
+    Counts decay exponentially: instead of them, the weight of new events grows.
+    """
+
+    _arrived: dict[ShareKey, float] = field(init=False, factory=dict)
+    _lost: dict[ShareKey, float] = field(init=False, factory=dict)
+    _weight: float = field(init=False, default=1.0)
+    _updated_s: float | None = field(init=False, default=None)
+
+    def record_arrival(self, worth: JobWorth, now_s: float) -> None:
+        """Count a job that waits for capacity."""
+        self._advance(now_s)
+        for key in _find_keys(worth):
+            self._arrived[key] = self._arrived.get(key, 0.0) + self._weight
+
+    def record_loss(self, worth: JobWorth, now_s: float) -> None:
+        """Count a waiting job that is refused or given up."""
+        self._advance(now_s)
+        for key in _find_keys(worth):
+            self._lost[key] = self._lost.get(key, 0.0) + self._weight
+
+    def is_protected(self, worth: JobWorth) -> bool:
+        """Whether the loss of one more such job exceeds a bound."""
+        route, size = (worth.route, None), (worth.route, worth.size)
+        return self._find_share(route, 1) < MIN_ROUTE_FRACTION * self._find_share(
+            ALL_ROUTES
+        ) or self._find_share(size, 1) < MIN_CLASS_FRACTION * self._find_share(route)
+
+    def _find_share(self, key: ShareKey, more_losses: int = 0) -> float:
+        arrived = self._arrived.get(key, 0.0)
+        if not arrived:
+            return 0.0
+        lost = self._lost.get(key, 0.0) + more_losses * self._weight
+        return max(0.0, 1 - lost / arrived)
+
+    def _advance(self, now_s: float) -> None:
+        if self._updated_s is not None and now_s > self._updated_s:
+            self._weight *= 2 ** ((now_s - self._updated_s) / HALF_LIFE_S)
+        self._updated_s = max(now_s, self._updated_s or now_s)
+        if self._weight > MAX_WEIGHT:
+            for counts in (self._arrived, self._lost):
+                for key in counts:
+                    counts[key] /= self._weight
+            self._weight = 1.0
+
+
+def _find_keys(worth: JobWorth) -> Iterator[ShareKey]:
+    yield ALL_ROUTES
+    yield worth.route, None
+    yield worth.route, worth.size
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -4,8 +4,14 @@
 
 from gentianhub.capacity.events import RunTasks, TaskEnd
 from gentianhub.capacity.jobs import JobStep, TaskKey
+from gentianhub.capacity.worth import JobWorth
 from gentianhub.core import Incarnation
 
+# An answer later than this multiple of its objective is of no use to the caller, so a
+# task that would end later is dropped. 1.5 left more jobs of a load peak without an
+# answer.
+LATE_FACTOR = 3.0
+
 
 @define(kw_only=True, eq=False)
 class CellJob:
@@ -17,7 +23,7 @@
     the last time, on this host's clock, at which the front host is known to have had
     the job open, and `submitted_s` the earliest time at which its caller may have
     submitted it. `is_trial` is set once a task has started that was expected to end too
-    late.
+    late. `worth` is that to its caller, if routes have more than one priority.
     """
 
     front_host: Incarnation
@@ -30,6 +36,7 @@
     changed_s: float = 0.0
     confirmed_s: float = float("-inf")
     submitted_s: float = float("-inf")
+    worth: JobWorth | None = None
     tasks: dict[TaskKey, "CellTask"] = field(factory=dict)
 
     @property
@@ -37,6 +44,11 @@
         """Whether a task of the job may have run."""
         return self.possible_runs > 0
 
+    @property
+    def rank(self) -> int:
+        """Rank of the job in an overload; work that has begun is finished first."""
+        return 0 if self.worth is None or self.has_started else self.worth.rank
+
     def has_open_tasks(self) -> bool:
         """Whether a task of the job has not ended."""
         return any(task.end is None for task in self.tasks.values())
--- a/gentianhub/capacity/waiting.py
+++ b/gentianhub/capacity/waiting.py
@@ -9,13 +9,32 @@
 are sorted by run time, the shortest first. A late job of which a task has run is not
 demoted, because the completed work would be lost. Under overload this keeps the number
 of jobs that are answered in time high.
+
+While jobs are refused because the waiting work does not fit, urgent priorities start
+first. Within a priority, on-time tasks precede late ones, which are sorted by the time
+after which a start is of no use. The comparison in docs/design/overload.md shows the
+worth that this order and others have served.
 """
 
 import heapq
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
+
+
+@frozen(kw_only=True)
+class SlackOrder:
+    """On-time tasks by least slack, then demoted ones by run time."""
+
+
+@frozen(kw_only=True)
+class PriorityOrder:
+    """Tasks by rank of their job's priority, and on-time ones before late ones."""
+
+
+SLACK_ORDER = SlackOrder()
+PRIORITY_ORDER = PriorityOrder()
 
 
 @define(kw_only=True, eq=False)
@@ -25,7 +44,8 @@
     Tasks that no longer wait stay in the heaps and are skipped when they are reached.
     """
 
-    _on_time: list[tuple[float, int, Any]] = field(init=False, factory=list)
+    order: SlackOrder | PriorityOrder = SLACK_ORDER
+    _on_time: list[tuple[Any, int, Any]] = field(init=False, factory=list)
     _late: list[tuple[float, int, Any]] = field(init=False, factory=list)
     _sequence: int = field(init=False, default=0)
 
@@ -35,10 +55,37 @@
     def push(self, task, now_s: float) -> None:
         """Add a task."""
         self._sequence += 1
-        if self._is_demoted(task, now_s):
-            heapq.heappush(self._late, (task.expected_s, self._sequence, task))
-        else:
-            heapq.heappush(self._on_time, (task.sort_key_s, self._sequence, task))
+        match self.order:
+            case PriorityOrder():
+                heap, key = self._on_time, self._rank(task, now_s)
+            case SlackOrder() if self._is_demoted(task, now_s):
+                heap, key = self._late, task.expected_s
+            case SlackOrder():
+                heap, key = self._on_time, task.sort_key_s
+        heapq.heappush(heap, (key, self._sequence, task))
+
+    def change_order(self, order: SlackOrder | PriorityOrder, now_s: float) -> None:
+        """Sort the tasks by another order."""
+        if order is self.order:
+            return
+        tasks = list(self.iterate())
+        self.order, self._on_time, self._late = order, [], []
+        for task in tasks:
+            self.push(task, now_s)
+
+    def _rank(self, task, now_s: float) -> tuple[int, bool, float]:
+        is_late = self._is_demoted(task, now_s)
+        start_s = task.cutoff_start_s if is_late else task.sort_key_s
+        return task.job.rank, is_late, start_s
+
+    def _has_become_late(self, key: Any, task, now_s: float) -> bool:
+        """Whether a task that was on time when it got its key no longer is."""
+        match self.order:
+            case PriorityOrder():
+                _, was_late, _ = key
+                return not was_late and self._is_demoted(task, now_s)
+            case SlackOrder():
+                return self._is_demoted(task, now_s)
 
     def _is_demoted(self, task, now_s: float) -> bool:
         if now_s > task.objective_start_s:
@@ -48,10 +95,10 @@
     def pop_ordered(self, now_s: float) -> Iterator[Any]:
         """Remove and yield waiting tasks in order; unstarted ones must be re-added."""
         while self._on_time:
-            _, _, task = heapq.heappop(self._on_time)
+            key, _, task = heapq.heappop(self._on_time)
             if not task.is_waiting:
                 continue
-            if self._is_demoted(task, now_s):
+            if (isinstance(key, float) or not key[1]) and self._is_demoted(task, now_s):
                 self.push(task, now_s)
                 continue
             yield task
