Refuse waiting jobs in the owner when they don't fit

Cause: under overload the owner served jobs by slack only, whatever their priority, and let jobs wait that could not be served in time. Change: the owner reviews the waiting jobs at a tick, and once between ticks if a binding request does not fit. Only with routes of more than one priority. Log line "job shed", metric gentianhub_host_shed_jobs.

--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -92,14 +92,20 @@
     """One version of the operator's configuration.
 
     The setting whether targets refuse tasks that do not fit is not stored, because no
-    start ever exceeds the available capacity of a target.
+    start ever exceeds the available capacity of a target. `priorities` are those of the
+    routes, sorted; the least one is the most urgent.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     max_body_bytes: int = 262_144
+    priorities: tuple[int, ...] = field(init=False)
     _routes_by_host: dict[str, list[Route]] = field(init=False, eq=False, repr=False)
 
+    @priorities.default
+    def _sort_priorities(self) -> tuple[int, ...]:
+        return tuple(sorted({route.priority for route in self.routes}))
+
     @_routes_by_host.default
     def _group_routes(self) -> dict[str, list[Route]]:
         routes_by_host: dict[str, list[Route]] = {}
@@ -107,6 +113,12 @@
             routes_by_host.setdefault(route.host, []).append(route)
         return routes_by_host
 
+    def find_rank(self, route: Route) -> int | None:
+        """Return the position of a route's priority; None if all have the same."""
+        if len(self.priorities) < 2 or route.priority not in self.priorities:
+            return None
+        return self.priorities.index(route.priority)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path, or None."""
         matching = (
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -4,7 +4,7 @@
 starts tasks there. Its calls carry a fencing token, which the targets compare.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from attrs import define, field
 
@@ -24,22 +24,19 @@
 from gentianhub.capacity.jobs import Cell, TaskKey
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.losses import LossLedger
+from gentianhub.capacity.overload import CellOverload
 from gentianhub.capacity.reports import Reporter
 from gentianhub.capacity.starts import TaskGivenUp, TaskStarts
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.suspects import Suspects
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
-from gentianhub.capacity.tasks import CellJob, CellTask
+from gentianhub.capacity.tasks import LATE_FACTOR, CellJob, CellTask
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.core import Incarnation
 
 # Ends of tasks are kept for this long, for a front host that repeats its request.
 END_RETENTION_S = 3.0
-# An answer later than this multiple of its objective is of no use to the caller, so a
-# task that would end later is dropped. 1.5 left more jobs of a load peak without an
-# answer.
-LATE_FACTOR = 3.0
 # Fraction of its slack that a task may wait; the rest covers the variance of run times
 # and the delivery of the answer.
 SLACK_FRACTION = 0.6
@@ -71,6 +68,8 @@
         What is known about the targets of earlier owners.
     losses : LossLedger
         The losses of targets that this host knows of, in all cells.
+    list_priorities : callable
+        Returns the priorities of the operator's routes, sorted.
     """
 
     cell: Cell
@@ -79,12 +78,14 @@
     handover: Handover = Handover(kind=HandoverKind.UNKNOWN)
     estimates: RunEstimates = field(factory=lambda: RunEstimates())
     losses: LossLedger = field(factory=lambda: LossLedger())
+    list_priorities: Callable[[], tuple[int, ...]] = lambda: ()
     tracker: TargetTracker = field(init=False)
     reporter: Reporter = field(init=False)
     load: CellLoad = field(init=False)
     suspects: Suspects = field(init=False)
     confirmations: CellConfirmations = field(init=False)
     starts: TaskStarts = field(init=False)
+    overload: CellOverload = field(init=False)
     jobs: dict[tuple[Incarnation, str], CellJob] = field(init=False, factory=dict)
     turnover: SlotTurnover = field(init=False, factory=lambda: SlotTurnover())
     _front_hosts: dict[str, Incarnation] = field(init=False, factory=dict)
@@ -108,6 +109,11 @@
             suspects=self.suspects,
             confirmations=self.confirmations,
         )
+        self.overload = CellOverload(
+            cell=self.cell,
+            list_priorities=self.list_priorities,
+            trials=self.starts.trials,
+        )
 
     @property
     def targets(self) -> dict[str, TargetState]:
@@ -155,6 +161,7 @@
                 yield from self._give_up_unconfirmed(now_s)
                 self._prune_jobs(now_s)
                 yield from self._release_after_discovery(now_s)
+                self.overload.begin_tick()
             case _:
                 yield from self._apply_tracker_events(
                     self.tracker.handle(event, now_s), now_s
@@ -252,6 +259,8 @@
         if request.may_decline:
             yield from self._start_tasks(now_s)
             yield from self._decline_waiting(job, new_keys)
+        else:
+            self.overload.admit(job, request, now_s)
 
     def _find_other_submission(self, job: CellJob) -> CellJob | None:
         """Return an open submission of the same job through another front host."""
@@ -515,6 +524,7 @@
         match end:
             case ev.RunEnd.DONE:
                 state.health.record_success()
+                self.overload.record_end(run, now_s)
                 run_s = state.measure_run_s(run, now_s)
                 if run_s is None:
                     return
@@ -594,14 +604,27 @@
 
     def _start_tasks(self, now_s: float) -> Iterator:
         """Start waiting tasks, and end the jobs that the pass over them has ended."""
+        yield from self._shed_jobs(now_s)
         for item in self.starts.start_tasks(now_s):
             match item:
                 case TaskGivenUp(task=task, end=end):
+                    self.overload.record_expiry(task.job, now_s)
                     yield from self._end_task(task, end, now_s)
                     yield from self._cancel_job(task.job, StopReason.JOB_ENDED, now_s)
                 case _:
                     yield item
 
+    def _shed_jobs(self, now_s: float) -> Iterator:
+        """Refuse waiting jobs that do not fit, and adapt the order of starts."""
+        waiting = self.starts.waiting
+        for refusal in self.overload.review(
+            waiting.iterate(), self.targets.values(), now_s
+        ):
+            yield self.overload.describe(refusal, now_s)
+            job = refusal.candidate.job
+            yield from self._give_up_job(job, StopReason.JOB_ENDED, now_s)
+        waiting.change_order(self.overload.choose_order(now_s), now_s)
+
     # Expiry of finished jobs
 
     def _prune_jobs(self, now_s: float) -> None:
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -18,7 +18,7 @@
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.host.decision_log import log_decision
+from gentianhub.host.decision_log import log_decision, record_shed_job
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.target_ports import TargetConnectionMap
@@ -41,6 +41,8 @@
         Returns the hosts that own the other cells.
     read_targets : callable
         Has the list of targets read from the store now.
+    list_priorities : callable
+        Returns the priorities of the operator's routes, sorted.
     """
 
     answers: Mailbox
@@ -49,6 +51,7 @@
     find_successors: Callable[[], tuple[Incarnation, ...]]
     find_other_owners: Callable[[], tuple[Incarnation, ...]] = lambda: ()
     read_targets: Callable[[], None] = lambda: None
+    list_priorities: Callable[[], tuple[int, ...]] = lambda: ()
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -83,6 +86,7 @@
             handover=handover,
             estimates=self._estimates,
             losses=self.losses,
+            list_priorities=self.list_priorities,
         )
         self._schedulers[cell] = scheduler
         known = handover.merge_targets(self._find_cell_targets(cell))
@@ -335,6 +339,8 @@
             case fx.SendToFront(front_host=front_host, message=message):
                 self._record_end(message)
                 self.outbox.send(front_host, message)
+            case fx.ShedJob():
+                record_shed_job(effect, self.metrics)
             case fx.LogDecision():
                 log_decision(effect.decision, effect.subject, **effect.inputs)
 
--- a/gentianhub/host/configuration.py
+++ b/gentianhub/host/configuration.py
@@ -36,6 +36,10 @@
         """Version of the configuration; 0 without one."""
         return self.current.version if self.current else 0
 
+    def list_priorities(self) -> tuple[int, ...]:
+        """Return the priorities of the routes, sorted."""
+        return self.current.priorities if self.current else ()
+
     def adopt(self, content: bytes, source: str) -> None:
         """Decode and keep a configuration if it is newer than the current one."""
         try:
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -144,6 +144,7 @@
             find_successors=lambda: self.membership.find_successors(),
             find_other_owners=self._find_other_owners,
             read_targets=self._read_targets,
+            list_priorities=self.configuration.list_priorities,
         )
         self.membership = Membership(
             local_host=self.local_host,
@@ -313,9 +314,8 @@
     def _report_own_loads(self, now_s: float) -> None:
         if self.cells:
             claims = tuple(self.cells.build_claims(now_s))
-            self.requests.handle_event(
-                LoadsReported(owner=self.local_host, claims=claims), now_s
-            )
+            report = LoadsReported(owner=self.local_host, claims=claims)
+            self.requests.handle_event(report, now_s)
 
     def _send_heartbeats_now(
         self, peers: tuple[Incarnation, ...], now_s: float
--- a/gentianhub/host/decision_log.py
+++ b/gentianhub/host/decision_log.py
@@ -2,6 +2,9 @@
 
 import logging
 
+from gentianhub.capacity.effects import ShedJob
+from gentianhub.host.metrics import HostMetrics
+
 logger = logging.getLogger("gentianhub.host")
 
 
@@ -18,3 +21,9 @@
         Values that the decision depends on, their ages or versions, and the outcome.
     """
     logger.info(decision, extra={"id": subject, **inputs})
+
+
+def record_shed_job(shed: ShedJob, metrics: HostMetrics) -> None:
+    """Log and count a job that is refused because of overload."""
+    metrics.shed_jobs[str(shed.priority)] += 1
+    log_decision("job shed", shed.job, priority=shed.priority, **shed.inputs)
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -43,6 +43,12 @@
         yield _build_family(
             "departures", "Callers that have left", "end", metrics.departures
         )
+        yield _build_family(
+            "shed_jobs",
+            "Jobs refused because of overload",
+            "priority",
+            metrics.shed_jobs,
+        )
         yield GaugeMetricFamily(
             "gentianhub_host_suspended_s",
             "Time for which the machine was suspended since the host started",
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -23,6 +23,7 @@
     losses: Counter = field(factory=Counter)
     cancels: Counter = field(factory=Counter)
     departures: Counter = field(factory=Counter)
+    shed_jobs: Counter = field(factory=Counter)
     longest_mailbox_lag_s: float = 0.0
     longest_pause_s: float = 0.0
     suspended_s: float = 0.0
