Keep waiting jobs whole, and derive Retry-After from the backlog

Cause: an owner refuses only jobs that it has as a whole, but front hosts divided jobs that had to wait among all cells. Retry-After was a hash only. Change: with routes of more than one priority, a job that no cell has capacity for goes to one cell; Retry-After follows the time in which the backlog drains, in windows by priority; a job is refused at its arrival if each cell's backlog is much longer than it can wait.

--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -6,8 +6,7 @@
 a task has confirmed that it has started none and will not start any.
 """
 
-import math
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -15,22 +14,23 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.jobs import CapacityJob, Cell, TaskKey
+from gentianhub.capacity.hopeless_jobs import BACKLOG, describe_refusal, is_hopeless
+from gentianhub.capacity.jobs import Cell, TaskKey
+from gentianhub.capacity.kept_answers import KeptAnswers
 from gentianhub.capacity.leases import CALLER_RETURN_S
 from gentianhub.capacity.ownership import CellOwner
+from gentianhub.capacity.retries import choose_retry_after_s
 from gentianhub.capacity.routing import LoadView
 from gentianhub.capacity.submissions import (
     CallerDisconnected,
     CancelCapacityJob,
     FrontJob,
     InterruptJobs,
-    KeptAnswer,
     LoadsReported,
     MachineSuspended,
     OwnersChanged,
     RequestNotSent,
     SubmitCapacityJob,
-    choose_retry_after_s,
 )
 from gentianhub.core import Incarnation
 
@@ -44,12 +44,6 @@
 STARTUP_GRACE_S = 1.0
 # Time for the owners of cells to confirm that they started no task of a job.
 CONFIRMATION_TIMEOUT_S = 0.3
-# A step that needs more than this fraction of all capacity is expected to run in
-# several waves.
-WAVE_CAPACITY_FRACTION = 0.25
-# A submission that is repeated within this time of its answer gets the same answer.
-ANSWER_RETENTION_S = 10.0
-MAX_KEPT_ANSWERS = 5000
 # A suspended machine receives nothing, and the ends of callers' connections reach it
 # later. TCP repeats them after 0.2, 0.6 and 1.4 s, so that longer suspensions may hide
 # an end for longer than the leases of its tasks allow for.
@@ -77,7 +71,7 @@
     loads: LoadView = field(init=False)
     jobs: dict[str, FrontJob] = field(init=False, factory=dict)
     owners: dict[Cell, CellOwner] = field(init=False, factory=dict)
-    _kept_answers: OrderedDict[str, KeptAnswer] = field(init=False, factory=OrderedDict)
+    kept_answers: KeptAnswers = field(init=False, factory=lambda: KeptAnswers())
     _addressed_cells: set[Cell] = field(init=False, factory=set)
     _handled_s: float = field(init=False, default=float("inf"))
     _suspensions: deque[tuple[float, float]] = field(init=False, factory=deque)
@@ -157,23 +151,25 @@
         if known is not None:
             known.reply_to.append(event.reply_to)
             return
-        kept = self._kept_answers.get(event.job_id)
-        if kept is not None and now_s < kept.answered_s + ANSWER_RETENTION_S:
+        kept = self.kept_answers.find(event.job_id, now_s)
+        if kept is not None:
             yield fx.AnswerCaller(
                 reply_to=event.reply_to,
                 job=event.job_id,
-                verdict=kept.verdict,
+                verdict=kept,
                 reason="answered before",
             )
             return
-        reason = self._find_refusal_reason(event.job, now_s)
+        reason = self._find_refusal_reason(event, now_s)
         if reason:
+            if reason == BACKLOG:
+                yield describe_refusal(event, self.loads)
             yield fx.AnswerCaller(
                 reply_to=event.reply_to,
                 job=event.job_id,
                 verdict=fx.JobVerdict.NOT_RUN,
                 reason=reason,
-                retry_after_s=choose_retry_after_s(event.job_id),
+                retry_after_s=self._choose_retry_after_s(event),
             )
             return
         job = FrontJob(
@@ -183,14 +179,21 @@
             accepted_s=now_s,
             deadline_s=now_s + event.wait_s,
             reply_to=[event.reply_to],
+            rank=event.rank,
         )
         self.jobs[event.job_id] = job
         yield from self._release_steps(job, now_s)
 
-    def _find_refusal_reason(self, job: CapacityJob, now_s: float) -> str:
+    def _choose_retry_after_s(self, job: SubmitCapacityJob | FrontJob) -> int:
+        drain_s = self.loads.estimate_drain_s()
+        return choose_retry_after_s(job.job_id, job.rank, drain_s)
+
+    def _find_refusal_reason(self, event: SubmitCapacityJob, now_s: float) -> str:
         """Return why a job has to be refused at once, or an empty string."""
-        if job.unsupported:
-            return f"not supported: {job.unsupported}"
+        if event.job.unsupported:
+            return f"not supported: {event.job.unsupported}"
+        if is_hopeless(event, self.loads):
+            return BACKLOG
         if not self.owners and now_s > self.started_s + STARTUP_GRACE_S:
             return "no cell of targets has an owner"
         return ""
@@ -218,7 +221,8 @@
         is_final = max(job.offer_counts.get(key, 0) for key in keys) >= MAX_OFFERS
         remaining = list(keys)
         millicores = step.demand.cpu_millicores
-        for allocation in self.loads.divide(len(keys), millicores, is_final):
+        is_whole = job.rank is not None and len(keys) == step.count
+        for allocation in self.loads.divide(len(keys), millicores, is_final, is_whole):
             assigned, remaining = (
                 remaining[: allocation.count],
                 remaining[allocation.count :],
@@ -267,7 +271,7 @@
             max_attempts=job.route.max_attempts,
             age_s=now_s - job.accepted_s,
             objective_s=job.route.objective_s + earlier_s,
-            stretch=job.route.stretch * self._count_waves(step),
+            stretch=job.route.stretch * self.loads.count_waves(step),
             deadline_in_s=job.deadline_s - now_s,
             may_decline=may_decline,
             is_repeat=is_repeat,
@@ -301,11 +305,6 @@
             job.requested_cells.discard(request.cell)
         yield from self._assign_tasks(job, request.step_number, keys, now_s)
 
-    def _count_waves(self, step) -> int:
-        wave_millicores = self.loads.count_total_millicores() * WAVE_CAPACITY_FRACTION
-        needed = step.count * step.demand.cpu_millicores
-        return max(1, math.ceil(needed / wave_millicores)) if wave_millicores else 1
-
     def _handle_ended_tasks(self, event: ev.TasksEnded, now_s: float) -> Iterator:
         job = self.jobs.get(event.job)
         if job is None or not self._is_current(event):
@@ -382,7 +381,7 @@
 
     def _advance(self, job: FrontJob, now_s: float) -> Iterator:
         if all(self._is_step_done(job, number) for number in range(len(job.job.steps))):
-            self._store_answer(job.job_id, fx.JobVerdict.COMPLETED, now_s)
+            self.kept_answers.store(job.job_id, fx.JobVerdict.COMPLETED, now_s)
             yield from self._close_job(
                 job, fx.JobVerdict.COMPLETED, "every task is done"
             )
@@ -390,14 +389,9 @@
             yield from self._release_steps(job, now_s)
 
     def _fail_job(self, job: FrontJob, reason: str, now_s: float) -> Iterator:
-        self._store_answer(job.job_id, fx.JobVerdict.FAILED, now_s)
+        self.kept_answers.store(job.job_id, fx.JobVerdict.FAILED, now_s)
         yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
 
-    def _store_answer(self, job_id: str, verdict: fx.JobVerdict, now_s: float) -> None:
-        self._kept_answers[job_id] = KeptAnswer(verdict=verdict, answered_s=now_s)
-        while len(self._kept_answers) > MAX_KEPT_ANSWERS:
-            self._kept_answers.popitem(last=False)
-
     def _abandon_job(self, job: FrontJob, reason: str, now_s: float) -> Iterator:
         """End a job that cannot be completed.
 
@@ -463,7 +457,7 @@
                 job=job.job_id,
                 verdict=verdict,
                 reason=reason,
-                retry_after_s=choose_retry_after_s(job.job_id),
+                retry_after_s=self._choose_retry_after_s(job),
             )
 
     def _handle_caller_disconnected(
--- a/gentianhub/capacity/routing.py
+++ b/gentianhub/capacity/routing.py
@@ -5,16 +5,22 @@
 capacity; if there are none, they go to the cell with the shortest queue for its size.
 """
 
+import math
 from collections.abc import Iterator, Mapping
 
 from attrs import define, field, frozen
 
 from gentianhub.capacity.events import CellClaim
-from gentianhub.capacity.jobs import Cell
+from gentianhub.capacity.jobs import Cell, JobStep
 
 # Added to the estimated wait in cells of other data centres, so that tasks go there to
 # queue only if the wait is shorter by more than this.
 REMOTE_PENALTY_S = 0.02
+# A step that needs more than this fraction of all capacity is expected to run in
+# several waves.
+WAVE_CAPACITY_FRACTION = 0.25
+# A larger part of a cell than this would take too long to become free for one job.
+MAX_WHOLE_FRACTION = 0.5
 # Assumed run time of the tasks that were sent since a cell's last claim.
 ASSUMED_RUN_S = 0.1
 
@@ -76,6 +82,12 @@
         """Return the capacity of all cells, in thousandths of a core."""
         return sum(claim.total_millicores for claim in self._claims.values())
 
+    def count_waves(self, step: JobStep) -> int:
+        """Return in how many waves the tasks of a step are expected to run."""
+        wave_millicores = self.count_total_millicores() * WAVE_CAPACITY_FRACTION
+        needed = step.count * step.demand.cpu_millicores
+        return max(1, math.ceil(needed / wave_millicores)) if wave_millicores else 1
+
     def estimate_free_millicores(self, cell: Cell) -> int:
         """Return the probably idle capacity of a cell, in thousandths of a core."""
         return max(
@@ -89,14 +101,39 @@
         queued = claim.queued_millicore_s + beyond_free * ASSUMED_RUN_S
         return queued / max(1, claim.total_millicores)
 
+    def estimate_drain_s(self) -> float:
+        """Return the time that all cells together need for their queued work, s."""
+        queued = sum(claim.queued_millicore_s for claim in self._claims.values())
+        return queued / max(1, self.count_total_millicores())
+
+    def find_shortest_backlog_s(self) -> float | None:
+        """Return the shortest backlog of a cell by its claim, s.
+
+        None if the load of any cell is unknown, or if any has idle capacity.
+        """
+        claims = [self._claims[c] for c in self._claims.keys() - self._unreachable]
+        if not claims or any(
+            claim.free_millicores or not claim.total_millicores for claim in claims
+        ):
+            return None
+        return min(c.queued_millicore_s / c.total_millicores for c in claims)
+
     def divide(
-        self, count: int, millicores: int, is_final: bool
+        self, count: int, millicores: int, is_final: bool, is_whole: bool = False
     ) -> Iterator[TaskAllocation]:
         """Yield the cells for `count` tasks that request `millicores` each.
 
-        Cells may decline the tasks unless `is_final` is set or no cell had capacity.
+        Cells may decline the tasks unless `is_final` is set or no cell had capacity. If
+        `is_whole` is set and the tasks have to wait, one cell gets all of them, since
+        an owner refuses only jobs that it has as a whole.
         """
         remaining = count
+        if is_whole:
+            cell = self._find_whole_cell(count * millicores)
+            if cell is not None:
+                self.record_sent(cell, count * millicores)
+                yield TaskAllocation(cell=cell, count=count, may_decline=False)
+                return
         if not is_final:
             for cell in self._sort_by_free_capacity():
                 fitting = self.estimate_free_millicores(cell) // max(1, millicores)
@@ -109,6 +146,15 @@
                     return
         yield from self._spread(remaining, millicores)
 
+    def _find_whole_cell(self, millicores: int) -> Cell | None:
+        """Return the cell where a job should wait; None if it need not or is large."""
+        free = sum(map(self.estimate_free_millicores, self._claims))
+        cell = self._find_shortest_queue() if free < millicores else None
+        if cell is None:
+            return None
+        limit = MAX_WHOLE_FRACTION * self._claims[cell].total_millicores
+        return cell if millicores <= limit else None
+
     def _spread(self, count: int, millicores: int) -> Iterator[TaskAllocation]:
         """Assign each task in turn to the cell with the shortest estimated wait."""
         counts: dict[Cell, int] = {}
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -1,33 +1,31 @@
 """Open jobs of a front host, and the events that change them."""
 
-import zlib
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
 from attrs import define, field, frozen
 
-from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import CapacityJob, Cell, Route, TaskKey
 from gentianhub.capacity.ownership import CellOwner
 from gentianhub.core import Incarnation
 
-# Retry-After of a refusal. The spread by job id keeps refused callers from retrying at
-# the same time.
-RETRY_AFTER_S = 1.0
-RETRY_SPREAD_S = 3
-
 
 @frozen(kw_only=True)
 class SubmitCapacityJob:
-    """A caller submits a job and waits up to `wait_s` seconds for the answer."""
+    """A caller submits a job and waits up to `wait_s` seconds for the answer.
+
+    `rank` is the position of the route's priority among those of the configuration, and
+    None if all routes have the same: then nothing depends on priorities.
+    """
 
     job_id: str
     job: CapacityJob
     route: Route
     wait_s: float
     reply_to: Any
+    rank: int | None = None
 
 
 @frozen(kw_only=True)
@@ -102,6 +100,7 @@
     accepted_s: float
     deadline_s: float
     reply_to: list[Any]
+    rank: int | None = None
     assigned_cells: dict[TaskKey, Cell | None] = field(factory=dict)
     requested_cells: set[Cell] = field(factory=set)
     request_counts: Counter[Cell] = field(factory=Counter)
@@ -115,16 +114,3 @@
     end_reason: str = ""
     ownerless_since_s: float | None = None
     resumed_s: float | None = None
-
-
-@frozen(kw_only=True)
-class KeptAnswer:
-    """The final result of a job; `answered_s` is the monotonic time of the answer."""
-
-    verdict: fx.JobVerdict
-    answered_s: float
-
-
-def choose_retry_after_s(job_id: str) -> float:
-    """Return the delay after which the caller of a refused job may retry, s."""
-    return RETRY_AFTER_S + zlib.crc32(job_id.encode()) % RETRY_SPREAD_S
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -26,7 +26,7 @@
     NotKnown,
 )
 from gentianhub.host.configuration import ConfigurationCache
-from gentianhub.host.decision_log import log_decision
+from gentianhub.host.decision_log import log_decision, record_shed_job
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
 from gentianhub.platform import callers
@@ -128,6 +128,8 @@
                     self._send_to_owner(cell_owner.owner, message, now_s)
             case fx.AnswerCaller():
                 self._answer(effect, now_s)
+            case fx.ShedJob():
+                record_shed_job(effect, self.metrics)
             case fx.LogDecision():
                 log_decision(effect.decision, effect.subject, **effect.inputs)
 
@@ -175,6 +177,7 @@
             route=route,
             wait_s=request.wait_s or route.timeout_s or DEFAULT_WAIT_S,
             reply_to=request.reply_to,
+            rank=self.configuration.current.find_rank(route),
         )
         self.handle_event(submit, now_s)
 
