Estimate the backlog of each service, and spare jobs on trial

Cause: tasks run only on targets of their service, so that one curve for a cell with several services was wrong. Expected run times are corrected by runs only, and a job must not be refused because of its own expected time. Change: one review for each service; jobs that may be tried are not refused as too late or as too large.

--- a/gentianhub/capacity/overload.py
+++ b/gentianhub/capacity/overload.py
@@ -33,6 +33,25 @@
 MAX_CURVE_AGE_S = 0.1
 
 
+@define(kw_only=True, eq=False)
+class ServiceBacklog:
+    """The work that waits for targets of one service, as of the last review.
+
+    Work is in millicores times seconds.
+    """
+
+    curve: CapacityCurve
+    work: float
+
+    def add(self, work: float, latest_start_s: float, now_s: float) -> bool:
+        """Add an arriving job; return whether it fits behind all other work."""
+        self.work += work
+        return (
+            now_s <= self.curve.now_s + MAX_CURVE_AGE_S
+            and self.work <= self.curve.find_startable(latest_start_s)
+        )
+
+
 @define(kw_only=True, eq=False)
 class CellOverload:
     """Decides which waiting jobs of a cell are refused.
@@ -49,8 +68,7 @@
     occupancy: Occupancy = field(init=False, factory=lambda: Occupancy())
     _worths: WorthEstimates = field(init=False, factory=lambda: WorthEstimates())
     _shares: ServedShares = field(init=False, factory=lambda: ServedShares())
-    _curve: CapacityCurve | None = field(init=False, default=None)
-    _work: float = field(init=False, default=0.0)
+    _backlogs: dict[str, ServiceBacklog] = field(init=False, factory=dict)
     _refused_s: float = field(init=False, default=float("-inf"))
     _has_reviewed: bool = field(init=False, default=False)
     _is_due: bool = field(init=False, default=False)
@@ -86,13 +104,9 @@
             if self._shares.is_protected(job.worth):
                 job.worth = evolve(job.worth, rank=0)
             self._shares.record_arrival(job.worth, now_s)
-        self._work += len(waiting) * self._measure_work(task)
-        curve = self._curve
-        if (
-            curve is None
-            or now_s > curve.now_s + MAX_CURVE_AGE_S
-            or self._work > curve.find_startable(task.cutoff_start_s)
-        ):
+        backlog = self._backlogs.get(request.service)
+        work = len(waiting) * self._measure_work(task)
+        if backlog is None or not backlog.add(work, task.cutoff_start_s, now_s):
             self._is_due = True
 
     def record_end(self, run: Run, now_s: float) -> None:
@@ -119,10 +133,21 @@
         jobs: dict[CellJob, list[CellTask]] = {}
         for task in tasks:
             jobs.setdefault(task.job, []).append(task)
-        if not jobs:
-            return
-        self._has_reviewed = True
-        waiting = list(jobs.values())
+        services: dict[str, list[list[CellTask]]] = {}
+        for waiting in jobs.values():
+            services.setdefault(waiting[0].request.service, []).append(waiting)
+        self._has_reviewed = bool(jobs)
+        for service, waiting_jobs in services.items():
+            usable = (t for t in targets if t.entry.service == service)
+            yield from self._review_service(service, waiting_jobs, usable, now_s)
+
+    def _review_service(
+        self,
+        service: str,
+        waiting: list[list[CellTask]],
+        targets: Iterable[TargetState],
+        now_s: float,
+    ) -> Iterator[Refusal]:
         count = sum(map(len, waiting))
         millicores = sum(len(x) * x[0].step.demand.cpu_millicores for x in waiting)
         work = sum(len(x) * self._measure_work(x[0]) for x in waiting)
@@ -131,12 +156,11 @@
         if not curve.millicores:
             # Nothing is known about the capacity yet.
             return
-        self._curve = curve
         choice = RefusalChoice(curve=curve, shares=self._shares)
         for refusal in choice.choose(self._build_candidates(waiting, curve)):
             self._refused_s = now_s
             yield refusal
-        self._work = choice.work
+        self._backlogs[service] = ServiceBacklog(curve=curve, work=choice.work)
 
     def _build_candidates(
         self, waiting: list[list[CellTask]], curve: CapacityCurve
@@ -151,21 +175,10 @@
                 work=work,
                 start_work=min(work, millicores * curve.mean_run_s),
                 latest_start_s=task.cutoff_start_s,
-                may_refuse=self._may_refuse(tasks, curve.now_s),
+                may_refuse=may_refuse(tasks),
+                may_be_tried=self.trials.may_start(task, curve.now_s),
             )
 
-    def _may_refuse(self, tasks: list[CellTask], now_s: float) -> bool:
-        """Whether the job is here as a whole and none of its tasks may have started."""
-        task = tasks[0]
-        job, request = task.job, task.request
-        if job.worth is None or job.has_started or request.is_repeat:
-            return False
-        if len(tasks) != request.step.count or len(job.tasks) != request.step.count:
-            return False
-        if request.step_number or request.step.after:
-            return False
-        return not (task.is_too_late(now_s) and self.trials.may_start(task, now_s))
-
     def _measure_work(self, task: CellTask) -> float:
         """Return the expected work of a task, in millicores times seconds."""
         millicores = task.step.demand.cpu_millicores
@@ -173,9 +186,7 @@
 
     def describe(self, refusal: Refusal, now_s: float) -> ShedJob:
         """Return the effect that logs and counts a refusal."""
-        candidate, curve = refusal.candidate, self._curve
-        worth = candidate.worth
-        rate = max(1.0, curve.millicores)
+        candidate, worth = refusal.candidate, refusal.candidate.worth
         first = next(iter(candidate.job.tasks.values()))
         inputs = {
             "cell": str(self.cell),
@@ -184,11 +195,28 @@
             "size": worth.size.value,
             "worth_per_core_s": round(worth.per_core_s, 3),
             "left_s": round(candidate.latest_start_s - now_s, 4),
-            "estimated_wait_s": round(refusal.work / rate, 4),
+            "estimated_wait_s": round(refusal.work / refusal.millicores, 4),
             "estimated_work_core_s": round(candidate.work / 1000, 3),
-            "usable_millicores": round(curve.millicores),
+            "usable_millicores": round(refusal.millicores),
             "occupancy": round(self.occupancy.ratio, 3),
         }
         return ShedJob(
             job=candidate.job.name, priority=first.request.priority, inputs=inputs
         )
+
+
+def may_refuse(tasks: list[CellTask]) -> bool:
+    """Whether a job is here as a whole and none of its tasks may have started.
+
+    `tasks` are its waiting tasks.
+    """
+    job, request = tasks[0].job, tasks[0].request
+    count = request.step.count
+    return (
+        job.worth is not None
+        and not job.has_started
+        and not request.is_repeat
+        and not request.step_number
+        and not request.step.after
+        and len(tasks) == len(job.tasks) == count
+    )
--- a/gentianhub/capacity/refusals.py
+++ b/gentianhub/capacity/refusals.py
@@ -33,7 +33,8 @@
 
     `start_work` is the part of it that its own start takes: its tasks need not have
     ended when the last of them starts. `may_refuse` is false for a job of which a task
-    may have started.
+    may have started. A job that `may_be_tried` is not refused because of its own
+    expected run time: only a run of its route can correct that.
     """
 
     job: CellJob
@@ -42,6 +43,7 @@
     start_work: float
     latest_start_s: float
     may_refuse: bool
+    may_be_tried: bool = False
 
 
 @frozen(kw_only=True, eq=False)
@@ -49,13 +51,14 @@
     """A job to refuse.
 
     `work` is the work of the jobs before it and its own, and `startable` the work that
-    can start in time, in millicores times seconds.
+    can start in time, in millicores times seconds. `millicores` is the capacity.
     """
 
     candidate: Candidate
     reason: RefusalReason
     work: float
     startable: float
+    millicores: float
 
 
 @define(kw_only=True, eq=False)
@@ -86,8 +89,11 @@
         for number, candidate in enumerate(candidates):
             startable = self.curve.find_startable(candidate.latest_start_s)
             if not candidate.may_refuse:
-                self.work += candidate.work
-                self._fixed_work += candidate.work
+                self._add_fixed(candidate)
+            elif candidate.may_be_tried and (
+                self._fixed_work + candidate.start_work > startable
+            ):
+                self._add_fixed(candidate)
             elif candidate.latest_start_s < self.curve.now_s:
                 yield self._refuse(candidate, RefusalReason.TOO_LATE, startable)
             elif self._fixed_work + candidate.start_work > startable:
@@ -97,6 +103,10 @@
                 self._push(candidate, number)
                 yield from self._make_room(candidate, startable)
 
+    def _add_fixed(self, candidate: Candidate) -> None:
+        self.work += candidate.work
+        self._fixed_work += candidate.work
+
     def _make_room(self, candidate: Candidate, startable: float) -> Iterator[Refusal]:
         own_rest = candidate.work - candidate.start_work
         while self._kept and self.work - own_rest > startable:
@@ -121,5 +131,9 @@
     ) -> Refusal:
         self.shares.record_loss(candidate.worth, self.curve.now_s)
         return Refusal(
-            candidate=candidate, reason=reason, work=self.work, startable=startable
+            candidate=candidate,
+            reason=reason,
+            work=self.work,
+            startable=startable,
+            millicores=self.curve.millicores,
         )
