Let a job on trial be no reason to refuse other jobs

Cause: a trial is a job that is expected not to fit, so that its presence made the owner refuse jobs of lower priorities although all others fitted. Change: trials are left out of the check whether all jobs fit.

--- a/gentianhub/capacity/refusals.py
+++ b/gentianhub/capacity/refusals.py
@@ -102,7 +102,8 @@
         before = 0.0
         for candidate in ordered:
             startable = self.curve.find_startable(candidate.latest_start_s)
-            if candidate.may_refuse and before + candidate.start_work > startable:
+            is_decided = candidate.may_refuse and not candidate.may_be_tried
+            if is_decided and before + candidate.start_work > startable:
                 return False
             before += candidate.work
         return True
--- a/gentianhub/capacity/tests/test_refusals.py
+++ b/gentianhub/capacity/tests/test_refusals.py
@@ -94,6 +94,12 @@
         """A route with wrong estimates would never be corrected."""
         self.assertEqual({}, choose(build_candidate("j", 0.1, may_be_tried=True)))
 
+    def test_a_job_on_trial_is_no_reason_to_refuse_others(self):
+        trial = build_candidate("trial", 0.05, may_be_tried=True, work=0.1)
+        later = build_candidate("later", 2.0, rank=0, work=1.5)
+        other = build_candidate("other", 0.5, rank=1, work=0.3)
+        self.assertEqual({}, choose(trial, later, other))
+
     def test_the_kept_jobs_fit_in_the_order_of_their_start(self):
         for seed in range(200):
             rng = random.Random(seed)
