--- a/gentianhub/capacity/front_requests.py
+++ b/gentianhub/capacity/front_requests.py
@@ -23,16 +23,12 @@
 from gentianhub.capacity.load import CellLoad
 from gentianhub.capacity.reports import Reporter
 from gentianhub.capacity.suspects import Suspects
-from gentianhub.capacity.tasks import CellJob, CellTask
+from gentianhub.capacity.tasks import LATE_FACTOR, CellJob, CellTask
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.core import Incarnation
 
 # Ends of tasks are kept for this long, for a front host that repeats its request.
 END_RETENTION_S = 3.0
-# An answer later than this multiple of its objective is of no use to the caller, so a
-# task that would end later is dropped. 1.5 left more jobs of a load peak without an
-# answer.
-LATE_FACTOR = 3.0
 # Fraction of its slack that a task may wait; the rest covers the variance of run times
 # and the delivery of the answer.
 SLACK_FRACTION = 0.6
@@ -45,6 +41,14 @@
     task: CellTask
 
 
+@frozen(kw_only=True)
+class TasksQueued:
+    """The tasks of a request that may not be declined are queued."""
+
+    job: CellJob
+    request: ev.RunTasks
+
+
 @frozen(kw_only=True)
 class StartsDue:
     """Waiting tasks have to be started now; those that remain may be declined."""
@@ -65,7 +69,7 @@
     tasks: list[CellTask]
 
 
-RequestEvent = TaskRequested | StartsDue | JobEnded | JobsConfirmed
+RequestEvent = TaskRequested | TasksQueued | StartsDue | JobEnded | JobsConfirmed
 
 
 @define(kw_only=True, eq=False)
@@ -180,11 +184,11 @@
             if other is not None:
                 # The other front host may not have noticed that the caller has left it.
                 yield self.reporter.log_withdrawal(other, "submitted again")
-                yield from self._give_up_job(other, StopReason.SUBMITTED_AGAIN)
+                yield from self.give_up_job(other, StopReason.SUBMITTED_AGAIN)
             self.jobs[(front_host, job.name)] = job
             self._front_hosts[job.name] = front_host
         if is_given_up(job, now_s):
-            yield from self._give_up_job(job, StopReason.NOT_CONFIRMED)
+            yield from self.give_up_job(job, StopReason.NOT_CONFIRMED)
         job.confirmed_s = max(job.confirmed_s, confirmed_s)
         if job.is_cancelled:
             # The owner considered the front host lost and cancelled its jobs.
@@ -201,6 +205,8 @@
         if request.may_decline:
             yield StartsDue()
             yield from self._decline_waiting(job, new_keys)
+        else:
+            yield TasksQueued(job=job, request=request)
 
     def _find_other_submission(self, job: CellJob) -> CellJob | None:
         """Return an open submission of the same job through another front host."""
@@ -264,9 +270,10 @@
         yield from self._refuse_requests(self.confirmations.release_requests(lost))
         for job in [job for job in self.jobs.values() if job.front_host == lost]:
             if not job.is_cancelled and job.has_open_tasks():
-                yield from self._give_up_job(job, StopReason.FRONT_HOST_LOST)
+                yield from self.give_up_job(job, StopReason.FRONT_HOST_LOST)
 
-    def _give_up_job(self, job: CellJob, reason: StopReason) -> Iterator:
+    def give_up_job(self, job: CellJob, reason: StopReason) -> Iterator:
+        """End a job, and report its open tasks as expired."""
         open_tasks = [task for task in job.tasks.values() if task.end is None]
         yield JobEnded(job=job, reason=reason)
         steps: dict[int, list[CellTask]] = {}
@@ -289,7 +296,7 @@
         for job in [job for job in self.jobs.values() if job.front_host == front_host]:
             if job.name in listed:
                 if is_given_up(job, now_s):
-                    yield from self._give_up_job(job, StopReason.NOT_CONFIRMED)
+                    yield from self.give_up_job(job, StopReason.NOT_CONFIRMED)
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
@@ -324,7 +331,7 @@
                     "age_s": round(now_s - job.confirmed_s, 3),
                 },
             )
-            yield from self._give_up_job(job, StopReason.NOT_CONFIRMED)
+            yield from self.give_up_job(job, StopReason.NOT_CONFIRMED)
         yield from self._refuse_requests(self.confirmations.release_expired(now_s))
 
     def _refuse_requests(self, refused: list[HeldRequest]) -> Iterator:
--- a/gentianhub/capacity/routing.py
+++ b/gentianhub/capacity/routing.py
@@ -5,17 +5,23 @@
 capacity; if there are none, they go to the cell with the shortest queue for its size.
 """
 
+import math
 from collections.abc import Iterator, Mapping, Set
 
 from attrs import define, field, frozen
 
 from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.events import CellClaim
-from gentianhub.capacity.jobs import Cell
+from gentianhub.capacity.jobs import Cell, JobStep
 
 # Added to the estimated wait in cells of other data centres, so that tasks go there to
 # queue only if the wait is shorter by more than this.
 REMOTE_PENALTY_S = 0.02
+# A step that needs more than this fraction of all capacity is expected to run in
+# several waves.
+WAVE_CAPACITY_FRACTION = 0.25
+# A larger part of a cell than this would take too long to become free for one job.
+MAX_WHOLE_FRACTION = 0.5
 # Assumed run time of the tasks that were sent since a cell's last claim.
 ASSUMED_RUN_S = 0.1
 
@@ -78,6 +84,12 @@
         """Return the capacity of all cells, in thousandths of a core."""
         return sum(claim.total_millicores for claim in self._claims.values())
 
+    def count_waves(self, step: JobStep) -> int:
+        """Return in how many waves the tasks of a step are expected to run."""
+        wave_millicores = self.count_total_millicores() * WAVE_CAPACITY_FRACTION
+        needed = step.count * step.demand.cpu_millicores
+        return max(1, math.ceil(needed / wave_millicores)) if wave_millicores else 1
+
     def estimate_free_millicores(self, cell: Cell) -> int:
         """Return the probably idle capacity of a cell, in thousandths of a core."""
         return max(
@@ -91,6 +103,23 @@
         queued = claim.queued_millicore_s + beyond_free * ASSUMED_RUN_S
         return queued / max(1, claim.total_millicores)
 
+    def estimate_drain_s(self) -> float:
+        """Return the time that all cells together need for their queued work, s."""
+        queued = sum(claim.queued_millicore_s for claim in self._claims.values())
+        return queued / max(1, self.count_total_millicores())
+
+    def find_shortest_backlog_s(self) -> float | None:
+        """Return the shortest backlog of a cell by its claim, s.
+
+        None if the load of any cell is unknown, or if any has idle capacity.
+        """
+        claims = [self._claims[cell] for cell in self._find_usable_cells(frozenset())]
+        if not claims or any(
+            claim.free_millicores or not claim.total_millicores for claim in claims
+        ):
+            return None
+        return min(c.queued_millicore_s / c.total_millicores for c in claims)
+
     def is_all_evacuated(self) -> bool:
         """Whether there are cells and the data centres of all of them are evacuated."""
         return bool(self._claims) and all(
@@ -102,14 +131,24 @@
         count: int,
         millicores: int,
         is_final: bool,
+        is_whole: bool = False,
         excluded: Set[Cell] = frozenset(),
     ) -> Iterator[TaskAllocation]:
         """Yield the cells for `count` tasks that request `millicores` each.
 
-        Cells may decline the tasks unless `is_final` is set or no cell had capacity.
-        No task goes to an excluded cell.
+        Cells may decline the tasks unless `is_final` is set or no cell had capacity. If
+        `is_whole` is set and the tasks have to wait, one cell gets all of them, since
+        an owner refuses only jobs that it has as a whole. No task goes to an excluded
+        cell.
         """
         remaining = count
+        if is_whole:
+            usable = self._find_usable_cells(excluded)
+            cell = self._find_whole_cell(count * millicores, usable)
+            if cell is not None:
+                self.record_sent(cell, count * millicores)
+                yield TaskAllocation(cell=cell, count=count, may_decline=False)
+                return
         if not is_final:
             for cell in self._sort_by_free_capacity(self._find_usable_cells(excluded)):
                 fitting = self.estimate_free_millicores(cell) // max(1, millicores)
@@ -131,6 +170,15 @@
             return usable
         return {cell for cell in usable if cell.data_centre not in evacuated}
 
+    def _find_whole_cell(self, millicores: int, usable: Set[Cell]) -> Cell | None:
+        """Return the cell where a job should wait; None if it need not or is large."""
+        free = sum(map(self.estimate_free_millicores, usable))
+        cell = self._find_shortest_queue(usable) if free < millicores else None
+        if cell is None:
+            return None
+        limit = MAX_WHOLE_FRACTION * self._claims[cell].total_millicores
+        return cell if millicores <= limit else None
+
     def _spread(
         self, count: int, millicores: int, usable: Set[Cell]
     ) -> Iterator[TaskAllocation]:
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -19,7 +19,7 @@
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.host.decision_log import log_decision
+from gentianhub.host.decision_log import log_decision, record_shed_job
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.target_ports import TargetConnectionMap
@@ -44,6 +44,8 @@
         Has the list of targets read from the store now.
     evacuations : KnownEvacuations
         The evacuated data centres, in which no task starts.
+    list_priorities : callable
+        Returns the priorities of the operator's routes, sorted.
     """
 
     answers: Mailbox
@@ -53,6 +55,7 @@
     find_other_owners: Callable[[], tuple[Incarnation, ...]] = lambda: ()
     read_targets: Callable[[], None] = lambda: None
     evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
+    list_priorities: Callable[[], tuple[int, ...]] = lambda: ()
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -88,6 +91,7 @@
             estimates=self._estimates,
             losses=self.losses,
             evacuations=self.evacuations,
+            list_priorities=self.list_priorities,
         )
         self._schedulers[cell] = scheduler
         known = handover.merge_targets(self._find_cell_targets(cell))
@@ -340,6 +344,8 @@
             case fx.SendToFront(front_host=front_host, message=message):
                 self._record_end(message)
                 self.outbox.send(front_host, message)
+            case fx.ShedJob():
+                record_shed_job(effect, self.metrics)
             case fx.LogDecision():
                 log_decision(effect.decision, effect.subject, **effect.inputs)
 
--- a/gentianhub/host/configuration.py
+++ b/gentianhub/host/configuration.py
@@ -42,6 +42,10 @@
         """Limits of requests; the defaults without a configuration."""
         return self.current.limits if self.current else RequestLimits()
 
+    def list_priorities(self) -> tuple[int, ...]:
+        """Return the priorities of the routes, sorted."""
+        return self.current.priorities if self.current else ()
+
     def adopt(self, content: bytes, source: str) -> None:
         """Decode and keep a configuration if it is newer than the current one."""
         try:
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -24,6 +24,7 @@
     cancels: Counter = field(factory=Counter)
     departures: Counter = field(factory=Counter)
     refusals: Counter = field(factory=Counter)
+    shed_jobs: Counter = field(factory=Counter)
     longest_mailbox_lag_s: float = 0.0
     longest_pause_s: float = 0.0
     suspended_s: float = 0.0
