Record cancelled jobs for front hosts and owners

Change: a bounded record of cancelled jobs; the final answers that a front host keeps move to a module of their own and include cancelled jobs; an owner can end a job whichever front host has sent it. Nothing fills the record yet.

--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -176,12 +176,12 @@
         ]
         return [task for task in tasks if is_recent(task.job.confirmed_s, now_s)]
 
-    def drop_job(self, front_host: Incarnation, job: str) -> None:
-        """Drop the held requests of a job that its front host has cancelled."""
+    def drop_job(self, front_host: Incarnation | None, job: str) -> None:
+        """Drop the held requests of a cancelled job; None stands for any front host."""
         self._held = [
             held
             for held in self._held
-            if (held.front_host, held.request.job) != (front_host, job)
+            if held.request.job != job or front_host not in (None, held.front_host)
         ]
 
     def forget_requests(self, now_s: float) -> None:
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget, TaskKey
-from gentianhub.core import Incarnation
+from gentianhub.core import Incarnation, ProcessName
 
 
 @frozen(kw_only=True)
@@ -56,22 +56,45 @@
     """Request to cancel a job wherever it is open, on behalf of its caller.
 
     `number` counts the requests of `asked_by`, the host that the caller has asked.
-    `is_passed_on` is set by an owner that sends it to the job's front host.
+    `pass_on_to` are hosts without a link to it, which the receiver asks in its place,
+    with `is_passed_on` set.
     """
 
     job: str
     asked_by: Incarnation
     number: int
     is_passed_on: bool = False
+    pass_on_to: tuple[ProcessName, ...] = ()
 
 
 @frozen(kw_only=True)
 class CancelReply:
-    """Reply to a `CancelRequest`: whether the job was open, and has been cancelled."""
+    """Reply to a `CancelRequest`: whether the job was open, and has been cancelled.
+
+    The host `answered_by` has recorded the cancel; None stands for the sender. The
+    hosts in `lost` should have been asked in turn, and are known to be lost.
+    """
 
     asked_by: Incarnation
     number: int
     was_open: bool
+    answered_by: ProcessName | None = None
+    lost: tuple[ProcessName, ...] = ()
+
+
+@frozen(kw_only=True)
+class CancelledJob:
+    """A job that was cancelled `age_s` seconds before the sending of the message."""
+
+    job: str
+    age_s: float
+
+
+@frozen(kw_only=True)
+class CancelledJobs:
+    """A host's record of cancelled jobs, for a host that may lack a part of it."""
+
+    jobs: tuple[CancelledJob, ...]
 
 
 @frozen(kw_only=True)
@@ -252,6 +275,13 @@
     content: bytes
 
 
+@frozen(kw_only=True)
+class JobCancelled:
+    """The caller of a job has cancelled it, whichever front host has sent its tasks."""
+
+    job: str
+
+
 @frozen(kw_only=True)
 class FrontLost:
     """A front host has failed or stopped, so its tasks are no longer needed."""
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -16,6 +16,7 @@
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import CapacityJob, Cell, TaskKey
+from gentianhub.capacity.kept_answers import KeptAnswers
 from gentianhub.capacity.leases import CALLER_RETURN_S
 from gentianhub.capacity.ownership import CellOwner
 from gentianhub.capacity.routing import LoadView
@@ -24,7 +25,6 @@
     CancelCapacityJob,
     FrontJob,
     InterruptJobs,
-    KeptAnswer,
     LoadsReported,
     MachineSuspended,
     OwnersChanged,
@@ -47,9 +47,6 @@
 # A step that needs more than this fraction of all capacity is expected to run in
 # several waves.
 WAVE_CAPACITY_FRACTION = 0.25
-# A submission that is repeated within this time of its answer gets the same answer.
-ANSWER_RETENTION_S = 10.0
-MAX_KEPT_ANSWERS = 5000
 # A suspended machine receives nothing, and the ends of callers' connections reach it
 # later. TCP repeats them after 0.2, 0.6 and 1.4 s, so that longer suspensions may hide
 # an end for longer than the leases of its tasks allow for.
@@ -70,14 +67,16 @@
         The data centre of this host, whose cells are preferred.
     started_s : float
         Monotonic time at which the process started, in seconds.
+    kept_answers : KeptAnswers
+        Final answers of jobs that may be submitted again.
     """
 
     data_centre: str
     started_s: float = float("-inf")
+    kept_answers: KeptAnswers = field(factory=lambda: KeptAnswers())
     loads: LoadView = field(init=False)
     jobs: dict[str, FrontJob] = field(init=False, factory=dict)
     owners: dict[Cell, CellOwner] = field(init=False, factory=dict)
-    _kept_answers: OrderedDict[str, KeptAnswer] = field(init=False, factory=OrderedDict)
     _addressed_cells: set[Cell] = field(init=False, factory=set)
     _handled_s: float = field(init=False, default=float("inf"))
     _suspensions: deque[tuple[float, float]] = field(init=False, factory=deque)
@@ -157,12 +156,12 @@
         if known is not None:
             known.reply_to.append(event.reply_to)
             return
-        kept = self._kept_answers.get(event.job_id)
-        if kept is not None and now_s < kept.answered_s + ANSWER_RETENTION_S:
+        kept = self.kept_answers.find(event.job_id, now_s)
+        if kept is not None:
             yield fx.AnswerCaller(
                 reply_to=event.reply_to,
                 job=event.job_id,
-                verdict=kept.verdict,
+                verdict=kept,
                 reason="answered before",
             )
             return
@@ -382,7 +381,7 @@
 
     def _advance(self, job: FrontJob, now_s: float) -> Iterator:
         if all(self._is_step_done(job, number) for number in range(len(job.job.steps))):
-            self._store_answer(job.job_id, fx.JobVerdict.COMPLETED, now_s)
+            self.kept_answers.store(job.job_id, fx.JobVerdict.COMPLETED, now_s)
             yield from self._close_job(
                 job, fx.JobVerdict.COMPLETED, "every task is done"
             )
@@ -390,14 +389,9 @@
             yield from self._release_steps(job, now_s)
 
     def _fail_job(self, job: FrontJob, reason: str, now_s: float) -> Iterator:
-        self._store_answer(job.job_id, fx.JobVerdict.FAILED, now_s)
+        self.kept_answers.store(job.job_id, fx.JobVerdict.FAILED, now_s)
         yield from self._close_job(job, fx.JobVerdict.FAILED, reason)
 
-    def _store_answer(self, job_id: str, verdict: fx.JobVerdict, now_s: float) -> None:
-        self._kept_answers[job_id] = KeptAnswer(verdict=verdict, answered_s=now_s)
-        while len(self._kept_answers) > MAX_KEPT_ANSWERS:
-            self._kept_answers.popitem(last=False)
-
     def _abandon_job(self, job: FrontJob, reason: str, now_s: float) -> Iterator:
         """End a job that cannot be completed.
 
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -211,6 +211,11 @@
         """
         self._resumed_s = now_s
 
+    @property
+    def runs_since_s(self) -> float:
+        """Monotonic time since which this host has run without a long pause, s."""
+        return max(self.started_s, self._resumed_s)
+
     def find_silence_timeout_s(self, peer: Incarnation) -> float:
         """Return the time without a message after which a host counts as lost, s."""
         known = self.peers.get(peer)
--- a/gentianhub/capacity/reports.py
+++ b/gentianhub/capacity/reports.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from gentianhub.capacity.effects import SendToFront
+from gentianhub.capacity.effects import LogDecision, SendToFront
 from gentianhub.capacity.events import RunTasks, TaskEnd, TasksEnded
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.tasks import CellJob, CellTask
@@ -63,3 +63,14 @@
             has_started=job is not None and job.has_started,
         )
         return SendToFront(front_host=front_host, message=message)
+
+    def log_withdrawal(self, job: CellJob, reason: str) -> LogDecision:
+        """Return the log line of a job whose tasks are no longer needed."""
+        inputs = {
+            "cell": str(self.cell),
+            "front_host": str(job.front_host),
+            "reason": reason,
+            "waiting": sum(task.is_waiting for task in job.tasks.values()),
+            "running": sum(task.target is not None for task in job.tasks.values()),
+        }
+        return LogDecision(decision="tasks withdrawn", subject=job.name, inputs=inputs)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -142,11 +142,12 @@
             case ev.CancelTasks(job=job_id):
                 self.confirmations.drop_job(front_host, job_id)
                 job = self.jobs.get((front_host, job_id))
-                if job is not None:
-                    yield self._log_withdrawal(job, "cancelled")
-                    yield from self._cancel_job(job, StopReason.CANCELLED, now_s)
-                    job.is_withdrawn = True
+                yield from self._withdraw_job(job, now_s)
                 yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
+            case ev.JobCancelled(job=job_id):
+                self.confirmations.drop_job(None, job_id)
+                job = self.jobs.get((self._front_hosts.get(job_id), job_id))
+                yield from self._withdraw_job(job, now_s)
             case ev.FrontLost(front_host=lost):
                 yield from self._give_up_front_host(lost, now_s)
             case ev.Tick():
@@ -177,7 +178,8 @@
     def find_front_host(self, name: str) -> Incarnation | None:
         """Return the host that has sent tasks of an open job, or None."""
         job = self.jobs.get((self._front_hosts.get(name), name))
-        return job.front_host if job is not None and not job.is_withdrawn else None
+        is_open = job is not None and not job.is_withdrawn and job.has_open_tasks()
+        return job.front_host if is_open else None
 
     def find_unconfirmed_hosts(self, now_s: float) -> Iterator[Incarnation]:
         """Yield the front hosts that should confirm their open jobs."""
@@ -231,7 +233,7 @@
                 return
             if other is not None:
                 # The other front host may not have noticed that the caller has left it.
-                yield self._log_withdrawal(other, "submitted again")
+                yield self.reporter.log_withdrawal(other, "submitted again")
                 yield from self._give_up_job(other, StopReason.SUBMITTED_AGAIN, now_s)
             self.jobs[(front_host, job.name)] = job
             self._front_hosts[job.name] = front_host
@@ -360,6 +362,14 @@
             if run is not None and run.phase is not RunPhase.STOPPING:
                 yield self.tracker.stop_run(target, run, reason, now_s)
 
+    def _withdraw_job(self, job: CellJob | None, now_s: float) -> Iterator:
+        """Cancel a job, so that a later request for it is a new submission."""
+        if job is None:
+            return
+        yield self.reporter.log_withdrawal(job, "cancelled")
+        yield from self._cancel_job(job, StopReason.CANCELLED, now_s)
+        job.is_withdrawn = True
+
     def _give_up_front_host(self, lost: Incarnation, now_s: float) -> Iterator:
         """Cancel the jobs of a front host that is considered lost, and report this.
 
@@ -397,7 +407,7 @@
                 job.confirmed_s = max(job.confirmed_s, confirmed_s)
                 continue
             if not job.is_cancelled and job.has_open_tasks():
-                yield self._log_withdrawal(job, "not open")
+                yield self.reporter.log_withdrawal(job, "not open")
                 yield from self._cancel_job(job, StopReason.NOT_OPEN, now_s)
             job.is_withdrawn = True
         self._may_start = self._may_start or self._awaits_confirmation
@@ -441,18 +451,6 @@
                 held.request, held.front_host, ev.TaskEnd.EXPIRED, False
             )
 
-    def _log_withdrawal(self, job: CellJob, reason: str) -> fx.LogDecision:
-        inputs = {
-            "cell": str(self.cell),
-            "front_host": str(job.front_host),
-            "reason": reason,
-            "waiting": sum(task.is_waiting for task in job.tasks.values()),
-            "running": sum(task.target is not None for task in job.tasks.values()),
-        }
-        return fx.LogDecision(
-            decision="tasks withdrawn", subject=job.name, inputs=inputs
-        )
-
     # Runs
 
     def _apply_tracker_events(self, items: Iterable, now_s: float) -> Iterator:
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -7,7 +7,6 @@
 
 from attrs import define, field, frozen
 
-from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import CapacityJob, Cell, Route, TaskKey
 from gentianhub.capacity.ownership import CellOwner
@@ -117,14 +116,6 @@
     resumed_s: float | None = None
 
 
-@frozen(kw_only=True)
-class KeptAnswer:
-    """The final result of a job; `answered_s` is the monotonic time of the answer."""
-
-    verdict: fx.JobVerdict
-    answered_s: float
-
-
 def choose_retry_after_s(job_id: str) -> float:
     """Return the delay after which the caller of a refused job may retry, s."""
     return RETRY_AFTER_S + zlib.crc32(job_id.encode()) % RETRY_SPREAD_S
