Move the log of delays out of the coordinator

Change: the log lines and metrics of pauses and of a mailbox that is behind move to host/delays.py; their conditions stay. Measured: the tests of the timer, of suspended hosts and of progress pass.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -27,6 +27,7 @@
 from gentianhub.host.cells import OwnedCells
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.decision_log import log_decision
+from gentianhub.host.delays import DelayLog
 from gentianhub.host.followers import decode_targets
 from gentianhub.host.links import HostLinks
 from gentianhub.host.membership import HeartbeatRecipients, Membership
@@ -60,10 +61,6 @@
 DEPARTURE_MARK_LIMIT = 64
 # A shorter suspension than this is the error of two readings, s.
 MIN_SUSPENSION_S = 0.01
-# Pauses of the process that are shorter are not logged, s.
-LOGGED_PAUSE_S = 0.2
-# Messages that wait longer than this in the mailbox are logged, once a second, s.
-LOGGED_MAILBOX_LAG_S = 0.2
 
 
 @define(kw_only=True, eq=False)
@@ -109,7 +106,7 @@
     is_draining: bool = field(init=False, default=False)
     _drain_reply_to: Any = field(init=False, default=None)
     _drain_started_s: float = field(init=False, default=0.0)
-    _lag_logged_s: float = field(init=False, default=float("-inf"))
+    _delays: DelayLog = field(init=False)
     _handled_s: float = field(init=False, default=float("inf"))
     _tick_count: int = field(init=False, default=0)
     _suspended_s: float = field(init=False)
@@ -119,6 +116,9 @@
         self._suspended_s = self.read_suspended_s()
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
         data_centre = self.local_host.name.data_centre
+        self._delays = DelayLog(
+            local_host=self.local_host, mailbox=self.mailbox, metrics=self.metrics
+        )
         self.requests = RequestHandler(
             job_registry=FrontJobRegistry(
                 data_centre=data_centre, started_s=self.started_s
@@ -205,8 +205,8 @@
                 if self.links.record_received(link, now_s):
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
-                self._log_pause(message)
-                self._record_mailbox_lag(now_s - sent_s, now_s)
+                open_jobs = len(self.requests.job_registry.jobs)
+                self._delays.record_tick(message, open_jobs, now_s)
                 heard = self.membership.list_heard_heartbeats()
                 self.open_jobs.progress.begin(sent_s, heard, now_s)
                 self._handle_tick(count, now_s)
@@ -491,30 +491,6 @@
             self.requests.resumed_s = now_s
         self.requests.handle_event(MachineSuspended(suspended_s=suspended_s), now_s)
 
-    def _log_pause(self, tick: ms.TimerTick) -> None:
-        """Log for how long the process did not run."""
-        if tick.late_s < LOGGED_PAUSE_S:
-            return
-        self.metrics.record_pause(tick.late_s)
-        log_decision(
-            "process paused",
-            str(self.local_host),
-            late_s=round(tick.late_s, 3),
-            open_jobs=len(self.requests.job_registry.jobs),
-        )
-
-    def _record_mailbox_lag(self, lag_s: float, now_s: float) -> None:
-        """Record how long a tick has waited in the mailbox; log long waits."""
-        self.metrics.record_mailbox_lag(lag_s)
-        if lag_s > LOGGED_MAILBOX_LAG_S and now_s > self._lag_logged_s + 1.0:
-            self._lag_logged_s = now_s
-            log_decision(
-                "mailbox behind",
-                str(self.local_host),
-                lag_s=round(lag_s, 3),
-                waiting=len(self.mailbox),
-            )
-
     @property
     def timer_period_ticks(self) -> int:
         """Period of the timer, in ticks."""
