Have every host record a cancel before it is answered

Change: the asked host has each host record the cancel, through others where it has no link, and answers 200 or 410 only once each has done so or is known to be lost; 503 after 3.4 s otherwise. New links bring the record. Owners end the tasks of a cancelled job, refuse orders for it and tell its front host. After a freeze of 2 s, orders of a host to itself wait 0.5 s for the record.

--- a/gentianhub/host/cancellations.py
+++ b/gentianhub/host/cancellations.py
@@ -1,9 +1,9 @@
-"""Cancellation of jobs that are open at another host than the one that was asked.
+"""Cancellation of jobs on all hosts.
 
-A caller's new connection may reach any host. Only the front host of a job can cancel
-it. The host that was asked passes the request on to the owners of all cells and to the
-hosts of its data centre, and an owner to the front host that has sent it tasks of the
-job. "No such job" is answered only once all of them have said so.
+A caller's new connection may reach any host, and the request of a cancelled job may
+arrive again at another one. The host that was asked therefore has each host record the
+cancel. It passes the question to hosts without a link through others, and answers only
+once each host has recorded the cancel or is known to be lost.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -12,17 +12,26 @@
 from attrs import define, evolve, field, frozen
 
 from gentianhub.capacity import events as ev
-from gentianhub.core import Incarnation
+from gentianhub.capacity.cancelled_jobs import CancelledJobs
+from gentianhub.core import Incarnation, ProcessName
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.outbox import Outbox
 
-# Two messages there and back, between regions and behind a mailbox that is not empty.
-REPLY_TIMEOUT_S = 1.0
+# Callers expect an answer within 4 s at least; the rest is for the mailbox and the
+# network. A lost host is known as such after up to 2.6 s.
+ANSWER_TIMEOUT_S = 3.4
+# Interval at which other hosts are asked to reach those without a link.
+RELAY_INTERVAL_S = 0.4
+# Further questions are answered as not known. Each of them is a message to each host,
+# and a link is closed once 256 messages wait in it.
+MAX_OPEN_QUESTIONS = 64
+# Jobs in one message of the record; one of them takes some 50 bytes.
+MAX_JOBS_PER_MESSAGE = 500
 
 
 @frozen(kw_only=True)
 class JobCancelled:
-    """The job was open at a host, which has cancelled it."""
+    """The job was open at a host; all hosts have recorded the cancel."""
 
     reply_to: Any
 
@@ -36,7 +45,7 @@
 
 @frozen(kw_only=True)
 class NotKnown:
-    """A host that may have the job open has not answered in time."""
+    """A host that may have the job has not recorded the cancel in time."""
 
     reply_to: Any
 
@@ -45,114 +54,185 @@
 
 
 @define(kw_only=True, eq=False)
-class _OpenRequest:
-    job: str
+class _Question:
+    """A question to the other hosts; `settled` have recorded the cancel or are lost."""
+
+    message: ev.CancelRequest
     reply_to: Any
+    was_open: bool
     deadline_s: float
-    awaited: set[Incarnation]
+    relayed_s: float
+    settled: set[ProcessName] = field(factory=set)
+    relay_attempts: int = 0
 
 
 @define(kw_only=True, eq=False)
 class Cancellations:
-    """The requests to cancel jobs of other hosts that this host has sent.
+    """The questions of this host to others, and its answers to theirs.
 
     Parameters
     ----------
+    record : CancelledJobs
+        The cancelled jobs that this host knows of.
+    find_hosts : callable
+        Returns all other hosts that may have a job; None if they are not known.
+    find_lost : callable
+        Returns which of the named hosts this host knows to be lost at a monotonic time.
     find_linked : callable
         Returns the hosts with a link.
     find_owners : callable
         Returns the owners of all cells.
-    find_front_host : callable
-        Returns the front host that has sent this host, as an owner, tasks of a job.
     """
 
     local_host: Incarnation
     outbox: Outbox
+    record: CancelledJobs = field(factory=lambda: CancelledJobs())
+    find_hosts: Callable[[], frozenset[ProcessName] | None] = frozenset
+    find_lost: Callable[[Iterable[ProcessName], float], frozenset[ProcessName]] = (
+        lambda names, now_s: frozenset()
+    )
     find_linked: Callable[[], Iterable[Incarnation]] = tuple
     find_owners: Callable[[], Iterable[Incarnation]] = tuple
-    find_front_host: Callable[[str], Incarnation | None] = lambda job: None
-    _open: dict[int, _OpenRequest] = field(init=False, factory=dict)
+    _open: dict[int, _Question] = field(init=False, factory=dict)
     _count: int = field(init=False, default=0)
 
-    def send(self, job: str, reply_to: Any, now_s: float) -> Iterator[CancelOutcome]:
-        """Ask other hosts to cancel a job; yield the outcome if there are none."""
-        self._count += 1
-        message = ev.CancelRequest(
-            job=job, asked_by=self.local_host, number=self._count
-        )
-        awaited = {
-            peer for peer in self._find_asked(job) if self.outbox.send(peer, message)
-        }
-        log_decision("cancel passed on", job, hosts=len(awaited))
-        if not awaited:
-            yield NoSuchJob(reply_to=reply_to)
+    def ask(
+        self, job: str, was_open: bool, reply_to: Any, now_s: float
+    ) -> Iterator[CancelOutcome]:
+        """Have all other hosts cancel a job; yield the outcome if there are none."""
+        if len(self._open) >= MAX_OPEN_QUESTIONS:
+            log_decision("cancel not answered", job, reason="too many questions")
+            yield NotKnown(reply_to=reply_to)
             return
-        self._open[self._count] = _OpenRequest(
-            job=job,
+        self._count += 1
+        question = _Question(
+            message=ev.CancelRequest(
+                job=job, asked_by=self.local_host, number=self._count
+            ),
             reply_to=reply_to,
-            deadline_s=now_s + REPLY_TIMEOUT_S,
-            awaited=awaited,
+            was_open=was_open,
+            deadline_s=now_s + ANSWER_TIMEOUT_S,
+            relayed_s=now_s,
         )
-
-    def _find_asked(self, job: str) -> set[Incarnation]:
-        """Return the linked hosts that may have a job open or know its front host.
-
-        An owner has a link to each host, but asks no more hosts than any other one.
-        """
-        owners = {*self.find_owners(), self.find_front_host(job)}
-        data_centre = self.local_host.name.data_centre
-        return {
-            peer
-            for peer in self.find_linked()
-            if peer in owners or peer.name.data_centre == data_centre
-        }
-
-    def answer(self, request: ev.CancelRequest, sender: Incarnation, was_open: bool):
-        """Answer a request, or pass it on to the front host that has the job open.
-
-        `was_open` is whether the job was open here; it has been cancelled then.
+        self._open[self._count] = question
+        linked = self.find_linked()
+        for peer in linked:
+            self.outbox.send(peer, question.message)
+        log_decision("cancel passed on", job, hosts=len(linked))
+        self._ask_relays(question)
+        yield from self._end_if_known(question)
+
+    def _list_awaited(self, question: _Question) -> frozenset[ProcessName] | None:
+        """Return the hosts that may not have recorded a cancel; None if unknown."""
+        hosts = self.find_hosts()
+        return None if hosts is None else hosts - question.settled
+
+    def _end_if_known(self, question: _Question) -> Iterator[CancelOutcome]:
+        awaited = self._list_awaited(question)
+        if awaited is None or awaited:
+            return
+        del self._open[question.message.number]
+        outcome = JobCancelled if question.was_open else NoSuchJob
+        yield outcome(reply_to=question.reply_to)
+
+    def _ask_relays(self, question: _Question) -> None:
+        """Ask other hosts to pass a question to the hosts without a link."""
+        awaited = self._list_awaited(question) or frozenset()
+        linked = {peer.name for peer in self.find_linked()}
+        names_by_relay: dict[Incarnation, list[ProcessName]] = {}
+        for name in sorted(awaited - linked):
+            relays = self._rank_relays(name)
+            if relays:
+                relay = relays[question.relay_attempts % len(relays)]
+                names_by_relay.setdefault(relay, []).append(name)
+        for relay, names in names_by_relay.items():
+            message = evolve(question.message, pass_on_to=tuple(names))
+            self.outbox.send(relay, message)
+        question.relay_attempts += 1
+
+    def _rank_relays(self, name: ProcessName) -> list[Incarnation]:
+        """Return the linked hosts that may have a link to a host, the likeliest first.
+
+        A host elsewhere can't tell a cut between data centres from a loss, so that it
+        is asked only if no host of the data centre has a link.
         """
-        front_host = self.find_front_host(request.job)
-        is_elsewhere = front_host not in (None, self.local_host, request.asked_by)
-        if not was_open and not request.is_passed_on and is_elsewhere:
-            passed_on = evolve(request, is_passed_on=True)
-            if self.outbox.send(front_host, passed_on):
-                return
+        owners = set(self.find_owners())
+        linked = sorted(self.find_linked(), key=lambda peer: (peer not in owners, peer))
+        local = [p for p in linked if p.name.data_centre == name.data_centre]
+        return local or [peer for peer in linked if peer in owners]
+
+    def answer(
+        self,
+        request: ev.CancelRequest,
+        sender: Incarnation,
+        was_open: bool,
+        now_s: float,
+    ) -> None:
+        """Answer another host's question, and pass it on to the hosts that it names."""
+        linked = {peer.name: peer for peer in self.find_linked()}
+        passed_on = evolve(request, is_passed_on=True, pass_on_to=())
+        for name in request.pass_on_to:
+            if name in linked:
+                self.outbox.send(linked[name], passed_on)
         reply = ev.CancelReply(
-            asked_by=request.asked_by, number=request.number, was_open=was_open
+            asked_by=request.asked_by,
+            number=request.number,
+            was_open=was_open,
+            answered_by=self.local_host.name,
+            lost=tuple(sorted(self.find_lost(request.pass_on_to, now_s))),
         )
         self.outbox.send(sender, reply)
 
     def handle_reply(
         self, reply: ev.CancelReply, sender: Incarnation
     ) -> Iterator[CancelOutcome]:
-        """Yield the outcome of a request once it is known; pass others' replies on."""
+        """Yield the outcome of a question once it is known; pass others' replies on."""
+        answered_by = reply.answered_by or sender.name
         if reply.asked_by != self.local_host:
-            self.outbox.send(reply.asked_by, reply)
+            self.outbox.send(reply.asked_by, evolve(reply, answered_by=answered_by))
             return
-        request = self._open.get(reply.number)
-        if request is None:
+        question = self._open.get(reply.number)
+        if question is None:
             return
-        request.awaited.discard(sender)
-        if reply.was_open or not request.awaited:
-            del self._open[reply.number]
-            reply_to = request.reply_to
-            outcome = JobCancelled if reply.was_open else NoSuchJob
-            yield outcome(reply_to=reply_to)
+        question.was_open = question.was_open or reply.was_open
+        question.settled |= {answered_by, *reply.lost}
+        yield from self._end_if_known(question)
 
-    def end_overdue(self, now_s: float) -> Iterator[CancelOutcome]:
-        """Yield the outcome of requests that some host has not answered in time.
+    def handle_link(self, peer: Incarnation, now_s: float) -> None:
+        """Ask a newly linked host what is open, and tell it the record.
 
-        A host that has no link any more is lost, and its jobs with it.
+        The questions come first: a job that the record has cancelled is no longer open.
         """
-        linked = set(self.find_linked())
-        for number, request in list(self._open.items()):
-            if now_s < request.deadline_s:
+        for question in self._open.values():
+            if peer.name not in question.settled:
+                self.outbox.send(peer, question.message)
+        jobs = tuple(self.record.list_entries(now_s))
+        for start in range(0, len(jobs), MAX_JOBS_PER_MESSAGE):
+            part = jobs[start : start + MAX_JOBS_PER_MESSAGE]
+            self.outbox.send(peer, ev.CancelledJobs(jobs=part))
+
+    def handle_tick(self, now_s: float) -> Iterator[CancelOutcome]:
+        """Ask again, and yield the outcome of questions that are known or overdue."""
+        for number, question in list(self._open.items()):
+            awaited = self._list_awaited(question)
+            if awaited:
+                question.settled |= self.find_lost(awaited, now_s)
+            yield from self._end_if_known(question)
+            if number not in self._open:
                 continue
-            del self._open[number]
-            silent = request.awaited & linked
-            log_decision("cancel not answered", request.job, hosts=len(silent))
-            reply_to = request.reply_to
-            yield (
-                NotKnown(reply_to=reply_to) if silent else NoSuchJob(reply_to=reply_to)
-            )
+            if now_s >= question.deadline_s:
+                del self._open[number]
+                self._log_unknown(question)
+                yield NotKnown(reply_to=question.reply_to)
+            elif now_s >= question.relayed_s + RELAY_INTERVAL_S:
+                question.relayed_s = now_s
+                self._ask_relays(question)
+
+    def _log_unknown(self, question: _Question) -> None:
+        awaited = self._list_awaited(question)
+        log_decision(
+            "cancel not answered",
+            question.message.job,
+            hosts=None if awaited is None else len(awaited),
+            first=None if not awaited else str(min(awaited)),
+        )
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -6,6 +6,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.jobs import (
     Cell,
@@ -41,6 +42,8 @@
         Returns the hosts that own the other cells.
     read_targets : callable
         Has the list of targets read from the store now.
+    cancelled_jobs : CancelledJobs
+        Jobs of which no task is started any more.
     """
 
     answers: Mailbox
@@ -49,6 +52,7 @@
     find_successors: Callable[[], tuple[Incarnation, ...]]
     find_other_owners: Callable[[], tuple[Incarnation, ...]] = lambda: ()
     read_targets: Callable[[], None] = lambda: None
+    cancelled_jobs: CancelledJobs = field(factory=lambda: CancelledJobs())
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -179,12 +183,31 @@
         The front host had the named jobs open at `confirmed_s`; None for `now_s`.
         """
         match request:
+            case ev.RunTasks(job=job) if self.cancelled_jobs.holds(job, now_s):
+                log_decision("order refused", job, front_host=str(sender))
+                self._tell_cancelled(sender, job)
+                return
             case ev.RunTasks() | ev.CancelTasks():
                 self._requesters.add(sender)
         scheduler = self._schedulers.get(request.cell)
         if scheduler is not None:
             self._dispatch_event(scheduler, request, now_s, sender, confirmed_s)
 
+    def cancel_job(self, job: str, now_s: float) -> bool:
+        """End the tasks of a cancelled job; return whether any was waiting or running.
+
+        Its front host may not learn of the cancel otherwise.
+        """
+        front_host = self.find_front_host(job)
+        self._dispatch_to_all(ev.JobCancelled(job=job), now_s)
+        if front_host is not None:
+            self._tell_cancelled(front_host, job)
+        return front_host is not None
+
+    def _tell_cancelled(self, front_host: Incarnation, job: str) -> None:
+        entry = ev.CancelledJob(job=job, age_s=0.0)
+        self.outbox.send(front_host, ev.CancelledJobs(jobs=(entry,)))
+
     def list_cells(self) -> tuple[Cell, ...]:
         """Return the owned cells."""
         return tuple(self._schedulers)
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -7,7 +7,13 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
-from gentianhub.capacity.front import MAX_SUSPENSION_S, FrontJobRegistry
+from gentianhub.capacity.cancelled_jobs import CancelledJobs
+from gentianhub.capacity.front import (
+    MAX_PAUSE_S,
+    MAX_SUSPENSION_S,
+    FrontJobRegistry,
+)
+from gentianhub.capacity.kept_answers import KeptAnswers
 from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
 from gentianhub.capacity.submissions import (
     InterruptJobs,
@@ -115,13 +121,15 @@
     def __attrs_post_init__(self):
         self._suspended_s = self.read_suspended_s()
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
-        data_centre = self.local_host.name.data_centre
         self._delays = DelayLog(
             local_host=self.local_host, mailbox=self.mailbox, metrics=self.metrics
         )
+        cancelled_jobs = CancelledJobs()
         self.requests = RequestHandler(
             job_registry=FrontJobRegistry(
-                data_centre=data_centre, started_s=self.started_s
+                data_centre=self.local_host.name.data_centre,
+                started_s=self.started_s,
+                kept_answers=KeptAnswers(cancelled_jobs=cancelled_jobs),
             ),
             outbox=self.outbox,
             configuration=self.configuration,
@@ -129,10 +137,13 @@
             cancellations=Cancellations(
                 local_host=self.local_host,
                 outbox=self.outbox,
+                record=cancelled_jobs,
+                find_hosts=lambda: self.membership.find_hosts(),
+                find_lost=lambda names, now_s: self.membership.find_lost(names, now_s),
                 find_linked=self.links.find_linked,
                 find_owners=self._find_other_owners,
-                find_front_host=lambda job: self.cells.find_front_host(job),
             ),
+            cancel_in_cells=lambda job, now_s: self.cells.cancel_job(job, now_s),
             find_heard_heartbeat=lambda owner: self.open_jobs.progress.find_heartbeat(
                 owner
             ),
@@ -144,6 +155,7 @@
             find_successors=lambda: self.membership.find_successors(),
             find_other_owners=self._find_other_owners,
             read_targets=self._read_targets,
+            cancelled_jobs=cancelled_jobs,
         )
         self.membership = Membership(
             local_host=self.local_host,
@@ -186,6 +198,8 @@
         """Note a time in which this host, which ticks more often, has not run."""
         if now_s > self._handled_s + HOST_SILENCE_TIMEOUT_S:
             self.membership.ownership.record_pause(now_s)
+        if now_s > self._handled_s + MAX_PAUSE_S:
+            self.open_jobs.record_freeze(now_s)
         self._handled_s = now_s
 
     def _handle_message(self, message, now_s: float) -> None:
@@ -366,7 +380,7 @@
                 self._handle_task_request(message, sender, now_s)
             case ev.TasksEnded():
                 self.requests.handle_event(message, now_s)
-            case ev.CancelRequest() | ev.CancelReply():
+            case ev.CancelRequest() | ev.CancelReply() | ev.CancelledJobs():
                 self.requests.handle_cancel_message(message, sender, now_s)
             case ev.ConfigurationOffer(content=content):
                 self.configuration.adopt(content, str(sender))
@@ -394,7 +408,7 @@
             case ev.CancelTasks():
                 confirmed_s = now_s
             case ev.RunTasks() | ev.OpenJobs():
-                confirmed_s = self.open_jobs.find_confirmed_s(sender, request)
+                confirmed_s = self.open_jobs.find_confirmed_s(sender, request, now_s)
         self.cells.handle_task_request(request, sender, now_s, confirmed_s)
 
     def _handle_heartbeat(
@@ -462,6 +476,8 @@
         log_decision("link opened", str(peer), replaced=len(replaced))
         for other in self.membership.remove_replaced(peer):
             self.cells.remove_front_host(other, now_s)
+        # Orders and claims follow a heartbeat, so that they follow the record too.
+        self.requests.cancellations.handle_link(peer, now_s)
         # A draining heartbeat tells that the announcement before it is complete.
         self.cells.announce_targets(peer)
         self.cells.announce_losses(peer, now_s)
@@ -515,7 +531,7 @@
                 self.membership.ownership.update_claims(now_s), now_s
             )
         self.requests.handle_event(ev.Tick(), now_s)
-        self.requests.end_overdue_cancels(now_s)
+        self.requests.advance_cancels(now_s)
         self._send_due_heartbeats(now_s)
         self._request_targets(now_s)
         if self._tick_count % HOUSEKEEPING_TICKS == 0:
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -17,9 +17,11 @@
     Hello,
     build_hello,
     build_incarnation,
+    build_name,
     fill_struct,
     read_hello,
     read_incarnation,
+    read_name,
 )
 from gentianhub.linking.links import LinkCodec
 
@@ -78,6 +80,9 @@
             return {"cancelRequest": _build_cancel_request(message)}
         case ev.CancelReply():
             return {"cancelReply": _build_cancel_reply(message)}
+        case ev.CancelledJobs(jobs=jobs):
+            listed = [{"job": entry.job, "ageS": entry.age_s} for entry in jobs]
+            return {"cancelledJobs": {"jobs": listed}}
         case ev.OpenJobs():
             return {"openJobs": _build_open_jobs(message)}
         case ev.TasksEnded():
@@ -221,15 +226,20 @@
         "askedBy": build_incarnation(request.asked_by),
         "number": request.number,
         "isPassedOn": request.is_passed_on,
+        "passOnTo": list(map(build_name, request.pass_on_to)),
     }
 
 
 def _build_cancel_reply(reply: ev.CancelReply) -> dict:
-    return {
+    fields = {
         "askedBy": build_incarnation(reply.asked_by),
         "number": reply.number,
         "wasOpen": reply.was_open,
+        "lost": list(map(build_name, reply.lost)),
     }
+    if reply.answered_by is not None:
+        fields["answeredBy"] = build_name(reply.answered_by)
+    return fields
 
 
 def _build_open_jobs(message: ev.OpenJobs) -> dict:
@@ -387,17 +397,37 @@
         asked_by=read_incarnation(content.askedBy),
         number=content.number,
         is_passed_on=content.isPassedOn,
+        pass_on_to=tuple(map(read_name, content.passOnTo)),
     )
 
 
 def _read_cancel_reply(content) -> ev.CancelReply:
+    # The version before this one does not say which host has answered.
+    answered_by = content.answeredBy if content.answeredBy.process else None
     return ev.CancelReply(
         asked_by=read_incarnation(content.askedBy),
         number=content.number,
         was_open=content.wasOpen,
+        answered_by=answered_by and read_name(answered_by),
+        lost=tuple(map(read_name, content.lost)),
+    )
+
+
+def _read_cancelled_jobs(content) -> ev.CancelledJobs:
+    return ev.CancelledJobs(
+        jobs=tuple(
+            ev.CancelledJob(job=entry.job, age_s=_check_age_s(entry.ageS))
+            for entry in content.jobs
+        )
     )
 
 
+def _check_age_s(age_s: float) -> float:
+    if not age_s >= 0:
+        raise ValueError(f"age_s: expected at least 0, got {age_s}")
+    return age_s
+
+
 def _read_open_jobs(content) -> ev.OpenJobs:
     return ev.OpenJobs(
         cell=_read_cell(content.cell),
@@ -453,6 +483,7 @@
     "cancelTasks": _read_cancel_tasks,
     "cancelRequest": _read_cancel_request,
     "cancelReply": _read_cancel_reply,
+    "cancelledJobs": _read_cancelled_jobs,
     "openJobs": _read_open_jobs,
     "tasksEnded": _read_tasks_ended,
     "configurationOffer": _read_configuration_offer,
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -37,6 +37,11 @@
         yield _build_family(
             "cancels", "Answers to cancellations", "outcome", metrics.cancels
         )
+        yield CounterMetricFamily(
+            "gentianhub_host_unrecorded_cancels",
+            "Cancellations for which the record had no room",
+            value=metrics.unrecorded_cancels,
+        )
         yield _build_family(
             "stops_by_reason", "Runs stopped, by reason", "reason", metrics.stops
         )
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -55,12 +55,24 @@
   askedBy @1 :Entry.Incarnation;
   number @2 :UInt64;
   isPassedOn @3 :Bool;
+  passOnTo @4 :List(Entry.ProcessName);
 }
 
 struct CancelReply {
   askedBy @0 :Entry.Incarnation;
   number @1 :UInt64;
   wasOpen @2 :Bool;
+  answeredBy @3 :Entry.ProcessName;
+  lost @4 :List(Entry.ProcessName);
+}
+
+struct CancelledJob {
+  job @0 :Text;
+  ageS @1 :Float64;
+}
+
+struct CancelledJobs {
+  jobs @0 :List(CancelledJob);
 }
 
 struct OpenJobs {
@@ -181,5 +193,6 @@
     openJobs @11 :OpenJobs;
     cancelRequest @12 :CancelRequest;
     cancelReply @13 :CancelReply;
+    cancelledJobs @14 :CancelledJobs;
   }
 }
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -41,6 +41,9 @@
 MAX_REGISTRATION_WAIT_S = 8.0
 # A registered host that has sent no heartbeat for this long is removed, s.
 LOST_HOST_TIMEOUT_S = 20.0
+# A host that has just started or resumed takes no other one as lost before it could
+# open its links, with up to 0.5 s between attempts, and hear heartbeats, s.
+LOSS_NOTICE_S = 1.5
 # A host that has just started waits this long for the hosts of its own data centre
 # before it opens links to all others, s.
 LOCAL_PEER_DISCOVERY_S = 0.5
@@ -296,6 +299,30 @@
                 log_decision("host silent", str(peer))
             yield peer
 
+    def find_hosts(self) -> frozenset[ProcessName] | None:
+        """Return all other hosts; None without the registry and without links."""
+        linked = {peer.name for peer in self.links.find_linked()}
+        if self.ownership.expected_local_hosts is None and not linked:
+            return None
+        return frozenset(self.links.hosts) | linked
+
+    def find_lost(
+        self, names: Iterable[ProcessName], now_s: float
+    ) -> frozenset[ProcessName]:
+        """Return the hosts that this host should hear, but neither hears nor reaches.
+
+        If it hears none at all, it may itself be cut off.
+        """
+        live = {
+            peer.name
+            for peer in self.ownership.peers
+            if self.ownership.is_live(peer, now_s)
+        }
+        if not live or now_s < self.ownership.runs_since_s + LOSS_NOTICE_S:
+            return frozenset()
+        reached = live | {peer.name for peer in self.links.find_linked()}
+        return frozenset(names) & self.heartbeat_peers - reached
+
     def list_heard_heartbeats(self) -> dict[Incarnation, int]:
         """Return the number of the last heartbeat of each host."""
         return {
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -22,6 +22,7 @@
     ends: Counter = field(factory=Counter)
     losses: Counter = field(factory=Counter)
     cancels: Counter = field(factory=Counter)
+    unrecorded_cancels: int = 0
     departures: Counter = field(factory=Counter)
     longest_mailbox_lag_s: float = 0.0
     longest_pause_s: float = 0.0
--- a/gentianhub/host/open_jobs.py
+++ b/gentianhub/host/open_jobs.py
@@ -17,6 +17,10 @@
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.progress import DepartureProgress
 
+# After a freeze, this host's own orders wait this long for the other hosts' records of
+# cancelled jobs, which arrive with new links. These are dialled within 0.5 s.
+RECORD_WAIT_S = 0.5
+
 
 @define(kw_only=True, eq=False)
 class OpenJobReports:
@@ -36,9 +40,20 @@
     departure_marks: Mailbox
     sent_heartbeats: SentHeartbeats
     progress: DepartureProgress = field(factory=lambda: DepartureProgress())
+    _frozen_until_s: float = field(init=False, default=float("-inf"))
+
+    def record_freeze(self, now_s: float) -> None:
+        """Record that this host has just resumed after a freeze.
+
+        Requests of cancelled jobs may lie unread in its sockets.
+        """
+        self._frozen_until_s = now_s + RECORD_WAIT_S
 
     def find_confirmed_s(
-        self, front_host: Incarnation, request: ev.RunTasks | ev.OpenJobs
+        self,
+        front_host: Incarnation,
+        request: ev.RunTasks | ev.OpenJobs,
+        now_s: float,
     ) -> float:
         """Return when a front host is known to have had the named jobs open.
 
@@ -46,6 +61,8 @@
         like any message.
         """
         if front_host == self.local_host:
+            if now_s < self._frozen_until_s:
+                return float("-inf")
             return self.progress.handled_until_s
         return self.sent_heartbeats.find_confirmed_s(request.heard_heartbeat)
 
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -7,6 +7,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.cancelled_jobs import Recording
 from gentianhub.capacity.front import SUSPENDED, FrontJobRegistry
 from gentianhub.capacity.jobs import Route
 from gentianhub.capacity.ownership import CellOwner
@@ -49,6 +50,8 @@
 class RequestHandler:
     """Turns callers' requests into events of the job registry, and answers them.
 
+    `cancel_in_cells` ends the tasks of a job in this host's cells, and returns whether
+    there were any.
     `find_heard_heartbeat` returns the number of an owner's last heartbeat.
     `rejects_jobs` is set when the host is about to exit. `resumed_s` is the monotonic
     time at which the machine was last found to run again after a suspension.
@@ -59,6 +62,7 @@
     configuration: ConfigurationCache
     metrics: HostMetrics
     cancellations: Cancellations
+    cancel_in_cells: Callable[[str, float], bool] = lambda job, now_s: False
     find_heard_heartbeat: Callable[[Incarnation], int] = lambda owner: 0
     rejects_jobs: bool = False
     resumed_s: float = float("-inf")
@@ -185,19 +189,35 @@
         return callers.encode_state(200, "running" if job.has_started else "queued")
 
     def _cancel(self, request: ms.CallerRequest, job_id: str, now_s: float) -> None:
-        if self._cancel_here(job_id, now_s):
-            self._answer_cancel(JobCancelled(reply_to=request.reply_to))
+        if not callers.JOB_ID_PATTERN.fullmatch(job_id):
+            # No job can have this id, which need not be remembered either.
+            self._answer_cancel(NoSuchJob(reply_to=request.reply_to))
             return
-        outcomes = self.cancellations.send(job_id, request.reply_to, now_s)
-        for outcome in outcomes:
+        if not self._cancel_here(job_id, now_s):
+            self._answer_cancel(NotKnown(reply_to=request.reply_to))
+            return
+        was_open = self.cancellations.record.was_open(job_id)
+        reply_to = request.reply_to
+        for outcome in self.cancellations.ask(job_id, was_open, reply_to, now_s):
             self._answer_cancel(outcome)
 
-    def _cancel_here(self, job_id: str, now_s: float) -> bool:
-        """Cancel a job of this host; return whether it was open."""
+    def _cancel_here(self, job_id: str, now_s: float, age_s: float = 0.0) -> bool:
+        """Record a cancel and end the job here; return whether the cancel will hold.
+
+        The job also ends if the record is full.
+        """
+        record = self.cancellations.record
+        recording = record.record(job_id, now_s, age_s)
         is_open = job_id in self.job_registry.jobs
         self.handle_event(CancelCapacityJob(job_id=job_id), now_s)
+        is_open = self.cancel_in_cells(job_id, now_s) or is_open
+        if is_open:
+            record.mark_open(job_id)
         log_decision("cancel", job_id, is_open=is_open)
-        return is_open
+        if recording is Recording.FULL:
+            self.metrics.unrecorded_cancels += 1
+            log_decision("cancel not recorded", job_id, recorded=len(record))
+        return recording is not Recording.FULL
 
     def _answer_cancel(self, outcome: CancelOutcome) -> None:
         match outcome:
@@ -206,29 +226,35 @@
             case NoSuchJob():
                 name, response = "no_such_job", callers.encode_error(410, "no such job")
             case NotKnown():
-                reason = "a host that may have the job does not answer"
+                reason = "a host that may have the job has not recorded the cancel"
                 name, response = "not_known", callers.encode_error(503, reason, 0.0)
         self.metrics.cancels[name] += 1
         self._reply(outcome.reply_to, response)
 
     def handle_cancel_message(
         self,
-        message: ev.CancelRequest | ev.CancelReply,
+        message: ev.CancelRequest | ev.CancelReply | ev.CancelledJobs,
         sender: Incarnation,
         now_s: float,
     ) -> None:
-        """Handle another host's request to cancel a job, or its reply to one."""
+        """Handle another host's request to cancel a job, its reply, or its record."""
         match message:
             case ev.CancelRequest(job=job):
-                was_open = self._cancel_here(job, now_s)
-                self.cancellations.answer(message, sender, was_open)
+                # A host that can't record a cancel does not reply.
+                if self._cancel_here(job, now_s):
+                    was_open = self.cancellations.record.was_open(job)
+                    self.cancellations.answer(message, sender, was_open, now_s)
+            case ev.CancelledJobs(jobs=jobs):
+                for entry in jobs:
+                    if not self.cancellations.record.covers(entry, now_s):
+                        self._cancel_here(entry.job, now_s, entry.age_s)
             case ev.CancelReply():
                 for outcome in self.cancellations.handle_reply(message, sender):
                     self._answer_cancel(outcome)
 
-    def end_overdue_cancels(self, now_s: float) -> None:
-        """Answer callers whose jobs other hosts have not cancelled in time."""
-        for outcome in self.cancellations.end_overdue(now_s):
+    def advance_cancels(self, now_s: float) -> None:
+        """Ask other hosts again, and answer the callers whose time has passed."""
+        for outcome in self.cancellations.handle_tick(now_s):
             self._answer_cancel(outcome)
 
     def _answer(self, answer: fx.AnswerCaller, now_s: float) -> None:
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -29,7 +29,21 @@
     ev.CancelRequest(
         job="a", asked_by=build_host("e1"), number=2**40, is_passed_on=True
     ),
+    ev.CancelRequest(
+        job="a",
+        asked_by=build_host("e1"),
+        number=1,
+        pass_on_to=(build_host("e2").name, build_host("e3").name),
+    ),
     ev.CancelReply(asked_by=build_host("e1", "f"), number=7, was_open=True),
+    ev.CancelReply(
+        asked_by=build_host("e1", "f"),
+        number=7,
+        was_open=False,
+        answered_by=build_host("e2").name,
+        lost=(build_host("e3").name,),
+    ),
+    ev.CancelledJobs(jobs=(ev.CancelledJob(job="a", age_s=0.25),)),
     ev.TasksEnded(
         cell=CELL,
         term=3,
@@ -85,6 +99,14 @@
         decoded = decode_message(encode_message(heartbeat))
         self.assertEqual(2**32 - 1, decoded.claims[0].queued_millicore_s)
 
+    def test_a_cancel_without_a_valid_age_is_rejected(self):
+        """A negative age, or none, would keep the entry for ever."""
+        for age_s in (-1.0, float("nan")):
+            with self.subTest(age_s):
+                jobs = (ev.CancelledJob(job="a", age_s=age_s),)
+                decoded = decode_message(encode_message(ev.CancelledJobs(jobs=jobs)))
+                self.assertIsInstance(decoded, MalformedMessage)
+
     def test_damaged_bodies_are_rejected(self):
         """A damaged body must not be handled as a request to run tasks."""
         for body in (b"", b"\x00" * 8, encode_message(MESSAGES[3])[:40]):
--- a/gentianhub/host/tests/test_metrics.py
+++ b/gentianhub/host/tests/test_metrics.py
@@ -38,6 +38,7 @@
         metrics.count_end(next(iter(TaskEnd)))
         metrics.losses["crashed"] += 1
         metrics.cancels["no_such_job"] += 1
+        metrics.unrecorded_cancels += 1
         metrics.departures["reset"] += 1
         metrics.record_pause(0.5)
         metrics.suspended_s += 1.9
@@ -48,6 +49,7 @@
             "gentianhub_host_task_reports_total{end=",
             'gentianhub_host_target_losses_total{outcome="crashed"} 1.0',
             'gentianhub_host_cancels_total{outcome="no_such_job"} 1.0',
+            "gentianhub_host_unrecorded_cancels_total 1.0",
             "gentianhub_host_longest_mailbox_lag_s 0.25",
             'gentianhub_host_stops_by_reason_total{reason="not open"} 1.0',
             'gentianhub_host_departures_total{end="reset"} 1.0',
