Collect the replies of hosts that are asked through another one

Cause: a relay passed on each reply, up to 1,920 messages over one link for 64 cancels in a zone of 30 hosts, and a link is closed once 256 wait. Change: a relay sends one reply for the hosts that it has asked, or what it has at its next tick; no question is put into a link that is half full.

--- a/gentianhub/capacity/cancelled_jobs.py
+++ b/gentianhub/capacity/cancelled_jobs.py
@@ -15,7 +15,7 @@
 # A request arrives again several seconds after its answer, and may then wait for the
 # end of a freeze. Final answers are kept for as long.
 CANCEL_RETENTION_S = 10.0
-# Bounds the memory: an entry takes about 250 bytes.
+# Bounds the memory: an entry takes 211 bytes.
 MAX_CANCELLED_JOBS = 10_000
 
 
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -71,14 +71,14 @@
 class CancelReply:
     """Reply to a `CancelRequest`: whether the job was open, and has been cancelled.
 
-    The host `answered_by` has recorded the cancel; None stands for the sender. The
-    hosts in `lost` should have been asked in turn, and are known to be lost.
+    Its sender has recorded the cancel, as have the hosts in `recorded`, which it was to
+    ask in turn. It knows those in `lost` to be lost.
     """
 
     asked_by: Incarnation
     number: int
     was_open: bool
-    answered_by: ProcessName | None = None
+    recorded: tuple[ProcessName, ...] = ()
     lost: tuple[ProcessName, ...] = ()
 
 
--- a/gentianhub/host/cancellations.py
+++ b/gentianhub/host/cancellations.py
@@ -14,6 +14,7 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.core import Incarnation, ProcessName
+from gentianhub.host.cancel_relays import CancelRelays
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.outbox import Outbox
 
@@ -22,8 +23,8 @@
 ANSWER_TIMEOUT_S = 3.4
 # Interval at which other hosts are asked to reach those without a link.
 RELAY_INTERVAL_S = 0.4
-# Further questions are answered as not known. Each of them is a message to each host,
-# and a link is closed once 256 messages wait in it.
+# Further cancels are answered as not known. Each question may bring two replies over
+# one link, which is closed once 256 messages wait in it.
 MAX_OPEN_QUESTIONS = 64
 # Jobs in one message of the record; one of them takes some 50 bytes.
 MAX_JOBS_PER_MESSAGE = 500
@@ -55,7 +56,10 @@
 
 @define(kw_only=True, eq=False)
 class _Question:
-    """A question to the other hosts; `settled` have recorded the cancel or are lost."""
+    """A question to the other hosts; `settled` have recorded the cancel or are lost.
+
+    `asked` have been asked over their present link.
+    """
 
     message: ev.CancelRequest
     reply_to: Any
@@ -63,6 +67,7 @@
     deadline_s: float
     relayed_s: float
     settled: set[ProcessName] = field(factory=set)
+    asked: set[Incarnation] = field(factory=set)
     relay_attempts: int = 0
 
 
@@ -82,6 +87,8 @@
         Returns the hosts with a link.
     find_owners : callable
         Returns the owners of all cells.
+    has_room : callable
+        Returns whether the link to a host has room for a question.
     """
 
     local_host: Incarnation
@@ -93,9 +100,19 @@
     )
     find_linked: Callable[[], Iterable[Incarnation]] = tuple
     find_owners: Callable[[], Iterable[Incarnation]] = tuple
+    has_room: Callable[[Incarnation], bool] = lambda peer: True
+    _relays: CancelRelays = field(init=False)
     _open: dict[int, _Question] = field(init=False, factory=dict)
     _count: int = field(init=False, default=0)
 
+    def __attrs_post_init__(self):
+        self._relays = CancelRelays(
+            outbox=self.outbox,
+            find_linked=self.find_linked,
+            find_lost=self.find_lost,
+            has_room=self.has_room,
+        )
+
     def ask(
         self, job: str, was_open: bool, reply_to: Any, now_s: float
     ) -> Iterator[CancelOutcome]:
@@ -115,10 +132,8 @@
             relayed_s=now_s,
         )
         self._open[self._count] = question
-        linked = self.find_linked()
-        for peer in linked:
-            self.outbox.send(peer, question.message)
-        log_decision("cancel passed on", job, hosts=len(linked))
+        self._ask_linked(question)
+        log_decision("cancel passed on", job, hosts=len(question.asked))
         self._ask_relays(question)
         yield from self._end_if_known(question)
 
@@ -135,6 +150,14 @@
         outcome = JobCancelled if question.was_open else NoSuchJob
         yield outcome(reply_to=question.reply_to)
 
+    def _ask_linked(self, question: _Question) -> None:
+        """Ask the linked hosts that have not been asked over their present link."""
+        for peer in self.find_linked():
+            if peer in question.asked or peer.name in question.settled:
+                continue
+            if self.has_room(peer) and self.outbox.send(peer, question.message):
+                question.asked.add(peer)
+
     def _ask_relays(self, question: _Question) -> None:
         """Ask other hosts to pass a question to the hosts without a link."""
         awaited = self._list_awaited(question) or frozenset()
@@ -146,8 +169,9 @@
                 relay = relays[question.relay_attempts % len(relays)]
                 names_by_relay.setdefault(relay, []).append(name)
         for relay, names in names_by_relay.items():
-            message = evolve(question.message, pass_on_to=tuple(names))
-            self.outbox.send(relay, message)
+            if self.has_room(relay):
+                message = evolve(question.message, pass_on_to=tuple(names))
+                self.outbox.send(relay, message)
         question.relay_attempts += 1
 
     def _rank_relays(self, name: ProcessName) -> list[Incarnation]:
@@ -168,34 +192,27 @@
         was_open: bool,
         now_s: float,
     ) -> None:
-        """Answer another host's question, and pass it on to the hosts that it names."""
-        linked = {peer.name: peer for peer in self.find_linked()}
-        passed_on = evolve(request, is_passed_on=True, pass_on_to=())
-        for name in request.pass_on_to:
-            if name in linked:
-                self.outbox.send(linked[name], passed_on)
+        """Answer another host's question, or pass it on to the hosts that it names."""
+        if request.pass_on_to:
+            self._relays.pass_on(request, was_open, now_s)
+            return
         reply = ev.CancelReply(
-            asked_by=request.asked_by,
-            number=request.number,
-            was_open=was_open,
-            answered_by=self.local_host.name,
-            lost=tuple(sorted(self.find_lost(request.pass_on_to, now_s))),
+            asked_by=request.asked_by, number=request.number, was_open=was_open
         )
         self.outbox.send(sender, reply)
 
     def handle_reply(
         self, reply: ev.CancelReply, sender: Incarnation
     ) -> Iterator[CancelOutcome]:
-        """Yield the outcome of a question once it is known; pass others' replies on."""
-        answered_by = reply.answered_by or sender.name
+        """Yield the outcome of a question once it is known; collect others' replies."""
         if reply.asked_by != self.local_host:
-            self.outbox.send(reply.asked_by, evolve(reply, answered_by=answered_by))
+            self._relays.collect(reply, sender)
             return
         question = self._open.get(reply.number)
         if question is None:
             return
         question.was_open = question.was_open or reply.was_open
-        question.settled |= {answered_by, *reply.lost}
+        question.settled |= {sender.name, *reply.recorded, *reply.lost}
         yield from self._end_if_known(question)
 
     def handle_link(self, peer: Incarnation, now_s: float) -> None:
@@ -204,8 +221,8 @@
         The questions come first: a job that the record has cancelled is no longer open.
         """
         for question in self._open.values():
-            if peer.name not in question.settled:
-                self.outbox.send(peer, question.message)
+            question.asked.discard(peer)
+            self._ask_linked(question)
         jobs = tuple(self.record.list_entries(now_s))
         for start in range(0, len(jobs), MAX_JOBS_PER_MESSAGE):
             part = jobs[start : start + MAX_JOBS_PER_MESSAGE]
@@ -213,6 +230,7 @@
 
     def handle_tick(self, now_s: float) -> Iterator[CancelOutcome]:
         """Ask again, and yield the outcome of questions that are known or overdue."""
+        self._relays.handle_tick(now_s)
         for number, question in list(self._open.items()):
             awaited = self._list_awaited(question)
             if awaited:
@@ -224,7 +242,9 @@
                 del self._open[number]
                 self._log_unknown(question)
                 yield NotKnown(reply_to=question.reply_to)
-            elif now_s >= question.relayed_s + RELAY_INTERVAL_S:
+                continue
+            self._ask_linked(question)
+            if now_s >= question.relayed_s + RELAY_INTERVAL_S:
                 question.relayed_s = now_s
                 self._ask_relays(question)
 
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -231,15 +231,13 @@
 
 
 def _build_cancel_reply(reply: ev.CancelReply) -> dict:
-    fields = {
+    return {
         "askedBy": build_incarnation(reply.asked_by),
         "number": reply.number,
         "wasOpen": reply.was_open,
+        "recorded": list(map(build_name, reply.recorded)),
         "lost": list(map(build_name, reply.lost)),
     }
-    if reply.answered_by is not None:
-        fields["answeredBy"] = build_name(reply.answered_by)
-    return fields
 
 
 def _build_open_jobs(message: ev.OpenJobs) -> dict:
@@ -402,13 +400,11 @@
 
 
 def _read_cancel_reply(content) -> ev.CancelReply:
-    # The version before this one does not say which host has answered.
-    answered_by = content.answeredBy if content.answeredBy.process else None
     return ev.CancelReply(
         asked_by=read_incarnation(content.askedBy),
         number=content.number,
         was_open=content.wasOpen,
-        answered_by=answered_by and read_name(answered_by),
+        recorded=tuple(map(read_name, content.recorded)),
         lost=tuple(map(read_name, content.lost)),
     )
 
--- a/gentianhub/host/host.capnp
+++ b/gentianhub/host/host.capnp
@@ -62,7 +62,7 @@
   askedBy @0 :Entry.Incarnation;
   number @1 :UInt64;
   wasOpen @2 :Bool;
-  answeredBy @3 :Entry.ProcessName;
+  recorded @3 :List(Entry.ProcessName);
   lost @4 :List(Entry.ProcessName);
 }
 
--- a/gentianhub/host/links.py
+++ b/gentianhub/host/links.py
@@ -121,6 +121,14 @@
         state = self.links.get(to)
         return state is not None and state.link.send(encode_message(message))
 
+    def has_room(self, to: Incarnation) -> bool:
+        """Whether there is a link, and less than half of its queue is full."""
+        state = self.links.get(to)
+        if state is None:
+            return False
+        queue = state.link.outgoing_queue
+        return len(queue) < queue.limit // 2
+
     def send_encoded(self, to: Incarnation, body: bytes) -> None:
         """Send a message that is already encoded."""
         state = self.links.get(to)
--- a/gentianhub/host/tests/test_cancellations.py
+++ b/gentianhub/host/tests/test_cancellations.py
@@ -9,6 +9,8 @@
 import unittest
 from unittest import mock
 
+from attrs import evolve
+
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.capacity.tests.builders import build_host
@@ -142,7 +144,7 @@
         self.ask()
         self.assertEqual([], self.reply(self.neighbour, was_open=True))
         self.assertEqual([], self.reply(self.owner))
-        replied = self.reply(self.owner, answered_by=self.sought.name)
+        replied = self.reply(self.owner, recorded=(self.sought.name,))
         self.assertEqual([JobCancelled(reply_to=None)], replied)
 
     def test_a_host_that_a_relay_knows_to_be_lost_is_not_awaited(self):
@@ -181,6 +183,7 @@
 
     def test_a_question_is_asked_again_over_a_new_link_before_the_record(self):
         """The first link may have been lost with the question, or with its reply."""
+        self.linked.append(self.sought)
         self.ask()
         for number in range(MAX_JOBS_PER_MESSAGE + 1):
             self.cancellations.record.record(f"{number:016x}", 0.0)
@@ -188,7 +191,7 @@
         self.cancellations.handle_link(self.sought, 0.1)
         messages = [message for to, message in self.pop_sent() if to == self.sought]
         counts = [len(message.jobs) for message in messages[1:]]
-        self.assertIsInstance(messages[0], ev.CancelRequest)
+        self.assertIs(ev.CancelRequest, type(messages[0]))
         self.assertEqual([MAX_JOBS_PER_MESSAGE, 1], counts)
 
     def test_a_relay_passes_questions_on_and_replies_back(self):
@@ -201,14 +204,38 @@
             job=JOB, asked_by=asked_by, number=4, pass_on_to=(self.sought.name, gone)
         )
         self.cancellations.answer(relayed, asked_by, False, 0.0)
-        passed_on, (to, reply) = self.pop_sent()
-        self.assertEqual((self.sought, asked_by), (passed_on[0], to))
-        self.assertEqual((question.job, 4), (passed_on[1].job, passed_on[1].number))
-        self.assertEqual((gone,), reply.lost)
+        passed_on = evolve(question, is_passed_on=True)
+        self.assertEqual([(self.sought, passed_on)], self.pop_sent())
         self.reply(self.sought, asked_by=asked_by, number=4, was_open=True)
         [(to, reply)] = self.pop_sent()
-        self.assertEqual(asked_by, to)
-        self.assertEqual((self.sought.name, True), (reply.answered_by, reply.was_open))
+        self.assertEqual((asked_by, (gone,)), (to, reply.lost))
+        self.assertEqual(((self.sought.name,), True), (reply.recorded, reply.was_open))
+
+    def test_a_relay_reports_what_it_knows_while_a_host_does_not_reply(self):
+        """The answer would wait for a frozen host that another one knows to be lost."""
+        asked_by = build_host("f9", "9", data_centre="aarau")
+        names = (self.owner.name, self.neighbour.name)
+        relayed = ev.CancelRequest(
+            job=JOB, asked_by=asked_by, number=4, pass_on_to=names
+        )
+        self.cancellations.answer(relayed, asked_by, False, 0.0)
+        self.reply(self.owner, asked_by=asked_by, number=4)
+        self.pop_sent()
+        list(self.cancellations.handle_tick(0.1))
+        [(_, reply)] = self.pop_sent()
+        self.assertEqual((self.owner.name,), reply.recorded)
+        list(self.cancellations.handle_tick(0.2))
+        self.assertEqual([], self.pop_sent())
+
+    def test_a_host_is_asked_once_its_link_has_room(self):
+        """A link with a full queue is closed."""
+        full = {self.owner}
+        self.cancellations.has_room = lambda peer: peer not in full
+        self.ask()
+        self.assertEqual([self.neighbour], [to for to, _ in self.pop_sent()])
+        full.clear()
+        list(self.cancellations.handle_tick(0.1))
+        self.assertEqual([self.owner], [to for to, _ in self.pop_sent()])
 
     def test_further_questions_than_links_can_queue_are_answered_as_unknown(self):
         for _ in range(MAX_OPEN_QUESTIONS):
--- a/gentianhub/host/tests/test_encoding.py
+++ b/gentianhub/host/tests/test_encoding.py
@@ -40,7 +40,7 @@
         asked_by=build_host("e1", "f"),
         number=7,
         was_open=False,
-        answered_by=build_host("e2").name,
+        recorded=(build_host("e2").name,),
         lost=(build_host("e3").name,),
     ),
     ev.CancelledJobs(jobs=(ev.CancelledJob(job="a", age_s=0.25),)),
