--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -68,15 +68,17 @@
         Monotonic time at which the process started, in seconds.
     evacuations : KnownEvacuations
         The evacuated data centres, whose cells are sent no tasks.
+    kept_answers : KeptAnswers
+        Final answers of jobs that may be submitted again.
     """
 
     data_centre: str
     started_s: float = float("-inf")
     evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
+    kept_answers: KeptAnswers = field(factory=lambda: KeptAnswers())
     loads: LoadView = field(init=False)
     jobs: dict[str, FrontJob] = field(init=False, factory=dict)
     owners: dict[Cell, CellOwner] = field(init=False, factory=dict)
-    kept_answers: KeptAnswers = field(init=False, factory=lambda: KeptAnswers())
     _addressed_cells: set[Cell] = field(init=False, factory=set)
     _handled_s: float = field(init=False, default=float("inf"))
     _suspensions: deque[tuple[float, float]] = field(init=False, factory=deque)
--- a/gentianhub/capacity/front_requests.py
+++ b/gentianhub/capacity/front_requests.py
@@ -116,6 +116,10 @@
                 yield from self._handle_open_jobs(names, front_host, confirmed_s, now_s)
             case ev.CancelTasks(job=job_id):
                 yield from self._handle_cancel(job_id, front_host)
+            case ev.JobCancelled(job=job_id):
+                self.confirmations.drop_job(None, job_id)
+                job = self.jobs.get((self._front_hosts.get(job_id), job_id))
+                yield from self._withdraw_job(job)
             case ev.FrontLost(front_host=lost):
                 yield from self._give_up_front_host(lost)
             case ev.Tick():
@@ -131,7 +135,8 @@
     def find_front_host(self, name: str) -> Incarnation | None:
         """Return the host that has sent tasks of an open job, or None."""
         job = self.jobs.get((self._front_hosts.get(name), name))
-        return job.front_host if job is not None and not job.is_withdrawn else None
+        is_open = job is not None and not job.is_withdrawn and job.has_open_tasks()
+        return job.front_host if is_open else None
 
     def find_unconfirmed_hosts(self, now_s: float) -> Iterator[Incarnation]:
         """Yield the front hosts that should confirm their open jobs."""
@@ -256,12 +261,17 @@
     def _handle_cancel(self, job_id: str, front_host: Incarnation) -> Iterator:
         self.confirmations.drop_job(front_host, job_id)
         job = self.jobs.get((front_host, job_id))
-        if job is not None:
-            yield self.reporter.log_withdrawal(job, "cancelled")
-            yield JobEnded(job=job, reason=StopReason.CANCELLED)
-            job.is_withdrawn = True
+        yield from self._withdraw_job(job)
         yield self.reporter.build_cancel_confirmation(job_id, front_host, job)
 
+    def _withdraw_job(self, job: CellJob | None) -> Iterator:
+        """Cancel a job, so that a later request for it is a new submission."""
+        if job is None:
+            return
+        yield self.reporter.log_withdrawal(job, "cancelled")
+        yield JobEnded(job=job, reason=StopReason.CANCELLED)
+        job.is_withdrawn = True
+
     def _give_up_front_host(self, lost: Incarnation) -> Iterator:
         """Cancel the jobs of a front host that is considered lost, and report this.
 
--- a/gentianhub/capacity/kept_answers.py
+++ b/gentianhub/capacity/kept_answers.py
@@ -1,10 +1,11 @@
-"""Final results of jobs, for submissions that arrive again."""
+"""Final answers that a repeated submission of a job gets without another run."""
 
 from collections import OrderedDict
 
 from attrs import define, field, frozen
 
-from gentianhub.capacity import effects as fx
+from gentianhub.capacity.cancelled_jobs import CancelledJobs
+from gentianhub.capacity.effects import JobVerdict
 
 # A submission that is repeated within this time of its answer gets the same answer.
 ANSWER_RETENTION_S = 10.0
@@ -12,28 +13,35 @@
 
 
 @frozen(kw_only=True)
-class KeptAnswer:
-    """The final result of a job; `answered_s` is the monotonic time of the answer."""
-
-    verdict: fx.JobVerdict
+class _KeptAnswer:
+    verdict: JobVerdict
     answered_s: float
 
 
 @define(kw_only=True, eq=False)
 class KeptAnswers:
-    """The latest final results, bounded in number and in time."""
+    """The final answers of a front host's ended jobs, and of cancelled jobs.
+
+    Parameters
+    ----------
+    cancelled_jobs : CancelledJobs
+        The jobs that were cancelled, through this host or another one.
+    """
 
-    _answers: OrderedDict[str, KeptAnswer] = field(init=False, factory=OrderedDict)
+    cancelled_jobs: CancelledJobs = field(factory=lambda: CancelledJobs())
+    _answers: OrderedDict[str, _KeptAnswer] = field(init=False, factory=OrderedDict)
 
-    def store(self, job_id: str, verdict: fx.JobVerdict, now_s: float) -> None:
-        """Keep the result of a job, and drop the oldest ones beyond the bound."""
-        self._answers[job_id] = KeptAnswer(verdict=verdict, answered_s=now_s)
+    def store(self, job: str, verdict: JobVerdict, now_s: float) -> None:
+        """Keep the answer of a job; drop the oldest answers beyond the limit."""
+        self._answers[job] = _KeptAnswer(verdict=verdict, answered_s=now_s)
         while len(self._answers) > MAX_KEPT_ANSWERS:
             self._answers.popitem(last=False)
 
-    def find(self, job_id: str, now_s: float) -> fx.JobVerdict | None:
-        """Return the result of a job that was answered a short time ago, or None."""
-        kept = self._answers.get(job_id)
-        if kept is None or now_s >= kept.answered_s + ANSWER_RETENTION_S:
-            return None
-        return kept.verdict
+    def find(self, job: str, now_s: float) -> JobVerdict | None:
+        """Return the final answer of a job, or None if it may run."""
+        kept = self._answers.get(job)
+        if kept is not None and now_s < kept.answered_s + ANSWER_RETENTION_S:
+            return kept.verdict
+        if self.cancelled_jobs.holds(job, now_s):
+            return JobVerdict.CANCELLED
+        return None
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -136,7 +136,13 @@
         """
         confirmed_s = now_s if confirmed_s is None else confirmed_s
         match event:
-            case ev.RunTasks() | ev.OpenJobs() | ev.CancelTasks() | ev.FrontLost():
+            case (
+                ev.RunTasks()
+                | ev.OpenJobs()
+                | ev.CancelTasks()
+                | ev.JobCancelled()
+                | ev.FrontLost()
+            ):
                 yield from self._apply_request_events(
                     self.requests.handle(event, now_s, front_host, confirmed_s), now_s
                 )
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -6,6 +6,7 @@
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
+from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.capacity.estimates import RunEstimates
 from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.jobs import (
@@ -46,6 +47,8 @@
         The evacuated data centres, in which no task starts.
     list_priorities : callable
         Returns the priorities of the operator's routes, sorted.
+    cancelled_jobs : CancelledJobs
+        Jobs of which no task is started any more.
     """
 
     answers: Mailbox
@@ -56,6 +59,7 @@
     read_targets: Callable[[], None] = lambda: None
     evacuations: KnownEvacuations = field(factory=lambda: KnownEvacuations())
     list_priorities: Callable[[], tuple[int, ...]] = lambda: ()
+    cancelled_jobs: CancelledJobs = field(factory=lambda: CancelledJobs())
     targets: tuple[ListedTarget, ...] = ()
     connections: TargetConnectionMap = field(init=False)
     _schedulers: dict[Cell, CellScheduler] = field(init=False, factory=dict)
@@ -188,12 +192,31 @@
         The front host had the named jobs open at `confirmed_s`; None for `now_s`.
         """
         match request:
+            case ev.RunTasks(job=job) if self.cancelled_jobs.holds(job, now_s):
+                log_decision("order refused", job, front_host=str(sender))
+                self._tell_cancelled(sender, job)
+                return
             case ev.RunTasks() | ev.CancelTasks():
                 self._requesters.add(sender)
         scheduler = self._schedulers.get(request.cell)
         if scheduler is not None:
             self._dispatch_event(scheduler, request, now_s, sender, confirmed_s)
 
+    def cancel_job(self, job: str, now_s: float) -> bool:
+        """End the tasks of a cancelled job; return whether any was waiting or running.
+
+        Its front host may not learn of the cancel otherwise.
+        """
+        front_host = self.find_front_host(job)
+        self._dispatch_to_all(ev.JobCancelled(job=job), now_s)
+        if front_host is not None:
+            self._tell_cancelled(front_host, job)
+        return front_host is not None
+
+    def _tell_cancelled(self, front_host: Incarnation, job: str) -> None:
+        entry = ev.CancelledJob(job=job, age_s=0.0)
+        self.outbox.send(front_host, ev.CancelledJobs(jobs=(entry,)))
+
     def list_cells(self) -> tuple[Cell, ...]:
         """Return the owned cells."""
         return tuple(self._schedulers)
--- a/gentianhub/host/configuration.py
+++ b/gentianhub/host/configuration.py
@@ -1,7 +1,10 @@
 """The newest operator's configuration that a host has read or received."""
 
+from collections.abc import Iterator
+
 from attrs import define, field
 
+from gentianhub.capacity.events import ConfigurationOffer
 from gentianhub.capacity.jobs import Configuration
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.host.decision_log import log_decision
@@ -46,6 +49,11 @@
         """Return the priorities of the routes, sorted."""
         return self.current.priorities if self.current else ()
 
+    def build_offers(self) -> Iterator[ConfigurationOffer]:
+        """Yield the configuration for another host, if there is one."""
+        if self.version:
+            yield ConfigurationOffer(version=self.version, content=self.content)
+
     def adopt(self, content: bytes, source: str) -> None:
         """Decode and keep a configuration if it is newer than the current one."""
         try:
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -7,8 +7,14 @@
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
+from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.capacity.evacuations import Evacuations, KnownEvacuations
-from gentianhub.capacity.front import MAX_SUSPENSION_S, FrontJobRegistry
+from gentianhub.capacity.front import (
+    MAX_PAUSE_S,
+    MAX_SUSPENSION_S,
+    FrontJobRegistry,
+)
+from gentianhub.capacity.kept_answers import KeptAnswers
 from gentianhub.capacity.leases import HOST_SILENCE_TIMEOUT_S
 from gentianhub.capacity.submissions import (
     InterruptJobs,
@@ -30,7 +36,6 @@
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.delays import DelayLog
 from gentianhub.host.evacuations import HostEvacuations
-from gentianhub.host.followers import decode_targets
 from gentianhub.host.links import HostLinks
 from gentianhub.host.membership import HeartbeatRecipients, Membership
 from gentianhub.host.metrics import HostMetrics
@@ -44,7 +49,6 @@
     LinkOpened,
     MessageReceived,
 )
-from gentianhub.platform.store import TARGETS_TABLE
 
 # Interval, in ticks, of layout requests and of the removal of silent and lost hosts.
 HOUSEKEEPING_TICKS = 20
@@ -121,7 +125,10 @@
     def __attrs_post_init__(self):
         self._suspended_s = self.read_suspended_s()
         self.outbox = Outbox(local_host=self.local_host, links=self.links)
-        self._delays = DelayLog(local_host=self.local_host, metrics=self.metrics)
+        self._delays = DelayLog(
+            local_host=self.local_host, mailbox=self.mailbox, metrics=self.metrics
+        )
+        cancelled_jobs = CancelledJobs()
         known = KnownEvacuations(
             started_s=self.started_s, is_bounded=self.bounds_evacuations
         )
@@ -131,6 +138,7 @@
                 data_centre=self.local_host.name.data_centre,
                 started_s=self.started_s,
                 evacuations=known,
+                kept_answers=KeptAnswers(cancelled_jobs=cancelled_jobs),
             ),
             outbox=self.outbox,
             configuration=self.configuration,
@@ -138,10 +146,14 @@
             cancellations=Cancellations(
                 local_host=self.local_host,
                 outbox=self.outbox,
+                record=cancelled_jobs,
+                find_hosts=lambda: self.membership.find_hosts(),
+                find_lost=lambda names, now_s: self.membership.find_lost(names, now_s),
                 find_linked=self.links.find_linked,
                 find_owners=self._find_other_owners,
-                find_front_host=lambda job: self.cells.find_front_host(job),
+                has_room=lambda peer: self.links.has_room(peer),
             ),
+            cancel_in_cells=lambda job, now_s: self.cells.cancel_job(job, now_s),
             find_heard_heartbeat=lambda owner: self.open_jobs.progress.find_heartbeat(
                 owner
             ),
@@ -155,6 +167,7 @@
             read_targets=self._read_targets,
             evacuations=known,
             list_priorities=self.configuration.list_priorities,
+            cancelled_jobs=cancelled_jobs,
         )
         self.membership = Membership(
             local_host=self.local_host,
@@ -199,6 +212,8 @@
         if now_s > self._handled_s + HOST_SILENCE_TIMEOUT_S:
             self.membership.ownership.record_pause(now_s)
             self.evacuations.known.record_pause(now_s - self._handled_s, now_s)
+        if now_s > self._handled_s + MAX_PAUSE_S:
+            self.open_jobs.record_freeze(now_s)
         self._handled_s = now_s
 
     def _handle_message(self, message, now_s: float) -> None:
@@ -219,7 +234,7 @@
                     self._handle_host_message(link.incarnation, content, now_s)
             case ms.TimerTick(count=count, sent_s=sent_s):
                 open_jobs = len(self.requests.job_registry.jobs)
-                self._delays.record_tick(message, open_jobs, len(self.mailbox), now_s)
+                self._delays.record_tick(message, open_jobs, now_s)
                 heard = self.membership.list_heard_heartbeats()
                 self.open_jobs.progress.begin(sent_s, heard, now_s)
                 self._handle_tick(count, now_s)
@@ -251,18 +266,15 @@
                 self.membership.adopt_layout(cells, "store")
             case ms.StoreLost(table=table, reason=reason):
                 log_decision("store lost", table, reason=reason)
-                if table == TARGETS_TABLE:
-                    self._target_list.is_store_lost = True
+                self._target_list.record_store(table, is_lost=True)
             case ms.StoreRegained(table=table):
                 log_decision("store regained", table)
-                if table == TARGETS_TABLE:
-                    self._target_list.is_store_lost = False
+                self._target_list.record_store(table, is_lost=False)
             case ms.StartDrain(reply_to=reply_to):
                 self._start_drain(reply_to, now_s)
             case ms.InterruptOpenJobs():
-                self.requests.handle_event(
-                    InterruptJobs(reason="the host stops"), now_s
-                )
+                interrupted = InterruptJobs(reason="the host stops")
+                self.requests.handle_event(interrupted, now_s)
             case ms.DescribeHost(reply_to=reply_to):
                 reply_to.try_put(self.describe_state(now_s))
             case ms.RenderHostMetrics(reply_to=reply_to):
@@ -380,18 +392,20 @@
                 self._handle_task_request(message, sender, now_s)
             case ev.TasksEnded():
                 self.requests.handle_event(message, now_s)
-            case ev.CancelRequest() | ev.CancelReply():
+            case ev.CancelRequest() | ev.CancelReply() | ev.CancelledJobs():
                 self.requests.handle_cancel_message(message, sender, now_s)
             case ev.ConfigurationOffer(content=content):
                 self.configuration.adopt(content, str(sender))
             case ev.ConfigurationRequest():
-                self._offer_configuration(sender)
+                self.outbox.send_all(sender, self.configuration.build_offers())
             case ev.CellTargets():
                 self.announcements.record(message)
             case ev.TargetLosses():
                 self.cells.record_losses(message, now_s)
             case ev.TargetsRequest(data_centre=data_centre):
-                self._offer_targets(sender, data_centre)
+                if self.cells:
+                    offers = self._target_list.build_offers(data_centre)
+                    self.outbox.send_all(sender, offers)
             case ev.TargetsOffer():
                 self._adopt_targets(message, sender, now_s)
             case _:
@@ -408,7 +422,7 @@
             case ev.CancelTasks():
                 confirmed_s = now_s
             case ev.RunTasks() | ev.OpenJobs():
-                confirmed_s = self.open_jobs.find_confirmed_s(sender, request)
+                confirmed_s = self.open_jobs.find_confirmed_s(sender, request, now_s)
         self.cells.handle_task_request(request, sender, now_s, confirmed_s)
 
     def _handle_heartbeat(
@@ -453,33 +467,14 @@
             data_centre = self.local_host.name.data_centre
             self.links.send(peer, ev.TargetsRequest(data_centre=data_centre))
 
-    def _offer_targets(self, peer: Incarnation, data_centre: str) -> None:
-        """Offer the list only if it is newer than that of a host without the store."""
-        if self.cells and not self._target_list.is_store_lost:
-            rows = self._target_list.select_rows(data_centre)
-            offer = ev.TargetsOffer(rows=rows, data_centre=data_centre)
-            self.links.send(peer, offer)
-
     def _adopt_targets(
         self, offer: ev.TargetsOffer, sender: Incarnation, now_s: float
     ) -> None:
         """Adopt an offered list unless this host can read a newer one itself."""
         target_list = self._target_list
-        if offer.data_centre and target_list.is_store_lost and offer.rows:
-            target_list.replace_part(offer.data_centre, offer.rows)
-        elif not self.membership.ownership.has_targets:
-            target_list.targets = tuple(decode_targets(offer.rows))
-            target_list.rows = offer.rows
-        else:
-            return
-        log_decision("targets offered", str(sender), count=len(offer.rows))
-        self._update_targets(target_list.targets, target_list.rows, now_s)
-
-    def _offer_configuration(self, peer: Incarnation) -> None:
-        version, content = self.configuration.version, self.configuration.content
-        if version:
-            offer = ev.ConfigurationOffer(version=version, content=content)
-            self.links.send(peer, offer)
+        if target_list.adopt_offer(offer, self.membership.ownership.has_targets):
+            log_decision("targets offered", str(sender), count=len(offer.rows))
+            self._update_targets(target_list.targets, target_list.rows, now_s)
 
     def _open_link(self, link, now_s: float) -> None:
         replaced = self.links.open(link, now_s)
@@ -487,6 +482,8 @@
         log_decision("link opened", str(peer), replaced=len(replaced))
         for other in self.membership.remove_replaced(peer):
             self.cells.remove_front_host(other, now_s)
+        # Orders and claims follow a heartbeat, so that they follow the record too.
+        self.requests.cancellations.handle_link(peer, now_s)
         # A draining heartbeat tells that the announcement before it is complete.
         self.cells.announce_targets(peer)
         self.cells.announce_losses(peer, now_s)
@@ -540,7 +537,7 @@
                 self.membership.ownership.update_claims(now_s), now_s
             )
         self.requests.handle_event(ev.Tick(), now_s)
-        self.requests.end_overdue_cancels(now_s)
+        self.requests.advance_cancels(now_s)
         self._send_due_heartbeats(now_s)
         self._request_targets(now_s)
         if self._tick_count % HOUSEKEEPING_TICKS == 0:
@@ -581,11 +578,7 @@
             "configuration": self.configuration.version,
             "evacuated": sorted(self.evacuations.known.current.data_centres),
             "draining": self.is_draining,
-            "open_jobs": len(self.requests.job_registry.jobs),
             "links": [str(peer) for peer in self.links.find_linked()],
-            "owners": {
-                str(cell): [str(cell_owner.owner), cell_owner.claim.term]
-                for cell, cell_owner in self.requests.job_registry.owners.items()
-            },
             "targets": self.cells.describe_targets(now_s),
+            **self.requests.describe_state(),
         }
--- a/gentianhub/host/delays.py
+++ b/gentianhub/host/delays.py
@@ -1,10 +1,10 @@
-"""Log lines and metrics of the times in which a host did not run or is behind."""
+"""Log lines and metrics of a host that runs late."""
 
 from attrs import define, field
 
-from gentianhub.core import Incarnation
-from gentianhub.host import messages as ms
+from gentianhub.core import Incarnation, Mailbox
 from gentianhub.host.decision_log import log_decision
+from gentianhub.host.messages import TimerTick
 from gentianhub.host.metrics import HostMetrics
 
 # Pauses of the process that are shorter are not logged, s.
@@ -15,16 +15,15 @@
 
 @define(kw_only=True, eq=False)
 class DelayLog:
-    """Records how late the ticks of the timer are sent and handled."""
+    """Records for how long the process did not run, and how long messages waited."""
 
     local_host: Incarnation
+    mailbox: Mailbox
     metrics: HostMetrics
     _lag_logged_s: float = field(init=False, default=float("-inf"))
 
-    def record_tick(
-        self, tick: ms.TimerTick, open_jobs: int, waiting: int, now_s: float
-    ) -> None:
-        """Record a tick; `waiting` messages are behind it in the mailbox."""
+    def record_tick(self, tick: TimerTick, open_jobs: int, now_s: float) -> None:
+        """Record the delays that a tick of the timer tells."""
         if tick.late_s >= LOGGED_PAUSE_S:
             self.metrics.record_pause(tick.late_s)
             log_decision(
@@ -41,5 +40,5 @@
                 "mailbox behind",
                 str(self.local_host),
                 lag_s=round(lag_s, 3),
-                waiting=waiting,
+                waiting=len(self.mailbox),
             )
--- a/gentianhub/host/outbox.py
+++ b/gentianhub/host/outbox.py
@@ -1,7 +1,7 @@
 """Messages to the owners of cells and to front hosts, this host included."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from attrs import define, field
 
@@ -24,6 +24,11 @@
             return True
         return self.links.send(to, message)
 
+    def send_all(self, to: Incarnation, messages: Iterable) -> None:
+        """Send messages one after another."""
+        for message in messages:
+            self.send(to, message)
+
     def pop_own_messages(self) -> Iterator:
         """Yield and remove the messages to this host, also those queued meanwhile."""
         while self._own_messages:
