End tasks that have failed in an evacuated data centre, don't hand them back

Cause: the owner of another cell counts the failures of a task anew, so that a task that was handed back could fail once more than its route allows.

--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -33,7 +33,7 @@
 from gentianhub.capacity.suspects import Suspects
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
-from gentianhub.capacity.tasks import CellJob, CellTask, group_waiting_tasks
+from gentianhub.capacity.tasks import CellJob, CellTask, hand_back_tasks
 from gentianhub.capacity.trials import RouteTrials
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.capacity.waiting import WaitingTasks
@@ -584,11 +584,8 @@
     def _hand_back_tasks(self, now_s: float) -> Iterator:
         """End the waiting tasks while the data centre is evacuated."""
         if self._may_start and self.evacuations.is_evacuated(self.cell.data_centre):
-            for tasks in group_waiting_tasks(self.jobs.values()):
-                tasks[0].job.changed_s = now_s
-                for task in tasks:
-                    task.end = ev.TaskEnd.EVACUATED
-                yield self.reporter.build_end_report(tasks, ev.TaskEnd.EVACUATED)
+            for tasks, end in hand_back_tasks(self.jobs.values(), now_s):
+                yield self.reporter.build_end_report(tasks, end)
 
     # Starts
 
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -98,11 +98,19 @@
         self.avoided = self.avoided | {target}
 
 
-def group_waiting_tasks(jobs: Iterable[CellJob]) -> Iterator[list[CellTask]]:
-    """Yield the waiting tasks of each step of each job."""
+def hand_back_tasks(
+    jobs: Iterable[CellJob], now_s: float
+) -> Iterator[tuple[list[CellTask], TaskEnd]]:
+    """End the waiting tasks of an evacuated cell; yield those of one end and step.
+
+    Those that have failed are not handed back: another cell would not know of it, and
+    would run them more often than the route allows.
+    """
     for job in jobs:
-        steps: dict[int, list[CellTask]] = {}
+        groups: dict[tuple[int, TaskEnd], list[CellTask]] = {}
         for task in job.tasks.values():
             if task.is_waiting:
-                steps.setdefault(task.key.step, []).append(task)
-        yield from steps.values()
+                task.end = TaskEnd.EXPIRED if task.failures else TaskEnd.EVACUATED
+                job.changed_s = now_s
+                groups.setdefault((task.key.step, task.end), []).append(task)
+        yield from ((tasks, end) for (_, end), tasks in groups.items())
