--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -35,7 +35,7 @@
 from gentianhub.capacity.suspects import Suspects
 from gentianhub.capacity.target_tracker import TargetTracker
 from gentianhub.capacity.targets import Run, RunPhase, TargetState
-from gentianhub.capacity.tasks import CellJob, CellTask, group_waiting_tasks
+from gentianhub.capacity.tasks import CellJob, CellTask, hand_back_tasks
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.core import Incarnation
 
@@ -415,11 +415,8 @@
         """End the waiting tasks while the data centre is evacuated."""
         is_evacuated = self.evacuations.is_evacuated(self.cell.data_centre)
         if self.starts.may_start and is_evacuated:
-            for tasks in group_waiting_tasks(self.jobs.values()):
-                tasks[0].job.changed_s = now_s
-                for task in tasks:
-                    task.end = ev.TaskEnd.EVACUATED
-                yield self.reporter.build_end_report(tasks, ev.TaskEnd.EVACUATED)
+            for tasks, end in hand_back_tasks(self.jobs.values(), now_s):
+                yield self.reporter.build_end_report(tasks, end)
 
     # Starts
 
