Protect only routes and classes that have lost jobs

Cause: the bound counted one loss more than there was, so that each job of a route with few jobs counted as protected and got the first rank. With more than a thousand routes priorities would have had no effect. Change: a route or class is protected once its served share is below its bound.

--- a/gentianhub/capacity/shares.py
+++ b/gentianhub/capacity/shares.py
@@ -47,18 +47,22 @@
             self._lost[key] = self._lost.get(key, 0.0) + self._weight
 
     def is_protected(self, worth: JobWorth) -> bool:
-        """Whether the loss of one more such job exceeds a bound."""
-        route, size = (worth.route, None), (worth.route, worth.size)
-        return self._find_share(route, 1) < MIN_ROUTE_FRACTION * self._find_share(
-            ALL_ROUTES
-        ) or self._find_share(size, 1) < MIN_CLASS_FRACTION * self._find_share(route)
-
-    def _find_share(self, key: ShareKey, more_losses: int = 0) -> float:
+        """Whether so many jobs of the route or class were lost that a bound is passed.
+
+        A route or class of which no job was lost is not protected: there may be more
+        than a thousand routes with few jobs each, and priorities would have no effect.
+        """
+        route = self._find_share((worth.route, None))
+        return (
+            route < MIN_ROUTE_FRACTION * self._find_share(ALL_ROUTES)
+            or self._find_share((worth.route, worth.size)) < MIN_CLASS_FRACTION * route
+        )
+
+    def _find_share(self, key: ShareKey) -> float:
         arrived = self._arrived.get(key, 0.0)
         if not arrived:
-            return 0.0
-        lost = self._lost.get(key, 0.0) + more_losses * self._weight
-        return max(0.0, 1 - lost / arrived)
+            return 1.0
+        return max(0.0, 1 - self._lost.get(key, 0.0) / arrived)
 
     def _advance(self, now_s: float) -> None:
         if self._updated_s is not None and now_s > self._updated_s:
--- a/gentianhub/capacity/tests/test_refusals.py
+++ b/gentianhub/capacity/tests/test_refusals.py
@@ -168,6 +168,23 @@
         self.assertGreaterEqual(served[SizeClass.LARGEST], 0.5 * route)
         self.assertGreater(MIN_CLASS_FRACTION, 0.5)
 
+    def test_a_route_that_lost_nothing_is_not_protected(self):
+        """Priorities would have no effect with many routes of few jobs each."""
+        shares = ServedShares()
+        for number in range(100):
+            worth = build_worth(rank=2, route=f"rare{number}")
+            self.assertFalse(shares.is_protected(worth))
+            shares.record_arrival(worth, NOW_S + number)
+            self.assertFalse(shares.is_protected(worth))
+
+    def test_a_rare_route_that_lost_its_job_is_protected(self):
+        shares, rare, other = ServedShares(), build_worth(route="rare"), build_worth()
+        shares.record_arrival(rare, NOW_S)
+        shares.record_loss(rare, NOW_S)
+        for number in range(20):
+            shares.record_arrival(other, NOW_S + number)
+        self.assertTrue(shares.is_protected(rare))
+
     def test_counts_survive_a_long_time(self):
         """Weights grow exponentially and would overflow without rescaling."""
         shares, lost, served = ServedShares(), build_worth(), build_worth(route="b")
