Test that jobs which may have started are not refused

Cause: two of the conditions could be removed without a failing test: in the test of a repeated order its tasks were blocked and did not wait. Change: the test's owner knows that no earlier run exists; a test for a job whose runs were lost.

--- a/gentianhub/capacity/tests/test_load_shedding.py
+++ b/gentianhub/capacity/tests/test_load_shedding.py
@@ -10,10 +10,12 @@
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.front import FrontJobRegistry
 from gentianhub.capacity.jobs import CapacityJob, Cell, Configuration, Route
+from gentianhub.capacity.overload import may_refuse
 from gentianhub.capacity.ownership import CellOwner
 from gentianhub.capacity.retries import choose_retry_after_s
 from gentianhub.capacity.routing import LoadView
 from gentianhub.capacity.submissions import OwnersChanged, SubmitCapacityJob
+from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.capacity.tests.builders import (
     CELL,
     FRONT_HOST,
@@ -35,7 +37,11 @@
 
     def __init__(self, jobs: int, priorities=PRIORITIES, **options):
         targets = [build_target(f"t{n}") for n in range(TARGETS)]
-        self.driver = SchedulerDriver(targets, list_priorities=lambda: priorities)
+        self.driver = SchedulerDriver(
+            targets,
+            handover=Handover(kind=HandoverKind.DRAINED),
+            list_priorities=lambda: priorities,
+        )
         self.driver.now_s += 0.05
         self.effects = self.driver.feed(ev.Tick())
         for number in range(jobs):
@@ -106,7 +112,19 @@
 
     def test_a_job_that_an_earlier_owner_may_have_started_is_not_refused(self):
         """Its front host could not answer that nothing has run."""
-        self.assertEqual([], Burst(jobs=60, is_repeat=True).shed)
+        burst = Burst(jobs=60, is_repeat=True)
+        burst.tick()
+        self.assertTrue(find_starts(burst.effects))
+        self.assertEqual([], burst.shed)
+
+    def test_a_job_whose_runs_were_lost_is_not_refused(self):
+        """All its tasks wait again, but its front host can't answer "not run"."""
+        jobs = Burst(jobs=12).driver.scheduler.jobs.values()
+        job = next(job for job in jobs if not job.has_started)
+        tasks = list(job.tasks.values())
+        self.assertTrue(may_refuse(tasks))
+        job.possible_runs = 1
+        self.assertFalse(may_refuse(tasks))
 
     def test_a_part_of_a_job_is_not_refused(self):
         """Another cell may have started the other part."""
