Count the wait for a request from its first byte

Cause: a caller that had kept its connection for long was the first to be closed for a new one, also while its next request was being read. Change: the time since which a client is waited for starts anew with the first byte of a request. Result: a new test fails without the change and passes with it; 12 tests of the table pass.

--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -67,7 +67,8 @@
     """One connection, owned by the greenlet that handles it.
 
     `held_bytes` have been read and are not answered. `since_s` and `deadline_s` are
-    monotonic times: of the end of the last request, and of the end of the phase.
+    monotonic times: since when the client has been waited for, that is for a request,
+    for the rest of one or to take an answer, and until when it is.
     """
 
     sock: Any
@@ -101,7 +102,8 @@
         """
         if self.phase is Phase.WAITING and size:
             self.phase = Phase.READING
-            self.deadline_s = read_monotonic_s() + self.limits.header_timeout_s
+            self.since_s = read_monotonic_s()
+            self.deadline_s = self.since_s + self.limits.header_timeout_s
         if self.is_evicted or not self.table.reserve(self, size):
             raise RequestRefused(503, OVER_BUDGET)
 
--- a/gentianhub/web/tests/test_connections.py
+++ b/gentianhub/web/tests/test_connections.py
@@ -112,6 +112,16 @@
         self.assertIsNotNone(self.admit(table))
         self.assertEqual([False, True, False], [c.is_evicted for c in old])
 
+    def test_a_request_that_has_begun_is_not_closed_for_its_idle_time(self):
+        """A caller that had kept its connection for long would lose its request."""
+        table = ConnectionTable(max_connections={PORT: 2})
+        kept, silent = self.admit(table), self.admit(table)
+        kept.since_s -= 20.0
+        silent.since_s -= 5.0
+        kept.receive(100)
+        self.assertIsNotNone(self.admit(table))
+        self.assertEqual((False, True), (kept.is_evicted, silent.is_evicted))
+
     def test_the_address_with_most_connections_loses_one(self):
         table = ConnectionTable(max_connections={PORT: 4})
         single = self.admit(table, "192.0.2.2")
