Refuse jobs with too many steps before decoding them

Cause: a body of 256 KiB holds 87,000 empty steps. All of them were decoded before their number was checked: 0.80 s of processor time and 22 MB, in the greenlet that also renews leases. Change: their number is checked first.

--- a/gentianhub/platform/callers.py
+++ b/gentianhub/platform/callers.py
@@ -48,6 +48,9 @@
     if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise FieldError(f"spec: expected at most {MAX_PAYLOAD_BYTES} bytes")
     phases = read_field(decoded, "phases", list)
+    # Each step has a task. Decoding all steps of a body of 256 KiB first took 0.8 s.
+    if len(phases) > MAX_TASKS:
+        raise FieldError(f"phases: expected at most {MAX_TASKS} steps")
     steps = tuple(
         _decode_step(position, phase) for position, phase in enumerate(phases)
     )
