Look up the room of links when a cancel is passed on

Cause: 10 tests of the timer and of the list of targets use links that have no has_room, which the coordinator looked up at its start. Change: it is looked up at its use, as the other functions of the cancellations are.

--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -142,7 +142,7 @@
                 find_lost=lambda names, now_s: self.membership.find_lost(names, now_s),
                 find_linked=self.links.find_linked,
                 find_owners=self._find_other_owners,
-                has_room=self.links.has_room,
+                has_room=lambda peer: self.links.has_room(peer),
             ),
             cancel_in_cells=lambda job, now_s: self.cells.cancel_job(job, now_s),
             find_heard_heartbeat=lambda owner: self.open_jobs.progress.find_heartbeat(
