Hand admitted connections to gevent's own handling

Cause: test_nagle_is_disabled_on_both_sides watches WSGIServer.handle, which the server with limits no longer called; the test failed in the whole suite. Change: the server calls it again, and the handler finds its connection by its socket. The test is unchanged.

--- a/gentianhub/web/bounded_requests.py
+++ b/gentianhub/web/bounded_requests.py
@@ -51,10 +51,12 @@
     A refusal is answered, and the connection is closed once the answer can arrive.
     """
 
-    def __init__(self, connection: ClientConnection, address, server):
-        self.connection = connection
-        reader = io.BufferedReader(ConnectionReader(connection))
-        super().__init__(connection.sock, address, server, reader)
+    connection: ClientConnection
+
+    def __init__(self, sock, address, server):
+        self.connection = server.admitted[sock]
+        reader = io.BufferedReader(ConnectionReader(self.connection))
+        super().__init__(sock, address, server, reader)
 
     def handle_one_request(self):
         """Handle one request; return True if another one may follow."""
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -22,7 +22,7 @@
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.web.bodies import BodyError
 from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
-from gentianhub.web.connections import ConnectionTable
+from gentianhub.web.connections import ClientConnection, ConnectionTable
 
 # Connections that have been closed for others and have not ended yet.
 SPARE_CONNECTIONS = 32
@@ -273,7 +273,8 @@
 class _NoDelayServer(WSGIServer):
     """WSGI server with TCP_NODELAY, probes and limits on its connections.
 
-    `connections` are those of the process, and `port` names the port there.
+    `connections` are those of the process, and `port` names the port there. `admitted`
+    are those of this server by socket.
     """
 
     handler_class = _BoundedHandler
@@ -281,6 +282,7 @@
     def __init__(self, *args, connections: ConnectionTable, port: str, **kwargs):
         super().__init__(*args, **kwargs)
         self.connections = connections
+        self.admitted: dict[Any, ClientConnection] = {}
         self.port = port
 
     def handle(self, sock, address):
@@ -295,7 +297,11 @@
             for name, value in KEEPALIVE_OPTIONS:
                 sock.setsockopt(socket.IPPROTO_TCP, name, value)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            self.handler_class(connection, address, self).handle()
+            self.admitted[sock] = connection
+            try:
+                super().handle(sock, address)
+            finally:
+                del self.admitted[sock]
 
 
 def build_application(
--- a/gentianhub/web/tests/scripted_clients.py
+++ b/gentianhub/web/tests/scripted_clients.py
@@ -100,7 +100,8 @@
         )
         server.environ = {}
         with self.table.admit(sock, ADDRESS[0], PORT) as connection:
-            handler = _BoundedHandler(connection, ADDRESS, server)
+            server.admitted[sock] = connection
+            handler = _BoundedHandler(sock, ADDRESS, server)
             handler.handle_error = lambda *error: self.errors.append(error)
             handler.handle()
         return sock
