--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import sys
+import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from functools import lru_cache
@@ -15,13 +16,13 @@
 from attrs import Factory, define, field, frozen
 from gevent import get_hub
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 
 from gentianhub.core import send_message
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.web.bodies import BodyError
 from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
-from gentianhub.web.connections import ConnectionTable
+from gentianhub.web.connections import ClientConnection, ConnectionTable
 
 # Connections that have been closed for others and have not ended yet.
 SPARE_CONNECTIONS = 32
@@ -169,6 +170,12 @@
     return key[5:].replace("_", "-").lower()
 
 
+# All responses of a second have the same date.
+@lru_cache(maxsize=2)
+def _format_date(unix_s: int) -> bytes:
+    return format_date_time(unix_s)
+
+
 @define(kw_only=True, eq=False)
 class _ReplayedLines:
     """File that returns lines which have been read already, and then the others."""
@@ -220,6 +227,12 @@
         environ[CONNECTION_KEY] = self.socket
         return environ
 
+    def finalize_headers(self):
+        if self.provided_date is None:
+            self.provided_date = _format_date(int(time.time()))
+            self.response_headers.append((b"Date", self.provided_date))
+        super().finalize_headers()
+
     def _write_with_headers(self, data):
         """Send head and body in one call; two of them would be two packets."""
         self.headers_sent = True
@@ -260,7 +273,8 @@
 class _NoDelayServer(WSGIServer):
     """WSGI server with TCP_NODELAY, probes and limits on its connections.
 
-    `connections` are those of the process, and `port` names the port there.
+    `connections` are those of the process, and `port` names the port there. `admitted`
+    are those of this server by socket.
     """
 
     handler_class = _BoundedHandler
@@ -268,6 +282,7 @@
     def __init__(self, *args, connections: ConnectionTable, port: str, **kwargs):
         super().__init__(*args, **kwargs)
         self.connections = connections
+        self.admitted: dict[Any, ClientConnection] = {}
         self.port = port
 
     def handle(self, sock, address):
@@ -282,7 +297,11 @@
             for name, value in KEEPALIVE_OPTIONS:
                 sock.setsockopt(socket.IPPROTO_TCP, name, value)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            self.handler_class(connection, address, self).handle()
+            self.admitted[sock] = connection
+            try:
+                super().handle(sock, address)
+            finally:
+                del self.admitted[sock]
 
 
 def build_application(
