Shed load only where the deploy file asks for it

Change: GENTIANHUB_LOAD_SHEDDING in the role's environment switches it on, and it is off by default.

--- a/gentianhub/capacity/waiting.py
+++ b/gentianhub/capacity/waiting.py
@@ -78,15 +78,6 @@
         start_s = task.cutoff_start_s if is_late else task.sort_key_s
         return task.job.rank, is_late, start_s
 
-    def _has_become_late(self, key: Any, task, now_s: float) -> bool:
-        """Whether a task that was on time when it got its key no longer is."""
-        match self.order:
-            case PriorityOrder():
-                _, was_late, _ = key
-                return not was_late and self._is_demoted(task, now_s)
-            case SlackOrder():
-                return self._is_demoted(task, now_s)
-
     def _is_demoted(self, task, now_s: float) -> bool:
         if now_s > task.objective_start_s:
             task.job.is_late = True
--- a/gentianhub/host/configuration.py
+++ b/gentianhub/host/configuration.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from gentianhub.capacity.events import ConfigurationOffer
-from gentianhub.capacity.jobs import Configuration
+from gentianhub.capacity.jobs import Configuration, Route
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.content import ConfigurationDecoder
@@ -25,8 +25,11 @@
     A host that cannot read the store requests the configuration from one other host at
     a time. When all others sent it with each heartbeat, a configuration of 1,330 routes
     filled the links of such hosts, and the heartbeats behind it were late.
+
+    `sheds_load` is whether jobs are refused by priority when they don't fit.
     """
 
+    sheds_load: bool = False
     current: Configuration | None = None
     content: bytes = b""
     _decoder: ConfigurationDecoder = field(
@@ -46,8 +49,12 @@
         return self.current.limits if self.current else RequestLimits()
 
     def list_priorities(self) -> tuple[int, ...]:
-        """Return the priorities of the routes, sorted."""
-        return self.current.priorities if self.current else ()
+        """Return the priorities of the routes, sorted; none without load shedding."""
+        return self.current.priorities if self.sheds_load and self.current else ()
+
+    def find_rank(self, route: Route) -> int | None:
+        """Return the rank of a route's priority; None without load shedding."""
+        return self.current.find_rank(route) if self.sheds_load else None
 
     def build_offers(self) -> Iterator[ConfigurationOffer]:
         """Yield the configuration for another host, if there is one."""
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -101,9 +101,7 @@
     read_suspended_s: Callable[[], float] = read_suspended_s
     bounds_evacuations: bool = True
     metrics: HostMetrics = field(init=False, factory=lambda: HostMetrics())
-    configuration: ConfigurationCache = field(
-        init=False, factory=lambda: ConfigurationCache()
-    )
+    configuration: ConfigurationCache = field(factory=lambda: ConfigurationCache())
     evacuations: HostEvacuations = field(init=False)
     outbox: Outbox = field(init=False)
     requests: RequestHandler = field(init=False)
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -33,6 +33,7 @@
     build_connection_table,
     choose_max_handshakes,
 )
+from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.coordinator import Coordinator
 from gentianhub.host.encoding import build_codec
 from gentianhub.host.links import HostLinks
@@ -79,6 +80,7 @@
             target_polls=Mailbox(limit=1),
             links=self._build_links(),
             bounds_evacuations=self.settings.evacuate_s is not None,
+            configuration=ConfigurationCache(sheds_load=self.settings.sheds_load),
         )
         self.callers = CallerHandler(
             coordinator=self.mailbox, is_draining=lambda: self.coordinator.is_draining
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -191,7 +191,7 @@
             route=route,
             wait_s=request.wait_s or route.timeout_s or DEFAULT_WAIT_S,
             reply_to=request.reply_to,
-            rank=self.configuration.current.find_rank(route),
+            rank=self.configuration.find_rank(route),
         )
         self.handle_event(submit, now_s)
 
--- a/gentianhub/host/tests/test_configuration.py
+++ b/gentianhub/host/tests/test_configuration.py
@@ -64,6 +64,19 @@
         late_s = 10.2 + REQUEST_DELAY_S + REQUEST_TIMEOUT_S
         self.assertTrue(self.cache.should_request(2, late_s))
 
+    def test_priorities_count_only_with_load_shedding(self):
+        """Deployments that do not ask for it are served as before."""
+        routes = [
+            {"name": name, "host": "h", "prefix": "/", "service": "s", "priority": rank}
+            for rank, name in enumerate("ab")
+        ]
+        content = json.dumps({"version": 2, "routes": routes}).encode()
+        for sheds_load, priorities, rank in ((False, (), None), (True, (0, 1), 1)):
+            cache = ConfigurationCache(sheds_load=sheds_load)
+            cache.adopt(content, "store")
+            self.assertEqual(priorities, cache.list_priorities())
+            self.assertEqual(rank, cache.find_rank(cache.current.routes[1]))
+
     def test_a_host_without_a_configuration_asks_at_once(self):
         """It can serve no caller before."""
         self.assertTrue(ConfigurationCache().should_request(2, 10.0))
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -21,6 +21,8 @@
 )
 
 SETTINGS_VARIABLE = "GENTIANHUB_BOOT"
+# Set to "on" in the deploy file for load shedding by priority.
+LOAD_SHEDDING_VARIABLE = "GENTIANHUB_LOAD_SHEDDING"
 MAX_NAME_LENGTH = 31
 MAX_PORT = 2**16 - 1
 # Machine of a host whose settings do not describe it.
@@ -50,7 +52,8 @@
     caller whose connection broke comes again after `caller_return_s`; a target stops a
     run within `stop_s` and grants leases of up to `max_lease_s`. The process may use
     `memory_mb` and open `max_fds` file descriptors. `evacuate_s` bounds the starts in
-    a data centre after its evacuation; None if the platform sets none.
+    a data centre after its evacuation; None if the platform sets none. `sheds_load` is
+    whether overload refuses jobs by priority, deadline and work.
     """
 
     name: ProcessName
@@ -68,6 +71,7 @@
     memory_mb: float
     max_fds: int
     evacuate_s: float | None = None
+    sheds_load: bool = False
 
 
 def load_host_settings() -> HostSettings:
@@ -123,6 +127,7 @@
             if "evacuate_ms" in bounds
             else None
         ),
+        sheds_load=os.environ.get(LOAD_SHEDDING_VARIABLE) == "on",
     )
 
 
--- a/gentianhub/platform/tests/test_settings.py
+++ b/gentianhub/platform/tests/test_settings.py
@@ -8,6 +8,7 @@
 
 from gentianhub.core import SettingsError
 from gentianhub.platform.settings import (
+    LOAD_SHEDDING_VARIABLE,
     SETTINGS_VARIABLE,
     HostSettings,
     load_host_settings,
@@ -40,6 +41,10 @@
         self.assertEqual(0.9, settings.caller_return_s)
         self.assertEqual(0.0705, settings.stop_s)
 
+    def test_a_bound_on_evacuations_is_read_if_there_is_one(self):
+        self.assertEqual(5.0, self.load("[bounds]\nevacuate_ms = 5000\n").evacuate_s)
+        self.assertIsNone(self.load("").evacuate_s)
+
     def test_bounds_may_be_missing(self):
         settings = self.load("")
         self.assertEqual((1.3, 0.05), (settings.caller_return_s, settings.stop_s))
@@ -49,6 +54,13 @@
         with self.assertRaisesRegex(SettingsError, "resend_ms"):
             self.load("[bounds]\nresend_ms = true\n")
 
+    def test_load_shedding_is_off_unless_it_is_asked_for(self):
+        """Deployments that do not ask for it are served as before."""
+        self.assertFalse(self.load("").sheds_load)
+        for value, expected in (("on", True), ("", False), ("yes", False)):
+            with mock.patch.dict(os.environ, {LOAD_SHEDDING_VARIABLE: value}):
+                self.assertIs(expected, self.load("").sheds_load)
+
 
 if __name__ == "__main__":
     unittest.main()
