--- a/gentianhub/host/tests/test_metrics.py
+++ b/gentianhub/host/tests/test_metrics.py
@@ -60,7 +60,7 @@
             self.assertIn(part, text)
 
     def test_a_start_does_not_import_the_library(self):
-        code = "import sys, gentianhub.host.main; print(sorted(sys.modules))"
+        code = "import sys, gentianhub.host.__main__; print(sorted(sys.modules))"
         done = subprocess.run(
             [sys.executable, "-c", code], capture_output=True, text=True, check=True
         )
--- a/gentianhub/stand_ins/suspendable_host.py
+++ b/gentianhub/stand_ins/suspendable_host.py
@@ -16,7 +16,7 @@
 import time
 from pathlib import Path
 
-from gentianhub.host.main import run
+from gentianhub.host.__main__ import run
 
 _OFFSET = struct.Struct("d")
 
