Tell the state of evacuations only where it is of use

Cause: each heartbeat carried a version that no deployment without a bound on evacuations needs; its host compared sets and wrote a metric for each. Change: without a bound, the state is told from the first evacuation on, and an old one is dropped at once.

--- a/gentianhub/capacity/evacuations.py
+++ b/gentianhub/capacity/evacuations.py
@@ -27,6 +27,9 @@
     data_centres: frozenset[str] = frozenset()
 
 
+UNKNOWN = Evacuations()
+
+
 @frozen(kw_only=True)
 class EvacuationChanges:
     """Data centres whose evacuation has begun or ended."""
@@ -55,12 +58,23 @@
     is_bounded: bool = True
     current: Evacuations = field(init=False, factory=lambda: Evacuations())
     _resumed_s: float = field(init=False, default=float("-inf"))
+    _has_known_any: bool = field(init=False, default=False)
+
+    @property
+    def announced(self) -> Evacuations:
+        """The state for other hosts.
+
+        Where starts do not wait for it, nothing is told before the first evacuation.
+        """
+        is_of_use = self.is_bounded or self._has_known_any
+        return self.current if is_of_use else UNKNOWN
 
     def adopt(self, other: Evacuations) -> EvacuationChanges:
         """Keep a state if it is newer; return what has changed with it."""
         if other.version <= self.current.version:
             return EvacuationChanges()
         earlier, self.current = self.current.data_centres, other
+        self._has_known_any = self._has_known_any or bool(other.data_centres)
         return EvacuationChanges(
             begun=other.data_centres - earlier, ended=earlier - other.data_centres
         )
--- a/gentianhub/capacity/tests/test_evacuations.py
+++ b/gentianhub/capacity/tests/test_evacuations.py
@@ -126,6 +126,17 @@
         self.driver.now_s = MAX_UNKNOWN_S
         self.assertEqual(1, len(find_starts(self.driver.feed(ev.Tick()))))
 
+    def test_without_a_bound_hosts_tell_the_state_from_the_first_evacuation_on(self):
+        """Each heartbeat would carry a state that nobody uses; a removed row has to be
+        told to hosts that have heard of it."""
+        known = KnownEvacuations(is_bounded=False)
+        states = [(5, frozenset()), (6, OLTEN), (7, frozenset())]
+        told = []
+        for version, names in states:
+            known.adopt(Evacuations(version=version, data_centres=names))
+            told.append(known.announced.version)
+        self.assertEqual([0, 6, 7], told)
+
     def test_without_a_bound_on_evacuations_the_first_start_does_not_wait(self):
         """A store that is away would delay deployments that know no evacuations."""
         known = KnownEvacuations(started_s=0.0, is_bounded=False)
--- a/gentianhub/host/encoding.py
+++ b/gentianhub/host/encoding.py
@@ -10,7 +10,7 @@
 import capnp
 
 from gentianhub.capacity import events as ev
-from gentianhub.capacity.evacuations import Evacuations
+from gentianhub.capacity.evacuations import UNKNOWN, Evacuations
 from gentianhub.capacity.jobs import Cell, JobStep, ListedTarget, TaskKey
 from gentianhub.capacity.resources import Resources
 from gentianhub.linking.frames import MalformedMessage
@@ -125,8 +125,17 @@
         "canOwn": heartbeat.can_own,
         "isIdle": heartbeat.is_idle,
         "requestsOpenJobs": heartbeat.requests_open_jobs,
-        "evacuationsVersion": _clamp(heartbeat.evacuations.version, MAX_UINT64),
-        "evacuatedDataCentres": sorted(heartbeat.evacuations.data_centres),
+        **_build_evacuations(heartbeat.evacuations),
+    }
+
+
+def _build_evacuations(evacuations: Evacuations) -> dict:
+    """Return the fields of a heartbeat that tell a known state."""
+    if not evacuations.version:
+        return {}
+    return {
+        "evacuationsVersion": _clamp(evacuations.version, MAX_UINT64),
+        "evacuatedDataCentres": sorted(evacuations.data_centres),
     }
 
 
@@ -289,13 +298,18 @@
         can_own=get("canOwn"),
         is_idle=get("isIdle"),
         requests_open_jobs=get("requestsOpenJobs"),
-        evacuations=Evacuations(
-            version=get("evacuationsVersion"),
-            data_centres=frozenset(get("evacuatedDataCentres")),
-        ),
+        evacuations=_read_evacuations(get),
     )
 
 
+def _read_evacuations(get) -> Evacuations:
+    version = get("evacuationsVersion")
+    if not version:
+        return UNKNOWN
+    data_centres = frozenset(get("evacuatedDataCentres"))
+    return Evacuations(version=version, data_centres=data_centres)
+
+
 def _read_claim(content) -> ev.CellClaim:
     get = content._get
     return ev.CellClaim(
--- a/gentianhub/host/evacuations.py
+++ b/gentianhub/host/evacuations.py
@@ -44,6 +44,8 @@
 
     def adopt(self, evacuations: Evacuations, source: str) -> bool:
         """Keep a newer state; return whether an evacuation has begun or ended."""
+        if evacuations.version <= self.known.current.version:
+            return False
         changes = self.known.adopt(evacuations)
         for data_centre in sorted(changes.begun):
             _log_change("evacuation adopted", data_centre, source, evacuations)
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -161,7 +161,7 @@
             can_own=self.ownership.can_own,
             is_idle=is_idle,
             requests_open_jobs=requests_open_jobs,
-            evacuations=self.evacuations.current,
+            evacuations=self.evacuations.announced,
         )
         body = encode_message(heartbeat)
         for peer in peers:
