Count the objects that heads become, and what a connection costs

Cause: only bytes that were read were counted. Of a head that wasn't complete both the lines and the text of each header were kept; a header costs about 250 bytes apart from its text, sections of more than 50 headers went through the parser of the mail library and took twice as much, and the copies of the path were not counted.

Change: a section is read as one text and parsed once it is complete; the own parser takes sections up to the 99 headers that http.client accepts. Each header counts 384 bytes and the path three more copies, a connection 32 KiB. The counted memory is the metric gentianhub_host_client_bytes.

Evidence: the new test_counted_memory compares the growth of the process with that of the count for twelve kinds of clients; the bound is the share of the memory that the budget leaves to the allocator.

--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -80,6 +80,11 @@
             "Data centres that this host takes for evacuated",
             value=metrics.evacuations,
         )
+        yield GaugeMetricFamily(
+            "gentianhub_host_client_bytes",
+            "Memory counted for connections of clients and what they have sent",
+            value=metrics.read_client_bytes(),
+        )
         yield self._collect_responses()
 
     def _collect_responses(self) -> GaugeMetricFamily:
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -1,6 +1,7 @@
 """Counters of one host, served on its metrics address."""
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
@@ -12,7 +13,10 @@
 
 @define(kw_only=True, eq=False)
 class HostMetrics:
-    """Counters owned by the coordinator; read through `render_text`."""
+    """Counters owned by the coordinator; read through `render_text`.
+
+    `read_client_bytes` returns the memory that is counted for clients.
+    """
 
     starts: int = 0
     stops: Counter = field(factory=Counter)
@@ -30,6 +34,7 @@
     longest_pause_s: float = 0.0
     suspended_s: float = 0.0
     evacuations: int = 0
+    read_client_bytes: Callable[[], int] = lambda: 0
     response_ms: dict[str, HdrHistogram] = field(
         factory=lambda: defaultdict(create_response_histogram)
     )
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -223,6 +223,7 @@
             lambda: self.coordinator.configuration.limits,
             self.coordinator.metrics.refusals,
         )
+        self.coordinator.metrics.read_client_bytes = lambda: connections.held_bytes
         try:
             with (
                 serve_operations(
--- a/gentianhub/host/tests/host_processes.py
+++ b/gentianhub/host/tests/host_processes.py
@@ -136,6 +136,14 @@
         finally:
             client.close()
 
+    def fetch(self, address: str, port: int, path: str) -> str:
+        """Return the text that a host answers."""
+        client = HTTPClient(address, port, network_timeout=10.0)
+        try:
+            return client.get(path).read().decode()
+        finally:
+            client.close()
+
     def submit(self, number: int, address: str = "") -> int:
         phases = [{"count": 2, "cpu": 3000, "mem_mb": 16, "estimate_ms": 50}]
         job = {"spec": "text", "best_effort": True, "phases": phases}
--- a/gentianhub/web/bounded_requests.py
+++ b/gentianhub/web/bounded_requests.py
@@ -10,11 +10,12 @@
 from gentianhub.web.bodies import RequestBody
 from gentianhub.web.connections import ClientConnection, Phase, RequestRefused
 from gentianhub.web.request_reader import (
+    HEADERS_TOO_LARGE,
     ConnectionReader,
-    LimitedLines,
     check_framing,
     has_plain_framing,
     read_request_line,
+    read_section,
 )
 
 # Time for a client to take a part of its answer, s.
@@ -24,7 +25,10 @@
 LINGER_BYTES = 4 * 2**20
 LINGER_S = 5.0
 END_OF_HEAD = b"\r\n\r\n"
-HEADERS_TOO_LARGE = "headers too large"
+# Memory of the objects that a header becomes, apart from its text.
+HEADER_BYTES = 384
+# Copies of the request line in the environment, apart from the line itself.
+LINE_COPIES = 3
 STATUS_LINES = {
     400: b"400 Bad Request",
     408: b"408 Request Timeout",
@@ -83,24 +87,18 @@
             return b""
 
     def MessageClass(self, rfile, *_):
-        """Return the headers.
-
-        The size of each line is counted unless all are in the buffer already.
-        """
-        limit = self.connection.limits.max_header_bytes
+        """Return the headers."""
+        connection = self.connection
+        limit = connection.limits.max_header_bytes
         buffered = rfile.peek()
         end = buffered.find(END_OF_HEAD)
-        headers = None
         if 0 <= end <= limit - len(END_OF_HEAD):
-            headers = self.parse_section(buffered[: end + 2])
+            section = rfile.read(end + len(END_OF_HEAD))
         else:
-            rfile = LimitedLines(
-                rest=rfile, left=limit, status=431, reason=HEADERS_TOO_LARGE
-            )
+            section = read_section(rfile, limit)
+        headers = self.parse_section(section)
         if headers is None:
-            headers = super().MessageClass(rfile)
-        else:
-            rfile.read(end + len(END_OF_HEAD))
+            headers = super().MessageClass(io.BytesIO(section))
         if not has_plain_framing(headers):
             check_framing(headers.items())
         return headers
@@ -110,7 +108,13 @@
         return None
 
     def get_environ(self):
-        """Return the WSGI environment, with a body that has limits."""
+        """Return the WSGI environment, with a body that has limits.
+
+        The objects that the head has become are counted beside its text.
+        """
+        self.connection.receive(
+            HEADER_BYTES * len(self.headers.items()) + LINE_COPIES * len(self.path)
+        )
         environ = super().get_environ()
         is_chunked = "HTTP_TRANSFER_ENCODING" in environ
         expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -16,7 +16,7 @@
 from gentianhub.core.request_limits import RequestLimits
 
 # Memory of a connection apart from what it sends: greenlet, socket, handler and buffer.
-CONNECTION_BYTES = 24 * 1024
+CONNECTION_BYTES = 32 * 1024
 # Requests up to this size may use the whole budget. The text of a job has 4,000 bytes.
 ORDINARY_BYTES = 16 * 1024
 # Part of the budget that larger requests may use.
--- a/gentianhub/web/request_reader.py
+++ b/gentianhub/web/request_reader.py
@@ -18,6 +18,7 @@
 # Reads that fill the buffer after which other connections run.
 MAX_FULL_READS = 8
 MAX_LENGTH_DIGITS = 18
+HEADERS_TOO_LARGE = "headers too large"
 _LENGTH_PATTERN = re.compile(rf"[0-9]{{1,{MAX_LENGTH_DIGITS}}}")
 
 
@@ -106,6 +107,27 @@
     raise RequestRefused(400, "empty lines before a request")
 
 
+def read_section(rfile, max_bytes: int) -> bytes:
+    """Return the lines of a header section with the empty line at its end.
+
+    The end is missing if the connection ends before it.
+
+    Raises
+    ------
+    RequestRefused
+        If the section has more than `max_bytes`.
+    """
+    lines = LimitedLines(
+        rest=rfile, left=max_bytes, status=431, reason=HEADERS_TOO_LARGE
+    )
+    section = bytearray()
+    while line := lines.readline():
+        section += line
+        if line in (b"\r\n", b"\n"):
+            break
+    return bytes(section)
+
+
 def has_plain_framing(headers) -> bool:
     """Whether headers that may have repeated names have one length or none."""
     if getattr(headers, "has_repeated_names", True):
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -61,8 +61,8 @@
 
 # Longest line that http.client accepts in a header section, bytes.
 MAX_HEADER_LINE = 65_536
-# Sections with more lines are left to http.client, which accepts a hundred.
-MAX_PLAIN_HEADERS = 50
+# http.client accepts a hundred lines with the empty one, and refuses longer sections.
+MAX_PLAIN_HEADERS = 99
 _PLAIN_HEADER_PATTERN = re.compile(
     rb"([!#$%&'*+.^`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*)\r\n"
 )
@@ -263,10 +263,11 @@
     """Handler whose requests have limits."""
 
     def parse_section(self, section: bytes) -> PlainHeaders | None:
-        """Return the headers of a section whose lines are all plain."""
+        """Return the headers of a complete section whose lines are all plain."""
         rows = _PLAIN_SECTION_PATTERN.findall(section.decode("latin-1"))
         # Each match is one line, so that equal numbers leave no other line.
-        is_plain = len(rows) == section.count(b"\n") <= MAX_PLAIN_HEADERS
+        lines = section.count(b"\n") - 1
+        is_plain = len(rows) == lines <= MAX_PLAIN_HEADERS
         return PlainHeaders(rows=rows) if is_plain else None
 
 
--- a/tools/tests.py
+++ b/tools/tests.py
@@ -26,6 +26,7 @@
 # Modules that run one at a time after all others, because they load the machine.
 LONE_MODULES = (
     "gentianhub.host.tests.test_client_crowds",
+    "gentianhub.host.tests.test_counted_memory",
     "gentianhub.host.tests.test_hostile_clients",
 )
 # Names the file to which the process of one module writes its outcomes.
