Count what ended requests hold until it is dropped

Callers saw: with the memory of a host full, a request was read into room that another one still held; and ordinary requests were refused with 503 once idle connections alone filled the budget.

Cause: the bytes of a request that ends for another one were released in the count at once, and in the process only when its greenlet ran. Connections without a request were never closed for the bytes of one.

Change: the bytes of an ended request stay counted until its owner has dropped them, apart from the room for others, and readers let such owners run first. For an ordinary request, idle connections are closed before requests like it end.

Evidence: new cases of test_connections; two of three fail on the code before (the bytes were gone at once; the ordinary request was refused).

--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -147,6 +147,14 @@
         Returns the present limits of a request.
     refusals : Counter
         Refused requests and closed connections by reason.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Memory of all connections, and of what was read from them and is not dropped.
+    ending_bytes : int
+        Part of it that belongs to requests which were ended for others, and that their
+        owners have yet to drop.
     """
 
     max_bytes: int = sys.maxsize
@@ -155,6 +163,7 @@
     read_limits: Callable[[], RequestLimits] = RequestLimits
     refusals: Counter = field(factory=Counter)
     held_bytes: int = field(init=False, default=0)
+    ending_bytes: int = field(init=False, default=0)
     _connections: dict[ClientConnection, None] = field(init=False, factory=dict)
     _counts: Counter = field(init=False, factory=Counter)
     _logged_s: float = field(init=False, default=float("-inf"))
@@ -196,8 +205,7 @@
 
         Bytes without room stay counted until the caller has dropped them.
         """
-        connection.held_bytes += size
-        self.held_bytes += size
+        self._count(connection, size)
         if self.held_bytes <= self.max_bytes * LARGE_SHARE:
             return True
         return self._make_room_for_bytes(connection)
@@ -205,9 +213,13 @@
     def release(self, connection: ClientConnection, size: int | None = None) -> None:
         """Stop counting bytes of a connection, or all of them."""
         size = connection.held_bytes if size is None else size
-        size = min(size, connection.held_bytes)
-        connection.held_bytes -= size
-        self.held_bytes -= size
+        self._count(connection, -min(size, connection.held_bytes))
+
+    def _count(self, connection: ClientConnection, size: int) -> None:
+        connection.held_bytes += size
+        self.held_bytes += size
+        if connection.is_evicted:
+            self.ending_bytes += size
 
     def record_refusal(self, reason: str) -> None:
         """Count a refusal; log the counts from time to time."""
@@ -227,22 +239,34 @@
         )
 
     def _make_room_for_bytes(self, connection: ClientConnection) -> bool:
-        """End the largest requests that are being read until the bytes fit."""
+        """End the largest requests that are being read until the bytes fit.
+
+        For an ordinary one, connections without a request end before others like it.
+        """
         is_ordinary = connection.held_bytes <= ORDINARY_BYTES
         limit = self.max_bytes if is_ordinary else self.max_bytes * LARGE_SHARE
-        while self.held_bytes > limit:
+        while self.held_bytes - self.ending_bytes > limit:
             victim = self._find_largest(connection)
+            if is_ordinary and victim.held_bytes <= ORDINARY_BYTES:
+                if self._close_oldest(self._find_idle()):
+                    continue
             if victim is connection:
                 return False
             self._end_request(victim)
         return True
 
+    def _find_idle(self) -> list[ClientConnection]:
+        """Return the connections that have no request."""
+        idle = (Phase.WAITING, Phase.CLOSING)
+        return [c for c in self._connections if c.phase in idle]
+
     def _find_largest(self, requester: ClientConnection) -> ClientConnection:
         """Return the largest request of the address that holds most."""
         candidates = [
             connection
             for connection in self._connections
             if connection.held_bytes
+            and not connection.is_evicted
             and connection.phase in (Phase.READING, Phase.WRITING)
         ]
         if requester not in candidates:
@@ -256,9 +280,12 @@
         )
 
     def _end_request(self, connection: ClientConnection) -> None:
-        """Make the owner of a connection give up its request."""
-        self.release(connection)
+        """Make the owner of a connection give up its request.
+
+        Its bytes stay counted until the owner has dropped them.
+        """
         connection.is_evicted = True
+        self.ending_bytes += connection.held_bytes
         if connection.phase is Phase.WRITING:
             self._shut_down(connection)
         else:
@@ -270,7 +297,8 @@
     def _make_room_for_connection(self, port: str, limit: int) -> bool:
         """Close connections that wait longest, if a port or the memory is full."""
         is_port_full = self._counts[port] >= limit
-        if not is_port_full and self.held_bytes + CONNECTION_BYTES <= self.max_bytes:
+        held_bytes = self.held_bytes - self.ending_bytes
+        if not is_port_full and held_bytes + CONNECTION_BYTES <= self.max_bytes:
             return True
         candidates = [
             connection
@@ -278,6 +306,13 @@
             if self._may_close(connection)
             and (connection.port == port or not is_port_full)
         ]
+        return self._close_oldest(candidates)
+
+    def _close_oldest(self, candidates: list[ClientConnection]) -> bool:
+        """Close those that wait longest, of the address that has most.
+
+        Return whether there were any.
+        """
         if not candidates:
             return False
         counts = Counter(candidate.address for candidate in candidates)
@@ -287,7 +322,6 @@
             key=lambda candidate: candidate.since_s,
         )
         for connection in oldest[: 1 + int(count * EVICTED_SHARE)]:
-            self.release(connection)
             self._remove(connection)
             self._shut_down(connection)
             self.record_refusal("closed for a new connection")
@@ -302,7 +336,9 @@
 
     def _shut_down(self, connection: ClientConnection) -> None:
         """End a connection; its owner closes the socket."""
-        connection.is_evicted = True
+        if not connection.is_evicted:
+            connection.is_evicted = True
+            self.ending_bytes += connection.held_bytes
         try:
             connection.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/gentianhub/web/request_reader.py
+++ b/gentianhub/web/request_reader.py
@@ -53,7 +53,10 @@
         sock.timeout = left_s
         size = sock.recv_into(buffer)
         connection.receive(size)
-        if size == len(buffer):
+        if connection.table.ending_bytes:
+            # The owners of requests that were ended drop them now.
+            gevent.sleep(0)
+        elif size == len(buffer):
             self._yield_after_full_reads()
         return size
 
--- a/gentianhub/web/tests/test_connections.py
+++ b/gentianhub/web/tests/test_connections.py
@@ -95,6 +95,34 @@
             connection.phase = Phase.ANSWERING
         self.admit(table).receive(ORDINARY_BYTES)
 
+    def test_bytes_of_an_ended_request_are_counted_until_they_are_dropped(self):
+        """What its owner has yet to drop was given to others a second time."""
+        table = self.build_table(4)
+        ended = self.admit(table)
+        ended.receive(2 * LARGE)
+        self.admit(table).receive(LARGE // 2)
+        self.assertTrue(ended.is_evicted)
+        self.assertEqual(2 * LARGE, table.ending_bytes)
+        held_bytes = table.held_bytes
+        table.release(ended)
+        self.assertEqual(0, table.ending_bytes)
+        self.assertEqual(held_bytes - 2 * LARGE, table.held_bytes)
+
+    def test_idle_connections_end_for_an_ordinary_request(self):
+        """Connections without a request had filled the memory, and all were refused."""
+        table = ConnectionTable(max_bytes=4 * CONNECTION_BYTES)
+        idle = [self.admit(table) for _ in range(3)]
+        caller = self.admit(table)
+        caller.receive(ORDINARY_BYTES)
+        self.assertEqual([True, False, False], [c.is_evicted for c in idle])
+
+    def test_idle_connections_do_not_end_for_a_large_request(self):
+        table = ConnectionTable(max_bytes=4 * CONNECTION_BYTES)
+        idle = [self.admit(table) for _ in range(3)]
+        with self.assertRaises(RequestRefused):
+            self.admit(table).receive(LARGE)
+        self.assertFalse(any(c.is_evicted for c in idle))
+
     def test_released_bytes_are_free(self):
         table = self.build_table(1)
         connection = self.admit(table)
