Keep room for a new connection beside clients that pipeline requests

Cause: each of these clients always had a request in the coordinator's queue. Connections alone could fill the memory budget, no connection was waiting that might have been closed for the new one, and its job waited behind a queue of one request from each.

Change: connections without input may use three quarters of the budget. If all connections have requests that are being handled, the oldest ends after its answer and a new one is admitted at once, for a thirty-second of them at a time. A request that had arrived before the last answer waits for as long as the last request took, 1 s at most, and not at all below 5 ms.

--- a/gentianhub/web/bounded_requests.py
+++ b/gentianhub/web/bounded_requests.py
@@ -4,6 +4,7 @@
 import socket
 from http.client import HTTPException
 
+import gevent
 from gevent.pywsgi import WSGIHandler
 
 from gentianhub.core import read_monotonic_s
@@ -24,6 +25,10 @@
 # time, s. A client that sends a body of 1 MiB before it reads gets its answer.
 LINGER_BYTES = 4 * 2**20
 LINGER_S = 5.0
+# Pauses before a request that arrived before the last answer, s; shorter ones are left
+# out.
+MIN_PIPELINE_PAUSE_S = 0.005
+MAX_PIPELINE_PAUSE_S = 1.0
 END_OF_HEAD = b"\r\n\r\n"
 # Memory of the objects that a header becomes, apart from its text.
 HEADER_BYTES = 384
@@ -59,8 +64,8 @@
 
     def __init__(self, sock, address, server):
         self.connection = server.admitted[sock]
-        reader = io.BufferedReader(ConnectionReader(self.connection))
-        super().__init__(sock, address, server, reader)
+        self.reader = ConnectionReader(self.connection)
+        super().__init__(sock, address, server, io.BufferedReader(self.reader))
 
     def handle_one_request(self):
         """Handle one request; return True if another one may follow."""
@@ -75,16 +80,35 @@
             self._send_refusal(result[1])
         elif result is None and self.wsgi_input and self.wsgi_input.is_refused:
             self._linger()
+        elif result is True and connection.closes_after_answer:
+            self._linger()
+            return None
         return True if result is True else None
 
     def read_requestline(self) -> bytes:
         """Return the first line of a request; nothing at the end of the connection."""
+        reads = self.reader.reads
         try:
-            return read_request_line(self.rfile)
+            line = read_request_line(self.rfile)
         except TimeoutError as error:
             if self.connection.phase is Phase.READING:
                 raise RequestRefused(408, "head not sent in time") from error
             return b""
+        is_pipelined = line and self.reader.reads == reads
+        if is_pipelined and self.connection.answer_s > MIN_PIPELINE_PAUSE_S:
+            return self._delay_pipelined(line)
+        return line
+
+    def _delay_pipelined(self, line: bytes) -> bytes:
+        """Return the line of a request that had arrived before the last answer.
+
+        The connection pauses for as long as the last request took, so that those with
+        many requests leave room for others. It may be closed for a new one meanwhile.
+        """
+        connection = self.connection
+        gevent.sleep(min(connection.answer_s, MAX_PIPELINE_PAUSE_S))
+        connection.since_s = read_monotonic_s()
+        return b"" if connection.is_evicted else line
 
     def MessageClass(self, rfile, *_):
         """Return the headers."""
--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -21,6 +21,8 @@
 ORDINARY_BYTES = 16 * 1024
 # Part of the budget that larger requests may use.
 LARGE_SHARE = 0.75
+# Part of the budget that connections without input may use, so that requests have room.
+CONNECTION_SHARE = 0.75
 # Part of a port's connections that is closed together, so that the cost of choosing
 # them is shared.
 EVICTED_SHARE = 1 / 32
@@ -68,7 +70,9 @@
 
     `held_bytes` have been read and are not answered. `since_s` and `deadline_s` are
     monotonic times: since when the client has been waited for, that is for a request,
-    for the rest of one or to take an answer, and until when it is.
+    for the rest of one or to take an answer, and until when it is. `answer_s` is how
+    long the last request took until its answer, s. A connection that
+    `closes_after_answer` has been replaced by a new one.
     """
 
     sock: Any
@@ -79,7 +83,9 @@
     deadline_s: float = float("inf")
     phase: Phase = Phase.WAITING
     held_bytes: int = 0
+    answer_s: float = 0.0
     is_evicted: bool = False
+    closes_after_answer: bool = False
     limits: RequestLimits = DEFAULT_LIMITS
 
     def start_waiting(self) -> None:
@@ -124,8 +130,11 @@
         ConnectionAbortedError
             If there is no room for it.
         """
+        now_s = read_monotonic_s()
+        if self.phase is not Phase.WRITING:
+            self.answer_s = now_s - self.since_s
         self.phase = Phase.WRITING
-        self.since_s = read_monotonic_s()
+        self.since_s = now_s
         if size > ORDINARY_BYTES and not self.table.reserve(self, size):
             raise ConnectionAbortedError(OVER_BUDGET)
 
@@ -297,8 +306,12 @@
     def _make_room_for_connection(self, port: str, limit: int) -> bool:
         """Close connections that wait longest, if a port or the memory is full."""
         is_port_full = self._counts[port] >= limit
-        held_bytes = self.held_bytes - self.ending_bytes
-        if not is_port_full and held_bytes + CONNECTION_BYTES <= self.max_bytes:
+        taken = CONNECTION_BYTES * (len(self._connections) + 1)
+        held_bytes = self.held_bytes - self.ending_bytes + CONNECTION_BYTES
+        is_memory_full = (
+            taken > self.max_bytes * CONNECTION_SHARE or held_bytes > self.max_bytes
+        )
+        if not is_port_full and not is_memory_full:
             return True
         candidates = [
             connection
@@ -306,7 +319,26 @@
             if self._may_close(connection)
             and (connection.port == port or not is_port_full)
         ]
-        return self._close_oldest(candidates)
+        return self._close_oldest(candidates) or self._replace_handled(port, limit)
+
+    def _replace_handled(self, port: str, limit: int) -> bool:
+        """Let a connection end after its answer, so that a new one may replace it.
+
+        Return whether it may. Only a few may be replaced before they have ended.
+        """
+        candidates = [
+            connection
+            for connection in self._connections
+            if connection.port == port and not connection.closes_after_answer
+        ]
+        held_bytes = self.held_bytes - self.ending_bytes + CONNECTION_BYTES
+        limit = min(limit, int(self.max_bytes * CONNECTION_SHARE / CONNECTION_BYTES))
+        has_room = self._counts[port] < limit + int(limit * EVICTED_SHARE)
+        if not candidates or not has_room or held_bytes > self.max_bytes:
+            return False
+        _sort_by_age(candidates)[0].closes_after_answer = True
+        self.record_refusal("closed for a new connection")
+        return True
 
     def _close_oldest(self, candidates: list[ClientConnection]) -> bool:
         """Close those that wait longest, of the address that has most.
@@ -315,13 +347,8 @@
         """
         if not candidates:
             return False
-        counts = Counter(candidate.address for candidate in candidates)
-        ((address, count),) = counts.most_common(1)
-        oldest = sorted(
-            (candidate for candidate in candidates if candidate.address == address),
-            key=lambda candidate: candidate.since_s,
-        )
-        for connection in oldest[: 1 + int(count * EVICTED_SHARE)]:
+        oldest = _sort_by_age(candidates)
+        for connection in oldest[: 1 + int(len(oldest) * EVICTED_SHARE)]:
             self._remove(connection)
             self._shut_down(connection)
             self.record_refusal("closed for a new connection")
@@ -344,3 +371,13 @@
         except OSError:
             # The client has ended it.
             return
+
+
+def _sort_by_age(connections: list[ClientConnection]) -> list[ClientConnection]:
+    """Return those of the address that has most, the one that waits longest first."""
+    counts = Counter(connection.address for connection in connections)
+    ((address, _),) = counts.most_common(1)
+    return sorted(
+        (connection for connection in connections if connection.address == address),
+        key=lambda connection: connection.since_s,
+    )
--- a/gentianhub/web/request_reader.py
+++ b/gentianhub/web/request_reader.py
@@ -23,10 +23,14 @@
 
 
 class ConnectionReader(io.RawIOBase):
-    """Raw file of a connection that counts each byte and keeps the deadline."""
+    """Raw file of a connection that counts each byte and keeps the deadline.
+
+    `reads` is the number of reads so far.
+    """
 
     def __init__(self, connection: ClientConnection):
         self.connection = connection
+        self.reads = 0
         self._full_reads = 0
 
     def readable(self) -> bool:
@@ -52,6 +56,7 @@
         sock = connection.sock
         sock.timeout = left_s
         size = sock.recv_into(buffer)
+        self.reads += 1
         connection.receive(size)
         if connection.table.ending_bytes:
             # The owners of requests that were ended drop them now.
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -24,8 +24,9 @@
 from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
 from gentianhub.web.connections import ClientConnection, ConnectionTable
 
-# Connections that have been closed for others and have not ended yet.
-SPARE_CONNECTIONS = 32
+# Connections that have been closed for others and have not ended yet, or that have
+# replaced others before these end.
+SPARE_CONNECTIONS = 96
 # A connection ends if its peer answers none of two probes, each after 1 s. No reset may
 # reach the server when a connection is cut off, and the job of its caller would stay
 # open until the deadline.
