Bound the input that the kernel keeps for each client

Callers saw: clients that send behind a request which is being handled made the kernel keep 140 MB for a host of 160 MB. A platform that counts what was received and not read as the process's memory ends such a process.

Cause: the receive buffer of a connection had the system's default of 128 KiB and its automatic growth, for each of up to 1,500 connections.

Change: the listening sockets of the HTTP ports set a receive buffer of 8 KiB, of which at most 12 KiB were in use on one connection here. With the most connections that a host of 160 MB admits that is 13 MB, within the quarter of the memory that the budget leaves free.

--- a/gentianhub/host/tests/limited_hosts.py
+++ b/gentianhub/host/tests/limited_hosts.py
@@ -8,6 +8,10 @@
 from gentianhub.host.tests.host_processes import HostProcessesTest
 from gentianhub.host.tests.hostile_clients import Outcome, open_clients, run_client
 
+MIB = 2**20
+# State of a listening socket, whose receive queue counts connections.
+LISTENING = "0A"
+
 
 class LimitedHostTest(HostProcessesTest):
     """One host, whose `limits` are at least `memory_mb` and `max_fds`."""
@@ -33,6 +37,24 @@
         (line,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
         return int(line.split()[1]) / 1024
 
+    def read_unread_mb(self) -> float:
+        """Return what the kernel holds that the process has not read, MB.
+
+        The fields of a row are described in proc(5), `/proc/net/tcp`.
+        """
+        local = self.addresses[0].split(".")
+        prefix = "".join(f"{int(part):02X}" for part in reversed(local))
+        rows = Path("/proc/net/tcp").read_text().splitlines()[1:]
+        fields = (row.split() for row in rows)
+        return (
+            sum(
+                int(queues.partition(":")[2], 16)
+                for _, address, _, state, queues, *_ in fields
+                if address.startswith(prefix) and state != LISTENING
+            )
+            / MIB
+        )
+
     def check_host(self) -> None:
         """The process lives within its limits, and answers on each of its ports."""
         self.assertIsNone(self.processes[0].poll(), "the process has ended")
--- a/gentianhub/host/tests/test_client_crowds.py
+++ b/gentianhub/host/tests/test_client_crowds.py
@@ -58,6 +58,14 @@
         self.connect(client, self.callers, CROWD)
         self.check_host()
 
+    def test_input_behind_requests(self):
+        """A platform may count what was received and not read as the process's."""
+        client = UnreadAnswers(path="/jobs/", count=20_000)
+        self.connect(client, self.callers, CROWD)
+        unread_mb = self.read_unread_mb()
+        self.assertLess(self.read_peak_mb() + unread_mb, self.limits["memory_mb"])
+        self.check_host()
+
     def test_crowds_that_follow_one_another(self):
         for client in (
             HeldBody(size=250_000),
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -27,6 +27,9 @@
 # Connections that have been closed for others and have not ended yet, or that have
 # replaced others before these end.
 SPARE_CONNECTIONS = 96
+# Input of a connection that the kernel keeps until it is read, bytes. Platforms may count
+# it as the process's memory.
+RECEIVE_BUFFER_BYTES = 8192
 # A connection ends if its peer answers none of two probes, each after 1 s. No reset may
 # reach the server when a connection is cut off, and the job of its caller would stay
 # open until the deadline.
@@ -287,6 +290,13 @@
         self.admitted: dict[Any, ClientConnection] = {}
         self.port = port
 
+    def init_socket(self):
+        super().init_socket()
+        # Connections take the size of their listening socket.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+
     def handle(self, sock, address):
         with self.connections.admit(sock, address[0], self.port) as connection:
             if connection is None:
