Bound the memory of open jobs

Callers saw: 200 clients that submit a job of 10,000 tasks each, in bodies of a hundred bytes, took a host of 160 MB to 212 MB. 20 such jobs took 81 MB and 4.4 s of processor time in a trial.

Cause: the body of a job was counted until its answer, and not the tasks, the orders and the reports that it becomes at the front host and at the owner, 400 to 900 bytes a task in trials of 34,000 to 200,000 tasks.

A job without room is answered 503 with Retry-After before any of it is handled.

--- a/gentianhub/host/client_limits.py
+++ b/gentianhub/host/client_limits.py
@@ -14,6 +14,10 @@
 CLIENT_SHARE = 0.75
 # Smallest budget, for machines that have less memory than the process needs.
 MIN_BUDGET_MB = 16
+# Part of the machine's memory for the open jobs of callers.
+JOB_SHARE = 0.15
+# Smallest memory for open jobs; it has room for the largest job that is accepted.
+MIN_JOB_MB = 16
 # Most concurrent connections of callers.
 MAX_CALLERS = 2000
 MAX_OPERATIONS_CONNECTIONS = 64
@@ -26,6 +30,11 @@
     return int(budget_mb * 2**20)
 
 
+def choose_job_bytes(memory_mb: float) -> int:
+    """Return the memory for open jobs, of a machine with `memory_mb`."""
+    return int(max(MIN_JOB_MB, memory_mb * JOB_SHARE) * 2**20)
+
+
 def choose_max_connections(max_fds: int) -> dict[str, int]:
     """Return the most connections by HTTP port, of a machine with `max_fds`."""
     operations = max(4, min(MAX_OPERATIONS_CONNECTIONS, max_fds // 16))
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -31,6 +31,7 @@
     METRICS,
     READINESS,
     build_connection_table,
+    choose_job_bytes,
     choose_max_handshakes,
 )
 from gentianhub.host.configuration import ConfigurationCache
@@ -82,6 +83,9 @@
             bounds_evacuations=self.settings.evacuate_s is not None,
             configuration=ConfigurationCache(sheds_load=self.settings.sheds_load),
         )
+        self.coordinator.requests.memory.max_bytes = choose_job_bytes(
+            self.settings.memory_mb
+        )
         self.callers = CallerHandler(
             coordinator=self.mailbox, is_draining=lambda: self.coordinator.is_draining
         )
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -28,6 +28,7 @@
 )
 from gentianhub.host.configuration import ConfigurationCache
 from gentianhub.host.decision_log import log_decision, record_shed_job
+from gentianhub.host.job_memory import OVER_JOB_MEMORY, JobMemory
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
 from gentianhub.platform import callers
@@ -36,14 +37,20 @@
 
 # Applies if neither the request nor the route sets a wait, s.
 DEFAULT_WAIT_S = 30.0
+# Time after which a caller may come again whose job had no room, s.
+MEMORY_RETRY_AFTER_S = 1.0
 
 
 @frozen(kw_only=True)
 class PendingRequest:
-    """A submission that has no answer yet; `accepted_s` is monotonic."""
+    """A submission that has no answer yet; `accepted_s` is monotonic.
+
+    Its job is counted with `held_bytes`.
+    """
 
     job_id: str
     accepted_s: float
+    held_bytes: int
 
 
 @define(kw_only=True, eq=False)
@@ -66,6 +73,7 @@
     find_heard_heartbeat: Callable[[Incarnation], int] = lambda owner: 0
     rejects_jobs: bool = False
     resumed_s: float = float("-inf")
+    memory: JobMemory = field(factory=lambda: JobMemory())
     _pending_requests: dict[Any, PendingRequest] = field(init=False, factory=dict)
 
     def handle_request(self, request: ms.CallerRequest, now_s: float) -> None:
@@ -114,7 +122,7 @@
         self, reply_to: Any, end: ConnectionEnd, now_s: float
     ) -> None:
         """Abandon the job of a caller whose connection has closed."""
-        pending = self._pending_requests.pop(reply_to, None)
+        pending = self._end_request(reply_to)
         if pending is not None:
             self.metrics.departures[end.value] += 1
             log_decision(
@@ -172,6 +180,12 @@
             log_decision("job malformed", job_id, reason=str(error))
             self._reply(request.reply_to, callers.encode_error(400, str(error)))
             return
+        held_bytes = self.memory.reserve(job)
+        if held_bytes is None:
+            log_decision("job refused", job_id, reason=OVER_JOB_MEMORY)
+            refusal = callers.encode_error(503, OVER_JOB_MEMORY, MEMORY_RETRY_AFTER_S)
+            self._reply(request.reply_to, refusal)
+            return
         log_decision(
             "job submitted",
             job_id,
@@ -182,7 +196,7 @@
             wait_s=request.wait_s,
         )
         self._pending_requests[request.reply_to] = PendingRequest(
-            job_id=job_id, accepted_s=now_s
+            job_id=job_id, accepted_s=now_s, held_bytes=held_bytes
         )
         self.metrics.count_submission(route.name)
         submit = SubmitCapacityJob(
@@ -284,9 +298,16 @@
         self._reply(answer.reply_to, callers.encode_answer(answer))
 
     def _reply(self, reply_to: Mailbox, response: Response) -> None:
-        self._pending_requests.pop(reply_to, None)
+        self._end_request(reply_to)
         reply_to.try_put(response)
 
+    def _end_request(self, reply_to: Mailbox) -> PendingRequest | None:
+        """Return the submission that has its answer now, if the request was one."""
+        pending = self._pending_requests.pop(reply_to, None)
+        if pending is not None:
+            self.memory.release(pending.held_bytes)
+        return pending
+
 
 def _log_task_request(
     message: ev.RunTasks | ev.CancelTasks, cell_owner: CellOwner | None
--- a/gentianhub/host/tests/hostile_clients.py
+++ b/gentianhub/host/tests/hostile_clients.py
@@ -1,6 +1,7 @@
 """Clients that send what no caller would: one data class for each kind."""
 
 import struct
+import uuid
 from collections.abc import Iterator
 
 import gevent
@@ -33,17 +34,22 @@
 
 @frozen(kw_only=True)
 class ManySteps:
-    """Submits a job of many steps."""
+    """Submits a job of many steps, each of which waits for the one before."""
 
-    number: int
     steps: int
 
 
+@frozen(kw_only=True)
+class ManyTasks:
+    """Submits a job of one step with many tasks."""
+
+    tasks: int
+
+
 @frozen(kw_only=True)
 class ManyValues:
     """Submits a job with a member that nobody reads and that has many values."""
 
-    number: int
     size: int
 
 
@@ -131,11 +137,14 @@
             names = b"".join(b"X-%d: %b\r\n" % (n, value) for n in range(count))
             yield HEAD + names + b"Content-Length: %d\r\n\r\n" % size
             yield from iterate_pieces(b"x", size - 1)
-        case ManySteps(number=number, steps=count):
-            yield encode_job(number, "[" + ",".join(["{}"] * count) + "]")
-        case ManyValues(number=number, size=size):
+        case ManySteps(steps=count):
+            steps = (f'{{"after":[{n}]}}' for n in range(count - 1))
+            yield encode_job(",".join(["{}", *steps]))
+        case ManyTasks(tasks=count):
+            yield encode_job(f'{{"count":{count},"cpu":3000,"estimate_ms":50}}')
+        case ManyValues(size=size):
             values = ",".join(["[]"] * (size // 3))
-            yield encode_job(number, f'[{{"count":1}}],"values":[{values}]')
+            yield encode_job(f'{{"values":[{values}]}}')
         case EndlessChunks(chunk=chunk, size=size):
             yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
             yield from iterate_pieces(b"%x\r\n%b\r\n" % (chunk, b"x" * chunk), size)
@@ -159,10 +168,11 @@
             yield from iterate_pieces(request, count * len(request))
 
 
-def encode_job(number: int, phases: str) -> bytes:
-    """Return the request that submits a job."""
-    body = f'{{"spec":"text","best_effort":true,"phases":{phases}}}'.encode()
-    head = f"POST /jobs/{number:016x} HTTP/1.1\r\nHost: desk.example\r\n"
+def encode_job(steps: str) -> bytes:
+    """Return the request that submits a job; each call has a new id."""
+    body = f'{{"spec":"text","best_effort":true,"phases":[{steps}]}}'.encode()
+    job_id = uuid.uuid4().hex[:16]
+    head = f"POST /jobs/{job_id} HTTP/1.1\r\nHost: desk.example\r\n"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
--- a/gentianhub/host/tests/limited_hosts.py
+++ b/gentianhub/host/tests/limited_hosts.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+import gevent
 import psutil
 
 from gentianhub.host.callers import METRICS_PORT
@@ -9,6 +10,9 @@
 from gentianhub.host.tests.hostile_clients import Outcome, open_clients, run_client
 
 MIB = 2**20
+# Time for a host to read what was sent, or to notice that clients have left, s. No
+# check depends on what is done within it.
+OPEN_S = 3.0
 # State of a listening socket, whose receive queue counts connections.
 LISTENING = "0A"
 
@@ -28,6 +32,14 @@
         for sock in open_clients(client, self.address_of(port), count):
             self.addCleanup(sock.close)
 
+    def submit_jobs(self, client, count: int) -> None:
+        """Connect clients that submit jobs, and end them all after a while."""
+        sockets = open_clients(client, self.address_of(self.callers), count)
+        gevent.sleep(OPEN_S)
+        for sock in sockets:
+            sock.close()
+        gevent.sleep(OPEN_S)
+
     def run_client(self, client, port: int) -> Outcome:
         return run_client(client, self.address_of(port))
 
--- a/gentianhub/host/tests/test_client_crowds.py
+++ b/gentianhub/host/tests/test_client_crowds.py
@@ -12,6 +12,9 @@
     EndlessHead,
     HeldBody,
     HeldRequest,
+    ManySteps,
+    ManyTasks,
+    ManyValues,
     Silent,
     UnreadAnswers,
 )
@@ -19,6 +22,8 @@
 
 # Clients at once, about as many as the callers' port of the smallest machine takes.
 CROWD = 1500
+# Clients at once that submit jobs larger than a caller has.
+JOBS = 200
 
 
 class ClientCrowdsTest(LimitedHostTest):
@@ -66,6 +71,23 @@
         self.assertLess(self.read_peak_mb() + unread_mb, self.limits["memory_mb"])
         self.check_host()
 
+    def test_jobs_of_many_tasks(self):
+        """A body of a hundred bytes asks for ten thousand tasks."""
+        self.submit_jobs(ManyTasks(tasks=10_000), JOBS)
+        self.check_host()
+
+    def test_jobs_of_many_steps(self):
+        self.submit_jobs(ManySteps(steps=5000), JOBS)
+        self.check_host()
+
+    def test_jobs_of_as_many_tasks_as_callers_have(self):
+        self.submit_jobs(ManyTasks(tasks=170), CROWD)
+        self.check_host()
+
+    def test_jobs_with_many_values(self):
+        self.submit_jobs(ManyValues(size=200_000), JOBS)
+        self.check_host()
+
     def test_crowds_that_follow_one_another(self):
         for client in (
             HeldBody(size=250_000),
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -27,8 +27,8 @@
 # Connections that have been closed for others and have not ended yet, or that have
 # replaced others before these end.
 SPARE_CONNECTIONS = 96
-# Input of a connection that the kernel keeps until it is read, bytes. Platforms may count
-# it as the process's memory.
+# Input of a connection that the kernel keeps until it is read, bytes. Platforms may
+# count it as the process's memory.
 RECEIVE_BUFFER_BYTES = 8192
 # A connection ends if its peer answers none of two probes, each after 1 s. No reset may
 # reach the server when a connection is cut off, and the job of its caller would stay
