Bound the memory of frames that links have received in part

Callers saw: 20 processes that greet as hosts and send 30 MiB of a frame each took a host of 160 MB to 642 MB.

Cause: a frame of a greeted link may have 32 MiB, and nothing counted what had arrived of it.

Change: `linking/frame_memory.py` counts frames that don't fit in one read until they are complete. They may take a tenth of `memory_mb`, at least 8 MB. Beyond it, the link with the largest frame ends; it is dialled again. Frames of ordinary messages are not counted, so that they cost nothing.

--- a/gentianhub/host/client_limits.py
+++ b/gentianhub/host/client_limits.py
@@ -18,6 +18,10 @@
 JOB_SHARE = 0.15
 # Smallest memory for open jobs; it has room for the largest job that is accepted.
 MIN_JOB_MB = 16
+# Part of the machine's memory for frames of links that are not complete.
+FRAME_SHARE = 0.1
+# Smallest memory for them. A configuration of 1,330 routes takes 30 KB.
+MIN_FRAME_MB = 8
 # Most concurrent connections of callers.
 MAX_CALLERS = 2000
 MAX_OPERATIONS_CONNECTIONS = 64
@@ -35,6 +39,11 @@
     return int(max(MIN_JOB_MB, memory_mb * JOB_SHARE) * 2**20)
 
 
+def choose_frame_bytes(memory_mb: float) -> int:
+    """Return the memory for incomplete frames, of a machine with `memory_mb`."""
+    return int(max(MIN_FRAME_MB, memory_mb * FRAME_SHARE) * 2**20)
+
+
 def choose_max_connections(max_fds: int) -> dict[str, int]:
     """Return the most connections by HTTP port, of a machine with `max_fds`."""
     operations = max(4, min(MAX_OPERATIONS_CONNECTIONS, max_fds // 16))
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -31,6 +31,7 @@
     METRICS,
     READINESS,
     build_connection_table,
+    choose_frame_bytes,
     choose_job_bytes,
     choose_max_handshakes,
 )
@@ -40,6 +41,7 @@
 from gentianhub.host.links import HostLinks
 from gentianhub.host.progress import return_behind_departures
 from gentianhub.host.registry import HostEntry
+from gentianhub.linking.frame_memory import FrameMemory
 from gentianhub.linking.handshake import Hello
 from gentianhub.linking.handshake_limits import PendingHandshakes
 from gentianhub.linking.link_events import DialAddress
@@ -106,6 +108,9 @@
             handshakes=PendingHandshakes(
                 max_sockets=choose_max_handshakes(self.settings.max_fds)
             ),
+            frame_memory=FrameMemory(
+                max_bytes=choose_frame_bytes(self.settings.memory_mb)
+            ),
         )
         seeds = tuple(
             DialAddress(name=None, host=seed.host, port=seed.port)
--- a/gentianhub/host/tests/hostile_clients.py
+++ b/gentianhub/host/tests/hostile_clients.py
@@ -8,6 +8,11 @@
 from attrs import frozen
 from gevent import socket
 
+from gentianhub.core import Incarnation, ProcessName
+from gentianhub.host.encoding import encode_message
+from gentianhub.linking.frames import ANY_RECEIVER_TOKEN, encode_frame
+from gentianhub.linking.handshake import Hello
+
 HEAD = b"POST /jobs/00000000000000aa HTTP/1.1\r\nHost: desk.example\r\n"
 PIECE_BYTES = 16_384
 # Time for a host to take what it will ever take, s. No check depends on what is
@@ -46,6 +51,13 @@
     tasks: int
 
 
+@frozen(kw_only=True)
+class HeldFrame:
+    """Greets as a host, and sends all of a frame but the last byte."""
+
+    size: int
+
+
 @frozen(kw_only=True)
 class ManyValues:
     """Submits a job with a member that nobody reads and that has many values."""
@@ -145,6 +157,21 @@
         case ManyValues(size=size):
             values = ",".join(["[]"] * (size // 3))
             yield encode_job(f'{{"values":[{values}]}}')
+        case HeldFrame(size=size):
+            hello = Hello(
+                sender=Incarnation(
+                    name=ProcessName(
+                        data_centre="olten", process=uuid.uuid4().hex[:16]
+                    ),
+                    token="0" * 15 + "1",
+                ),
+                started_ms=0,
+                host="127.0.0.1",
+                port=1,
+            )
+            yield encode_frame(ANY_RECEIVER_TOKEN, encode_message(hello))
+            yield struct.pack(">IQQ", size, 0, 0)
+            yield from iterate_pieces(b"x", size - 1)
         case EndlessChunks(chunk=chunk, size=size):
             yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
             yield from iterate_pieces(b"%x\r\n%b\r\n" % (chunk, b"x" * chunk), size)
--- a/gentianhub/host/tests/test_client_crowds.py
+++ b/gentianhub/host/tests/test_client_crowds.py
@@ -11,6 +11,7 @@
     EndlessChunks,
     EndlessHead,
     HeldBody,
+    HeldFrame,
     HeldRequest,
     ManySteps,
     ManyTasks,
@@ -88,6 +89,11 @@
         self.submit_jobs(ManyValues(size=200_000), JOBS)
         self.check_host()
 
+    def test_frames_of_strangers_on_the_link_port(self):
+        """A link was free to send 32 MiB before anything was decoded."""
+        self.connect(HeldFrame(size=30 * 2**20), self.links, 20)
+        self.check_host()
+
     def test_crowds_that_follow_one_another(self):
         for client in (
             HeldBody(size=250_000),
--- a/gentianhub/linking/frames.py
+++ b/gentianhub/linking/frames.py
@@ -12,6 +12,8 @@
 import xxhash
 from attrs import define, field, frozen
 
+from gentianhub.linking.frame_memory import OVER_FRAME_MEMORY, FrameMemory
+
 # Enough for a caller's largest job (16 MiB) and for an answer with 170 results.
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 READ_BYTES = 2**16
@@ -64,9 +66,13 @@
 
 @define(kw_only=True, eq=False)
 class FrameReader:
-    """Reads frames from a socket; one `recv` often returns several of them."""
+    """Reads frames from a socket; one `recv` often returns several of them.
+
+    Frames that don't fit in one `recv` are counted in `memory`.
+    """
 
     sock: Any
+    memory: FrameMemory = field(factory=FrameMemory)
     _buffer: bytearray = field(init=False, factory=bytearray)
 
     def read_frame(
@@ -93,11 +99,22 @@
             try:
                 chunk = self.sock.recv(READ_BYTES)
             except OSError as error:
-                return LinkEnded(reason=repr(error))
+                return self._end(repr(error))
             if not chunk:
                 missing = size - len(self._buffer)
-                return LinkEnded(reason=f"closed with {missing} bytes missing")
+                return self._end(f"closed with {missing} bytes missing")
             self._buffer += chunk
+            is_large = size > READ_BYTES
+            if is_large and not self.memory.receive(self.sock, len(chunk)):
+                return self._end(OVER_FRAME_MEMORY)
+        if size > READ_BYTES:
+            self.memory.release(self.sock)
         content = bytes(self._buffer[:size])
         del self._buffer[:size]
         return content
+
+    def _end(self, reason: str) -> LinkEnded:
+        """Drop what was received of a frame."""
+        self.memory.release(self.sock)
+        self._buffer.clear()
+        return LinkEnded(reason=reason)
--- a/gentianhub/linking/links.py
+++ b/gentianhub/linking/links.py
@@ -17,6 +17,7 @@
     send_message,
     spawn_greenlet,
 )
+from gentianhub.linking.frame_memory import FrameMemory
 from gentianhub.linking.frames import (
     ANY_RECEIVER_TOKEN,
     HEADER_BYTES,
@@ -69,8 +70,8 @@
 class LinkContext:
     """State shared by all links of a process.
 
-    It holds the process's greeting, the encoding of messages, two mailboxes, and the
-    incoming connections without a greeting.
+    It holds the process's greeting, the encoding of messages, two mailboxes, the
+    incoming connections without a greeting, and the memory of frames.
     """
 
     hello: Hello
@@ -78,6 +79,7 @@
     manager_mailbox: Mailbox
     dispatcher_mailbox: Mailbox
     handshakes: PendingHandshakes = field(factory=PendingHandshakes)
+    frame_memory: FrameMemory = field(factory=FrameMemory)
 
 
 @frozen(kw_only=True)
@@ -144,7 +146,7 @@
 
 def accept_link(sock, context: LinkContext) -> None:
     """Exchange greetings with a connected process, and run the link until it ends."""
-    frames = FrameReader(sock=sock)
+    frames = FrameReader(sock=sock, memory=context.frame_memory)
     greeting = HandshakeFailed(reason="no greeting in time")
     with context.handshakes.keep(sock), gevent.Timeout(GREETING_TIMEOUT_S, False):
         greeting = _exchange_hello(frames, context, None)
@@ -165,7 +167,7 @@
         return HandshakeFailed(reason=repr(error), is_peer_gone=True)
     except OSError as error:
         return HandshakeFailed(reason=repr(error))
-    frames = FrameReader(sock=sock)
+    frames = FrameReader(sock=sock, memory=context.frame_memory)
     greeting = _exchange_hello(frames, context, dial_address)
     if isinstance(greeting, HandshakeFailed):
         sock.close()
