Bound the lines of a head, and tell clients about their last answer

Found when the diff was read: a section that is read whole had only a limit of bytes, so that 64 KiB in lines of two bytes are read line by line (32,768 of them; http.client stopped after a hundred before); a client whose connection ends for a new one after its answer was not told; and the share of the memory for connections counted those of all ports, so that a crowd of callers kept the readiness port from admitting a probe.

Change: a section has at most 100 lines with the empty one, as http.client accepts; the last answer has `Connection: close`; the share counts the connections of one port.

Evidence: new cases of test_request_reader (both fail before: no refusal until the head's time is over, and no header).

--- a/gentianhub/web/bounded_requests.py
+++ b/gentianhub/web/bounded_requests.py
@@ -80,9 +80,9 @@
             self._send_refusal(result[1])
         elif result is None and self.wsgi_input and self.wsgi_input.is_refused:
             self._linger()
-        elif result is True and connection.closes_after_answer:
+        elif connection.closes_after_answer:
             self._linger()
-            return None
+            result = None
         return True if result is True else None
 
     def read_requestline(self) -> bytes:
@@ -150,6 +150,15 @@
         )
         return environ
 
+    def start_response(self, status, headers, exc_info=None):
+        """Start a response; the last one of a connection says that it is."""
+        if (
+            self.connection.closes_after_answer
+            and ("Connection", "close") not in headers
+        ):
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
     def _send_continue(self) -> None:
         self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -21,7 +21,8 @@
 ORDINARY_BYTES = 16 * 1024
 # Part of the budget that larger requests may use.
 LARGE_SHARE = 0.75
-# Part of the budget that connections without input may use, so that requests have room.
+# Part of the budget that the connections of a port may use without their input, so that
+# requests have room.
 CONNECTION_SHARE = 0.75
 # Part of a port's connections that is closed together, so that the cost of choosing
 # them is shared.
@@ -306,7 +307,7 @@
     def _make_room_for_connection(self, port: str, limit: int) -> bool:
         """Close connections that wait longest, if a port or the memory is full."""
         is_port_full = self._counts[port] >= limit
-        taken = CONNECTION_BYTES * (len(self._connections) + 1)
+        taken = CONNECTION_BYTES * (self._counts[port] + 1)
         held_bytes = self.held_bytes - self.ending_bytes + CONNECTION_BYTES
         is_memory_full = (
             taken > self.max_bytes * CONNECTION_SHARE or held_bytes > self.max_bytes
--- a/gentianhub/web/request_reader.py
+++ b/gentianhub/web/request_reader.py
@@ -18,6 +18,8 @@
 # Reads that fill the buffer after which other connections run.
 MAX_FULL_READS = 8
 MAX_LENGTH_DIGITS = 18
+# Lines of a header section with the empty one at its end, as http.client accepts.
+MAX_SECTION_LINES = 100
 HEADERS_TOO_LARGE = "headers too large"
 _LENGTH_PATTERN = re.compile(rf"[0-9]{{1,{MAX_LENGTH_DIGITS}}}")
 
@@ -123,17 +125,18 @@
     Raises
     ------
     RequestRefused
-        If the section has more than `max_bytes`.
+        If the section has more than `max_bytes` or `MAX_SECTION_LINES`.
     """
     lines = LimitedLines(
         rest=rfile, left=max_bytes, status=431, reason=HEADERS_TOO_LARGE
     )
     section = bytearray()
-    while line := lines.readline():
+    for _ in range(MAX_SECTION_LINES):
+        line = lines.readline()
         section += line
-        if line in (b"\r\n", b"\n"):
-            break
-    return bytes(section)
+        if line in (b"\r\n", b"\n", b""):
+            return bytes(section)
+    raise RequestRefused(431, HEADERS_TOO_LARGE)
 
 
 def has_plain_framing(headers) -> bool:
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -23,6 +23,7 @@
 from gentianhub.web.bodies import BodyError
 from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
 from gentianhub.web.connections import ClientConnection, ConnectionTable
+from gentianhub.web.request_reader import MAX_SECTION_LINES
 
 # Connections that have been closed for others and have not ended yet, or that have
 # replaced others before these end.
@@ -65,8 +66,7 @@
 
 # Longest line that http.client accepts in a header section, bytes.
 MAX_HEADER_LINE = 65_536
-# http.client accepts a hundred lines with the empty one, and refuses longer sections.
-MAX_PLAIN_HEADERS = 99
+MAX_PLAIN_HEADERS = MAX_SECTION_LINES - 1
 _PLAIN_HEADER_PATTERN = re.compile(
     rb"([!#$%&'*+.^`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*)\r\n"
 )
--- a/gentianhub/web/tests/test_request_reader.py
+++ b/gentianhub/web/tests/test_request_reader.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from gentianhub.core.request_limits import RequestLimits
-from gentianhub.web import ConnectionTable
+from gentianhub.web import ConnectionTable, Response
 from gentianhub.web.bodies import MAX_CHUNKS
 from gentianhub.web.connections import CONNECTION_BYTES
 from gentianhub.web.request_reader import MAX_EMPTY_LINES, MAX_REQUEST_LINE
@@ -152,6 +152,23 @@
                 self.assertLess(peak, 2 * BUDGET_BYTES)
 
 
+class ReplacementTest(unittest.TestCase):
+    """Guards against a replaced connection that gets no answer, or goes on."""
+
+    def test_a_replaced_connection_says_that_its_answer_is_the_last(self):
+        table = build_table()
+        server = ScriptedServer(table=table)
+
+        def handle(request):
+            next(iter(table._connections)).closes_after_answer = True
+            return Response(status=200, body=b"done")
+
+        with mock.patch.object(ScriptedServer, "_handle", lambda _, r: handle(r)):
+            sock = server.serve([HEAD + b"\r\n", HEAD + b"\r\n"])
+        self.assertEqual([b"200"], ANSWER_PATTERN.findall(bytes(sock.sent)))
+        self.assertIn(b"\r\nConnection: close\r\n", sock.sent)
+
+
 class RefusalTest(unittest.TestCase):
     """Guards against another answer to input at a limit or just beyond it."""
 
@@ -171,6 +188,7 @@
             (HEAD + full + end, b"200"),
             (HEAD + full + b"x" + end, b"431"),
             (HEAD + b"".join(b"X-%d: 1\r\n" % n for n in range(120)) + b"\r\n", b"431"),
+            (HEAD + b"x\n" * 900, b"431"),
             (b"\r\n" * MAX_EMPTY_LINES + HEAD + b"\r\n", b"200"),
             (b"\r\n" * (MAX_EMPTY_LINES + 1) + HEAD + b"\r\n", b"400"),
             (b"GET /" + b"x" * MAX_REQUEST_LINE + b" HTTP/1.1\r\n", b"414"),
