Share one `__repr__` among all attrs classes

Cause: attrs compiles the methods of each class at import.

Change: `define` and `frozen` of `gentianhub.core.records` are those of attrs, with one `__repr__` for all classes. All modules of the package use them.

--- a/gentianhub/callers/server.py
+++ b/gentianhub/callers/server.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import frozen
-
 from gentianhub.callers.replies import encode_refusal, encode_reply
 from gentianhub.callers.requests import decode_id_count, decode_job, decode_wait_s
 from gentianhub.core import JobId, Refusal, RefusalKind, Step, parse_job_id
@@ -15,6 +13,7 @@
     SubmitOperation,
     WatchOperation,
 )
+from gentianhub.core.records import frozen
 from gentianhub.decisions import JobAccepted
 from gentianhub.web import (
     BodyError,
--- a/gentianhub/capacity/earlier_runs.py
+++ b/gentianhub/capacity/earlier_runs.py
@@ -7,11 +7,10 @@
 
 from collections.abc import Iterable
 
-from attrs import frozen
-
 from gentianhub.capacity.events import EndReport, RunEnd
 from gentianhub.capacity.jobs import TaskKey
 from gentianhub.capacity.targets import TargetState
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/effects.py
+++ b/gentianhub/capacity/effects.py
@@ -3,8 +3,6 @@
 import enum
 from typing import Any
 
-from attrs import frozen
-
 from gentianhub.capacity.events import (
     CancelTasks,
     CellTargets,
@@ -14,6 +12,7 @@
 )
 from gentianhub.capacity.jobs import Cell, ListedTarget, TaskKey
 from gentianhub.core import Incarnation
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/events.py
+++ b/gentianhub/capacity/events.py
@@ -6,8 +6,6 @@
 
 import enum
 
-from attrs import frozen
-
 from gentianhub.capacity.evacuations import Evacuations
 from gentianhub.capacity.jobs import (
     Cell,
@@ -17,6 +15,7 @@
     build_task_keys,
 )
 from gentianhub.core import Incarnation, ProcessName
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/overload.py
+++ b/gentianhub/capacity/overload.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from attrs import define, evolve, field
+from attrs import evolve, field
 
 from gentianhub.capacity.backlog import CapacityCurve, Occupancy, build_curve
 from gentianhub.capacity.effects import ShedJob
@@ -24,6 +24,7 @@
     SlackOrder,
 )
 from gentianhub.capacity.worth import WorthEstimates
+from gentianhub.core.records import define
 
 # The order of starts stays that of an overload for this long after the last refusal, s.
 # Each refusal lets the remaining work fit, so that the order would alternate.
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Iterator
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.capacity.events import CellClaim, HostHeartbeat
 from gentianhub.capacity.jobs import Cell
@@ -19,6 +19,7 @@
     IDLE_HOST_SILENCE_TIMEOUT_S,
 )
 from gentianhub.core import Incarnation, ProcessName
+from gentianhub.core.records import define, frozen
 
 # A host that starts without the host register waits this long for claims of others. One
 # that has the register waits up to the maximum for all hosts of its data centre.
--- a/gentianhub/capacity/reports.py
+++ b/gentianhub/capacity/reports.py
@@ -1,12 +1,11 @@
 """Reports about tasks that a cell's owner sends to front hosts."""
 
-from attrs import frozen
-
 from gentianhub.capacity.effects import LogDecision, SendToFront
 from gentianhub.capacity.events import RunTasks, TaskEnd, TasksEnded
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.tasks import CellJob, CellTask
 from gentianhub.core import Incarnation
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/resources.py
+++ b/gentianhub/capacity/resources.py
@@ -1,6 +1,6 @@
 """Vectors of processor time, memory and accelerators."""
 
-from attrs import frozen
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import tracker_events as te
@@ -38,6 +38,7 @@
 from gentianhub.capacity.tasks import CellJob, CellTask, hand_back_tasks
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.core import Incarnation
+from gentianhub.core.records import define
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/capacity/shares.py
+++ b/gentianhub/capacity/shares.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.capacity.worth import JobWorth, SizeClass
+from gentianhub.core.records import define
 
 # Time after which an earlier arrival or loss counts half, s.
 HALF_LIFE_S = 5.0
--- a/gentianhub/capacity/starts.py
+++ b/gentianhub/capacity/starts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -19,6 +19,7 @@
 from gentianhub.capacity.tasks import CellTask
 from gentianhub.capacity.trials import RouteTrials
 from gentianhub.capacity.waiting import WaitingTasks
+from gentianhub.core.records import define, frozen
 
 # Number of tasks that fit on no target now and may be skipped in favour of later ones.
 MAX_SKIPPED_TASKS = 12
--- a/gentianhub/capacity/succession.py
+++ b/gentianhub/capacity/succession.py
@@ -9,10 +9,11 @@
 import enum
 from collections.abc import Iterable
 
-from attrs import define, evolve, field, frozen
+from attrs import evolve, field
 
 from gentianhub.capacity.events import CellTargets
 from gentianhub.capacity.jobs import Cell, ListedTarget
+from gentianhub.core.records import define, frozen
 
 
 class HandoverKind(enum.Enum):
--- a/gentianhub/capacity/suspects.py
+++ b/gentianhub/capacity/suspects.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.jobs import Cell, TaskKey, format_task_key
 from gentianhub.capacity.losses import LossLedger, Suspicion
+from gentianhub.core.records import define
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/capacity/tracker_events.py
+++ b/gentianhub/capacity/tracker_events.py
@@ -2,11 +2,10 @@
 
 import enum
 
-from attrs import frozen
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import TaskKey
 from gentianhub.capacity.targets import Run, TargetState
+from gentianhub.core.records import frozen
 
 # Verdicts that rule out that the task has run. The target of a stale run has had an
 # earlier run of the task.
--- a/gentianhub/capacity/turnover.py
+++ b/gentianhub/capacity/turnover.py
@@ -1,6 +1,8 @@
 """Rate at which the runs of a cell end and free their slots."""
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 # Weight of a new interval in the exponential moving average.
 INTERVAL_GAIN = 0.05
--- a/gentianhub/capacity/waiting.py
+++ b/gentianhub/capacity/waiting.py
@@ -20,7 +20,9 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import field
+
+from gentianhub.core.records import define, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/cli/table_options.py
+++ b/gentianhub/cli/table_options.py
@@ -6,10 +6,10 @@
 from typing import Annotated
 
 import typer
-from attrs import frozen
 
 from gentianhub.cli.table_output import report_outage
 from gentianhub.core import PlatformError, SettingsError
+from gentianhub.core.records import frozen
 from gentianhub.operators.rollout import (
     OperatorAddress,
     ProcessVersion,
--- a/gentianhub/client/client.py
+++ b/gentianhub/client/client.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import define, evolve, field, frozen
+from attrs import evolve, field
 
 from gentianhub.client.codec import decode_accepted, decode_state, encode_task
 from gentianhub.client.transport import EntryAddress, FailoverTransport, open_transport
@@ -22,6 +22,7 @@
     parse_job_id,
     read_monotonic_s,
 )
+from gentianhub.core.records import define, frozen
 
 ID_BLOCK_SIZE = 100
 # An unused id expires 300 s after it was issued.
--- a/gentianhub/client/transport.py
+++ b/gentianhub/client/transport.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.client.codec import decode_refusal
 from gentianhub.core import Refusal, RefusalKind, RunState, Step
+from gentianhub.core.records import define, frozen
 from gentianhub.web import HTTP_ERRORS, HttpConnection, open_connection
 
 CONNECT_TIMEOUT_S = 2.0
--- a/gentianhub/core/effects.py
+++ b/gentianhub/core/effects.py
@@ -2,12 +2,11 @@
 
 from typing import Any
 
-from attrs import frozen
-
 from gentianhub.core.events import SlotMessage
 from gentianhub.core.ids import Incarnation, JobId, TaskId
 from gentianhub.core.jobs import Task
 from gentianhub.core.outcomes import JobAnswer
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/core/errors.py
+++ b/gentianhub/core/errors.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from attrs import frozen
+from gentianhub.core.records import frozen
 
 
 class Step(enum.Enum):
--- a/gentianhub/core/events.py
+++ b/gentianhub/core/events.py
@@ -5,11 +5,10 @@
 
 from typing import Any
 
-from attrs import frozen
-
 from gentianhub.core.ids import Incarnation, JobId, TaskId
 from gentianhub.core.jobs import JobRequest
 from gentianhub.core.outcomes import TaskOutcome
+from gentianhub.core.records import frozen
 from gentianhub.core.table import Table, TargetAddress
 
 
--- a/gentianhub/core/jobs.py
+++ b/gentianhub/core/jobs.py
@@ -1,8 +1,7 @@
 """Submitted and accepted jobs."""
 
-from attrs import frozen
-
 from gentianhub.core.ids import JobId
+from gentianhub.core.records import frozen
 
 MAX_TASKS_PER_JOB = 170
 
--- a/gentianhub/core/mailbox.py
+++ b/gentianhub/core/mailbox.py
@@ -4,9 +4,11 @@
 from typing import Generic, TypeVar
 
 import gevent
-from attrs import define, field, frozen
+from attrs import field
 from gevent.queue import Empty, Full, Queue
 
+from gentianhub.core.records import define, frozen
+
 T = TypeVar("T")
 
 
--- a/gentianhub/core/operations.py
+++ b/gentianhub/core/operations.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from attrs import frozen
 from gevent import GreenletExit
 
 from gentianhub.core import events as ev
@@ -10,6 +9,7 @@
 from gentianhub.core.ids import JobId
 from gentianhub.core.jobs import JobRequest
 from gentianhub.core.mailbox import Mailbox, MailboxTimeout
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/core/outcomes.py
+++ b/gentianhub/core/outcomes.py
@@ -1,8 +1,7 @@
 """Outcomes of tasks and answers of jobs."""
 
-from attrs import frozen
-
 from gentianhub.core.errors import Step
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/core/request_limits.py
+++ b/gentianhub/core/request_limits.py
@@ -1,6 +1,6 @@
 """Limits of the requests that a port accepts."""
 
-from attrs import frozen
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/core/table.py
+++ b/gentianhub/core/table.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Mapping
 
-from attrs import Factory, field, frozen, validators
+from attrs import Factory, field, validators
 
 from gentianhub.core.ids import ProcessName
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/decisions/admission.py
+++ b/gentianhub/decisions/admission.py
@@ -6,7 +6,7 @@
 import random
 from typing import Protocol
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import (
     MAX_TASKS_PER_JOB,
@@ -17,6 +17,7 @@
     Step,
     Table,
 )
+from gentianhub.core.records import define
 from gentianhub.decisions.fairness import Backlog, FairOrder
 from gentianhub.decisions.order import TaskOrder
 from gentianhub.decisions.runtimes import RunTimeEstimates
--- a/gentianhub/decisions/concurrency.py
+++ b/gentianhub/decisions/concurrency.py
@@ -11,7 +11,9 @@
 import random
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 DECREASE_FACTOR = 0.75
 MAX_REPLIES_PER_STEP = 500
--- a/gentianhub/decisions/delays.py
+++ b/gentianhub/decisions/delays.py
@@ -3,8 +3,9 @@
 import heapq
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import field
 
+from gentianhub.core.records import define
 from gentianhub.decisions.order import QueuedTask
 
 
--- a/gentianhub/decisions/departures.py
+++ b/gentianhub/decisions/departures.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import TargetAddress
+from gentianhub.core.records import define
 
 # Other entry processes repeat the notice that a target is leaving for 10 s. A target
 # that returned in this time must not count as leaving again because of a repeat.
--- a/gentianhub/decisions/description.py
+++ b/gentianhub/decisions/description.py
@@ -1,6 +1,6 @@
 """State of the dispatcher, in a readable form for the dump."""
 
-from attrs import frozen
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import Factory, define, evolve, field
+from attrs import Factory, evolve, field
 
 from gentianhub.core import (
     Complete,
@@ -21,6 +21,7 @@
 )
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
+from gentianhub.core.records import define
 from gentianhub.decisions.admission import (
     Admission,
     build_admission,
--- a/gentianhub/decisions/ejection.py
+++ b/gentianhub/decisions/ejection.py
@@ -6,9 +6,10 @@
 from collections import deque
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import TaskId
+from gentianhub.core.records import define
 
 WINDOW_REPLIES = 20
 # A healthy target is ejected by chance once in this many replies.
--- a/gentianhub/decisions/heaps.py
+++ b/gentianhub/decisions/heaps.py
@@ -3,7 +3,9 @@
 import heapq
 from typing import Any, Generic, TypeVar
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 T = TypeVar("T")
 MIN_COMPACTION_SIZE = 64
--- a/gentianhub/decisions/homes.py
+++ b/gentianhub/decisions/homes.py
@@ -4,10 +4,11 @@
 that joins or leaves.
 """
 
-from attrs import define, field, frozen
+from attrs import field
 from xxhash import xxh3_64_intdigest
 
 from gentianhub.core import Incarnation
+from gentianhub.core.records import define, frozen
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/decisions/ledger.py
+++ b/gentianhub/decisions/ledger.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, field
 
 from gentianhub.core import (
     Complete,
@@ -31,6 +31,7 @@
     TaskOutcome,
     Unknown,
 )
+from gentianhub.core.records import define, frozen
 from gentianhub.decisions.order import QueuedTask
 
 ID_LIFETIME_S = 300.0
--- a/gentianhub/decisions/lending.py
+++ b/gentianhub/decisions/lending.py
@@ -10,11 +10,12 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.core import Incarnation
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
+from gentianhub.core.records import define, frozen
 
 LEASE_S = 2.0
 # Borrowers report every second; one that is silent for longer counts as lost.
--- a/gentianhub/decisions/nodes.py
+++ b/gentianhub/decisions/nodes.py
@@ -2,9 +2,10 @@
 
 import heapq
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import ServiceRow, TeamRow
+from gentianhub.core.records import define
 from gentianhub.decisions.heaps import LazyHeap
 from gentianhub.decisions.order import QueuedTask
 from gentianhub.decisions.runtimes import RunClass
--- a/gentianhub/decisions/order.py
+++ b/gentianhub/decisions/order.py
@@ -3,9 +3,10 @@
 from collections import deque
 from typing import Protocol
 
-from attrs import Factory, define, frozen
+from attrs import Factory
 
 from gentianhub.core import Table, TaskId
+from gentianhub.core.records import define, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/decisions/placement.py
+++ b/gentianhub/decisions/placement.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from attrs import define, field, frozen
+from attrs import field
+
+from gentianhub.core.records import define, frozen
 
 # A heap entry is updated when the speed of its target has changed by more than this
 # fraction.
--- a/gentianhub/decisions/propagation.py
+++ b/gentianhub/decisions/propagation.py
@@ -3,9 +3,10 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.core import Table
+from gentianhub.core.records import define, frozen
 from gentianhub.decisions.versions import TableChange, apply_change, select_following
 
 # A process that is further behind gets the complete table instead.
--- a/gentianhub/decisions/retries.py
+++ b/gentianhub/decisions/retries.py
@@ -2,7 +2,9 @@
 
 import random
 
-from attrs import define, field, frozen
+from attrs import field
+
+from gentianhub.core.records import define, frozen
 
 MAX_ATTEMPTS = 8
 BASE_DELAY_S = 0.02
--- a/gentianhub/decisions/runtimes.py
+++ b/gentianhub/decisions/runtimes.py
@@ -7,9 +7,11 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import field
 from hdrh.histogram import HdrHistogram
 
+from gentianhub.core.records import define
+
 SHORT_LIMIT_S = 2.0
 # Estimate for a kind without observations in a service without any.
 DEFAULT_RUN_S = 0.3
--- a/gentianhub/decisions/slots.py
+++ b/gentianhub/decisions/slots.py
@@ -4,9 +4,10 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import Incarnation
+from gentianhub.core.records import define
 from gentianhub.decisions.heaps import LazyHeap
 
 
--- a/gentianhub/decisions/speeds.py
+++ b/gentianhub/decisions/speeds.py
@@ -9,7 +9,9 @@
 import math
 from collections import OrderedDict
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 HALF_LIFE_S = 30.0
 # Weight of the prior of a target's estimate, in replies at the mean speed; it does not
--- a/gentianhub/decisions/warm_up.py
+++ b/gentianhub/decisions/warm_up.py
@@ -3,7 +3,9 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 # Limits the warm-up of targets whose first tasks are long.
 WARM_UP_S = 1.0
--- a/gentianhub/fault_run/audit.py
+++ b/gentianhub/fault_run/audit.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.client import JobComplete, JobFailed, Refusal
 from gentianhub.core import JobAnswer, NotRun, RunState, Unknown
+from gentianhub.core.records import define, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/fault_run/load.py
+++ b/gentianhub/fault_run/load.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import gevent
-from attrs import define, field
+from attrs import field
 
 from gentianhub.client import (
     Client,
@@ -16,6 +16,7 @@
     open_client,
 )
 from gentianhub.core import read_monotonic_s
+from gentianhub.core.records import define
 from gentianhub.fault_run.audit import JobTrace
 
 MAX_RUN_MS = 300
--- a/gentianhub/fault_run/plan.py
+++ b/gentianhub/fault_run/plan.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Iterator
 
-from attrs import frozen
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/fault_run/run.py
+++ b/gentianhub/fault_run/run.py
@@ -6,10 +6,11 @@
 
 import gevent
 import typer
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.client import EntryAddress
 from gentianhub.core import read_monotonic_s, spawn_greenlet
+from gentianhub.core.records import define, frozen
 from gentianhub.fault_run.audit import (
     JobTrace,
     Violation,
--- a/gentianhub/fault_run/testbed.py
+++ b/gentianhub/fault_run/testbed.py
@@ -6,8 +6,9 @@
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
-from attrs import define, field, frozen
+from attrs import field
 
+from gentianhub.core.records import define, frozen
 from gentianhub.stand_ins.platform import PlatformStandIn
 from gentianhub.stand_ins.platform_proxies import PlatformProxy
 from gentianhub.stand_ins.processes import (
--- a/gentianhub/fault_run/watch.py
+++ b/gentianhub/fault_run/watch.py
@@ -3,10 +3,11 @@
 import json
 
 import gevent
-from attrs import define, field
+from attrs import field
 from hdrh.histogram import HdrHistogram
 
 from gentianhub.core import read_monotonic_s
+from gentianhub.core.records import define
 from gentianhub.fault_run.audit import Violation
 from gentianhub.fault_run.faults import FaultInjector
 from gentianhub.fault_run.testbed import Testbed
--- a/gentianhub/host/delays.py
+++ b/gentianhub/host/delays.py
@@ -1,8 +1,9 @@
 """Log lines and metrics of a host that runs late."""
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import Incarnation, Mailbox
+from gentianhub.core.records import define
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.messages import TimerTick
 from gentianhub.host.metrics import HostMetrics
--- a/gentianhub/host/exposition.py
+++ b/gentianhub/host/exposition.py
@@ -2,10 +2,10 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import frozen
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from gentianhub.core.records import frozen
 from gentianhub.observability.histograms import PERCENTILES
 
 if TYPE_CHECKING:
--- a/gentianhub/host/job_memory.py
+++ b/gentianhub/host/job_memory.py
@@ -2,9 +2,10 @@
 
 import sys
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.capacity.jobs import CapacityJob
+from gentianhub.core.records import define
 
 # Memory of a job apart from its tasks, of a step and of a task, with the orders and
 # reports about them.
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
@@ -19,6 +19,7 @@
     list_cells,
 )
 from gentianhub.core import Incarnation, Mailbox, ProcessName
+from gentianhub.core.records import define, frozen
 from gentianhub.host import messages as ms
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.encoding import encode_message
--- a/gentianhub/host/messages.py
+++ b/gentianhub/host/messages.py
@@ -2,11 +2,10 @@
 
 from typing import Any
 
-from attrs import frozen
-
 from gentianhub.capacity.evacuations import Evacuations
 from gentianhub.capacity.jobs import Cell, ListedTarget
 from gentianhub.core import Incarnation
+from gentianhub.core.records import frozen
 from gentianhub.host.registry import HostEntry
 from gentianhub.web import ConnectionEnd
 
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -3,11 +3,12 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import field
 from hdrh.histogram import HdrHistogram
 
 from gentianhub.capacity.effects import JobVerdict
 from gentianhub.capacity.events import TaskEnd
+from gentianhub.core.records import define
 from gentianhub.observability.histograms import create_response_histogram
 
 
--- a/gentianhub/host/outbox.py
+++ b/gentianhub/host/outbox.py
@@ -3,9 +3,10 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import Incarnation
+from gentianhub.core.records import define
 from gentianhub.host.links import HostLinks
 
 
--- a/gentianhub/host/registry.py
+++ b/gentianhub/host/registry.py
@@ -2,9 +2,10 @@
 
 import json
 
-from attrs import asdict, frozen
+from attrs import asdict
 
 from gentianhub.core.ids import PROCESS_NAME_PATTERN
+from gentianhub.core.records import frozen
 from gentianhub.platform.content import MAX_UNIX_MS, decode_json
 from gentianhub.platform.fields import (
     FieldError,
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve, field, frozen
+from attrs import evolve, field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -18,6 +18,7 @@
     SubmitCapacityJob,
 )
 from gentianhub.core import Incarnation, Mailbox
+from gentianhub.core.records import define, frozen
 from gentianhub.host import messages as ms
 from gentianhub.host.cancellations import (
     Cancellations,
--- a/gentianhub/host/target_list.py
+++ b/gentianhub/host/target_list.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Incarnation
+from gentianhub.core.records import define
 from gentianhub.host.followers import decode_targets
 from gentianhub.platform.store import TARGETS_TABLE
 
--- a/gentianhub/linking/dialling.py
+++ b/gentianhub/linking/dialling.py
@@ -2,8 +2,9 @@
 
 from random import Random
 
-from attrs import define, field, frozen
+from attrs import field
 
+from gentianhub.core.records import define, frozen
 from gentianhub.linking.link_events import DialAddress
 
 FIRST_DELAY_S = 0.1
--- a/gentianhub/linking/frame_memory.py
+++ b/gentianhub/linking/frame_memory.py
@@ -4,7 +4,9 @@
 import sys
 from typing import Any
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 OVER_FRAME_MEMORY = "over the memory for frames"
 
--- a/gentianhub/linking/handshake.py
+++ b/gentianhub/linking/handshake.py
@@ -1,8 +1,7 @@
 """The handshake that opens a link, and the encoding of process names."""
 
-from attrs import frozen
-
 from gentianhub.core import Incarnation, ProcessName
+from gentianhub.core.records import frozen
 
 PROTOCOL_VERSION = 1
 
--- a/gentianhub/linking/handshake_limits.py
+++ b/gentianhub/linking/handshake_limits.py
@@ -6,7 +6,9 @@
 from contextlib import contextmanager
 from typing import Any
 
-from attrs import define, field
+from attrs import field
+
+from gentianhub.core.records import define
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/linking/link_events.py
+++ b/gentianhub/linking/link_events.py
@@ -2,9 +2,8 @@
 
 from typing import Any
 
-from attrs import frozen
-
 from gentianhub.core import ProcessName
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/linking/links.py
+++ b/gentianhub/linking/links.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import gevent
-from attrs import define, field, frozen
+from attrs import field
 from gevent import socket as gsocket
 
 from gentianhub.core import (
@@ -17,6 +17,7 @@
     send_message,
     spawn_greenlet,
 )
+from gentianhub.core.records import define, frozen
 from gentianhub.linking.frame_memory import FrameMemory
 from gentianhub.linking.frames import (
     ANY_RECEIVER_TOKEN,
--- a/gentianhub/observability/messages.py
+++ b/gentianhub/observability/messages.py
@@ -1,8 +1,7 @@
 """Messages that request metrics from the greenlet that owns them."""
 
-from attrs import frozen
-
 from gentianhub.core import Mailbox
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/observability/stream.py
+++ b/gentianhub/observability/stream.py
@@ -9,10 +9,11 @@
 import sys
 
 import gevent
-from attrs import define, field
+from attrs import field
 from gevent.os import make_nonblocking, nb_write
 
 from gentianhub.core import Mailbox, spawn_greenlet
+from gentianhub.core.records import define
 
 # Bounds the memory of the queue to a few MB.
 MAX_QUEUED_LINES = 4000
--- a/gentianhub/operators/changes.py
+++ b/gentianhub/operators/changes.py
@@ -3,9 +3,10 @@
 import secrets
 from collections.abc import Iterator
 
-from attrs import evolve, fields, frozen
+from attrs import evolve, fields
 
 from gentianhub.core import ServiceRow, Table, TargetRow, TeamRow
+from gentianhub.core.records import frozen
 from gentianhub.decisions.versions import (
     Difference,
     RowAdded,
--- a/gentianhub/operators/rollout.py
+++ b/gentianhub/operators/rollout.py
@@ -6,11 +6,11 @@
 from http.client import HTTPException
 
 import gevent
-from attrs import frozen
 from gevent.pool import Pool
 from geventhttpclient import HTTPClient
 
 from gentianhub.core import read_monotonic_s
+from gentianhub.core.records import frozen
 
 DUMP_TIMEOUT_S = 1.0
 POLL_PERIOD_S = 0.2
--- a/gentianhub/operators/server.py
+++ b/gentianhub/operators/server.py
@@ -6,10 +6,10 @@
 from contextlib import contextmanager
 
 import cattrs
-from attrs import frozen
 
 from gentianhub.core import Mailbox
 from gentianhub.core.events import DescribeState
+from gentianhub.core.records import frozen
 from gentianhub.observability import RenderMetrics
 from gentianhub.siblings import DescribeSiblings
 from gentianhub.web import (
--- a/gentianhub/operators/table_files.py
+++ b/gentianhub/operators/table_files.py
@@ -10,9 +10,10 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-from attrs import NOTHING, Attribute, fields, frozen
+from attrs import NOTHING, Attribute, fields
 
 from gentianhub.core import Table
+from gentianhub.core.records import frozen
 from gentianhub.decisions.versions import ROW_CLASSES, Row, get_sheets
 
 COMMENT_PREFIX = "#"
--- a/gentianhub/platform/settings.py
+++ b/gentianhub/platform/settings.py
@@ -8,11 +8,10 @@
 from pathlib import Path
 from typing import Any
 
-from attrs import frozen
-
 from gentianhub.capacity.leases import CALLER_RETURN_S, MAX_LEASE_S, STOP_S
 from gentianhub.core import ProcessName, SettingsError, Step
 from gentianhub.core.ids import PROCESS_NAME_PATTERN
+from gentianhub.core.records import frozen
 from gentianhub.platform.fields import (
     FieldError,
     describe_value,
--- a/gentianhub/platform/store.py
+++ b/gentianhub/platform/store.py
@@ -7,9 +7,9 @@
 from urllib.parse import urlencode
 
 import gevent
-from attrs import define, frozen
 
 from gentianhub.core import PlatformError, Step
+from gentianhub.core.records import define, frozen
 from gentianhub.platform.content import decode_json
 from gentianhub.platform.fields import FieldError, read_field
 from gentianhub.web import HTTP_ERRORS, HttpConnection, open_connection
--- a/gentianhub/settings/model.py
+++ b/gentianhub/settings/model.py
@@ -2,9 +2,10 @@
 
 import math
 
-from attrs import field, frozen, validators
+from attrs import field, validators
 
 from gentianhub.core.ids import PROCESS_NAME_PATTERN
+from gentianhub.core.records import frozen
 
 _name_validator = validators.matches_re(PROCESS_NAME_PATTERN)
 _port_validator = validators.and_(validators.ge(1), validators.le(65535))
--- a/gentianhub/siblings/dump.py
+++ b/gentianhub/siblings/dump.py
@@ -1,7 +1,6 @@
 """The siblings' part of the operators' state dump."""
 
-from attrs import frozen
-
+from gentianhub.core.records import frozen
 from gentianhub.decisions import membership as mb
 
 
--- a/gentianhub/siblings/forwarding.py
+++ b/gentianhub/siblings/forwarding.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.core import (
     Incarnation,
@@ -22,6 +22,7 @@
     WatchOperation,
     perform_operation,
 )
+from gentianhub.core.records import define, frozen
 from gentianhub.siblings.manager_messages import Forward
 from gentianhub.siblings.messages import ForwardReply, ForwardRequest
 from gentianhub.siblings.wire import MAX_FRAME_BYTES, encode_message
--- a/gentianhub/siblings/manager_messages.py
+++ b/gentianhub/siblings/manager_messages.py
@@ -1,10 +1,9 @@
 """Messages to the sibling manager from greenlets of its own process."""
 
-from attrs import frozen
-
 from gentianhub.core import Incarnation, Mailbox
 from gentianhub.core.events import SlotMessage
 from gentianhub.core.operations import Operation
+from gentianhub.core.records import frozen
 from gentianhub.linking.link_events import (
     DialAddress,
     DialFailed,
--- a/gentianhub/siblings/messages.py
+++ b/gentianhub/siblings/messages.py
@@ -1,10 +1,9 @@
 """Messages between entry processes that the dispatcher does not see."""
 
-from attrs import frozen
-
 from gentianhub.core import JobAnswer, JobPending, Refusal, Table
 from gentianhub.core.events import SlotMessage
 from gentianhub.core.operations import Operation
+from gentianhub.core.records import frozen
 from gentianhub.decisions import IdBlock, JobAccepted
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.versions import TableChange
--- a/gentianhub/siblings/propagation.py
+++ b/gentianhub/siblings/propagation.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core.events import TableAdopted, TargetsLeaving
+from gentianhub.core.records import define
 from gentianhub.decisions.propagation import TableHistory
 from gentianhub.linking.links import Link
 from gentianhub.siblings.messages import TableDeltas, TableRequest
--- a/gentianhub/soak/audit.py
+++ b/gentianhub/soak/audit.py
@@ -3,8 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
-from attrs import frozen
-
+from gentianhub.core.records import frozen
 from gentianhub.soak.callers import DEADLINE_S, RESEND_DELAY_S, Attempt, JobTrace
 from gentianhub.soak.faults import STORE, FaultInjector, LeavingPeriod
 from gentianhub.stand_ins.users_platform import RESTARTED, RunRecord
--- a/gentianhub/soak/faults.py
+++ b/gentianhub/soak/faults.py
@@ -6,9 +6,10 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import define, field, frozen
+from attrs import field
 from gevent import subprocess
 
+from gentianhub.core.records import define, frozen
 from gentianhub.soak import plan as faults
 from gentianhub.soak.callers import Attempt
 from gentianhub.soak.testbed import SoakTestbed
--- a/gentianhub/soak/plan.py
+++ b/gentianhub/soak/plan.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Iterator
 
-from attrs import frozen
+from gentianhub.core.records import frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -12,10 +12,11 @@
 
 import gevent
 import typer
-from attrs import define, field, frozen
+from attrs import field
 from gevent.event import Event
 from geventhttpclient import HTTPClient
 
+from gentianhub.core.records import define, frozen
 from gentianhub.soak.audit import (
     Violation,
     audit_jobs,
--- a/gentianhub/stand_ins/hosts.py
+++ b/gentianhub/stand_ins/hosts.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 from typing import BinaryIO
 
-from attrs import frozen
 from gevent import subprocess
 
+from gentianhub.core.records import frozen
 from gentianhub.platform.settings import SETTINGS_VARIABLE
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/gentianhub/stand_ins/platform.py
+++ b/gentianhub/stand_ins/platform.py
@@ -4,8 +4,9 @@
 
 import gevent
 import xxhash
-from attrs import define, field
+from attrs import field
 
+from gentianhub.core.records import define
 from gentianhub.web import (
     BodyError,
     Request,
--- a/gentianhub/stand_ins/target.py
+++ b/gentianhub/stand_ins/target.py
@@ -5,8 +5,9 @@
 from pathlib import Path
 
 import gevent
-from attrs import define, field
+from attrs import field
 
+from gentianhub.core.records import define
 from gentianhub.web import (
     BodyError,
     Request,
--- a/gentianhub/stand_ins/users_platform.py
+++ b/gentianhub/stand_ins/users_platform.py
@@ -14,9 +14,10 @@
 from random import Random
 
 import gevent
-from attrs import define, field
+from attrs import field
 from gevent.event import Event
 
+from gentianhub.core.records import define
 from gentianhub.web import (
     BodyError,
     Request,
--- a/gentianhub/storage/changes.py
+++ b/gentianhub/storage/changes.py
@@ -7,9 +7,8 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from attrs import frozen
-
 from gentianhub.core import PlatformError, Step, Table
+from gentianhub.core.records import frozen
 from gentianhub.decisions.versions import (
     TableChange,
     apply_change,
--- a/gentianhub/storage/claims.py
+++ b/gentianhub/storage/claims.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from attrs import define, field, frozen
+from attrs import field
 
 from gentianhub.core import (
     JobId,
@@ -24,6 +24,7 @@
     read_monotonic_s,
 )
 from gentianhub.core.operations import Operation, ReserveIdsOperation, SubmitOperation
+from gentianhub.core.records import define, frozen
 from gentianhub.decisions import IdBlock
 from gentianhub.storage.changes import TableStore
 from gentianhub.storage.client import Conflict, VersionedRow, open_platform
--- a/gentianhub/storage/objects.py
+++ b/gentianhub/storage/objects.py
@@ -1,10 +1,10 @@
 """Serialisation of the journal's objects and of its index row on the platform."""
 
 import cattrs.preconf.json
-from attrs import frozen
 from cattrs.strategies import configure_tagged_union
 
 from gentianhub.core import Incarnation, JobAnswer, TaskOutcome
+from gentianhub.core.records import frozen
 
 JOURNAL_PREFIX = "journal/"
 
--- a/gentianhub/storage/watcher.py
+++ b/gentianhub/storage/watcher.py
@@ -2,10 +2,11 @@
 
 import logging
 
-from attrs import define, field
+from attrs import field
 
 from gentianhub.core import Mailbox, MailboxTimeout, PlatformError, Table
 from gentianhub.core.events import TableAdopted, TargetsListed
+from gentianhub.core.records import define
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.propagation import ChangesRead, PollerRole
 from gentianhub.storage.changes import read_latest
--- a/gentianhub/targets/exchange.py
+++ b/gentianhub/targets/exchange.py
@@ -4,7 +4,6 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import define, frozen
 
 from gentianhub.core import (
     Complete,
@@ -17,6 +16,7 @@
     read_monotonic_s,
 )
 from gentianhub.core.effects import StartTask
+from gentianhub.core.records import define, frozen
 from gentianhub.web import HTTP_ERRORS, HttpConnection, open_connection
 
 CONNECT_TIMEOUT_S = 1.0
--- a/gentianhub/web/connection.py
+++ b/gentianhub/web/connection.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 
-from attrs import define, field
+from attrs import field
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import (
     HTTPConnectionClosed,
@@ -13,6 +13,7 @@
 )
 
 from gentianhub.core import send_message
+from gentianhub.core.records import define
 from gentianhub.web.sockets import SendTrackingPool
 
 # Exceptions of a failed HTTP exchange; the connection must be reset after any of them.
--- a/gentianhub/web/request_reader.py
+++ b/gentianhub/web/request_reader.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import gevent
-from attrs import define
 
 from gentianhub.core import read_monotonic_s
+from gentianhub.core.records import define
 from gentianhub.web.connections import ClientConnection, RequestRefused
 
 # Longest request line, bytes; gevent's server has the same limit.
