Answer a second submission of an open job also without memory

Found when the diff was read: a job that is open at this host, or whose answer is kept, was refused with 503 if the memory for open jobs was full when it was submitted again. That refusal says that the job never runs.

Change: such a job takes no more memory, and is passed on as before.

Evidence: a new case of test_departed_callers fails before (the second submission got an answer at once), and passes after.

--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -181,7 +181,10 @@
             log_decision("job malformed", job_id, reason=str(error))
             self._reply(request.reply_to, callers.encode_error(400, str(error)))
             return
-        held_bytes = self.memory.reserve(job)
+        # A job that is open or answered already takes no more memory, and a refusal
+        # would say that it has not run.
+        is_known = self._is_known(job_id, now_s)
+        held_bytes = 0 if is_known else self.memory.reserve(job)
         if held_bytes is None:
             log_decision("job refused", job_id, reason=OVER_JOB_MEMORY)
             refusal = callers.encode_error(503, OVER_JOB_MEMORY, MEMORY_RETRY_AFTER_S)
@@ -210,6 +213,12 @@
         )
         self.handle_event(submit, now_s)
 
+    def _is_known(self, job_id: str, now_s: float) -> bool:
+        """Whether a job is open here, or its final answer is kept."""
+        registry = self.job_registry
+        kept = registry.kept_answers.find(job_id, now_s)
+        return job_id in registry.jobs or kept is not None
+
     def _describe_job(self, job_id: str) -> Response:
         job = self.job_registry.jobs.get(job_id)
         if job is None:
--- a/gentianhub/host/tests/test_departed_callers.py
+++ b/gentianhub/host/tests/test_departed_callers.py
@@ -32,22 +32,39 @@
             ),
         )
 
-    def test_nothing_is_kept_of_a_submission_whose_caller_has_left(self):
-        """Its entry stayed until the process ended, with its mailbox."""
+    def submit(self, number: int, now_s: float) -> Mailbox:
+        """Submit a job; return the mailbox for the answer."""
         replies = Mailbox(limit=2)
         request = ms.CallerRequest(
             method="POST",
             host="desk.example",
-            path=f"/jobs/{1:016x}",
+            path=f"/jobs/{number:016x}",
             body=json.dumps(JOB).encode(),
             wait_s=3.0,
             reply_to=replies,
         )
-        self.handler.handle_request(request, 0.1)
+        self.handler.handle_request(request, now_s)
+        return replies
+
+    def test_nothing_is_kept_of_a_submission_whose_caller_has_left(self):
+        """Its entry stayed until the process ended, with its mailbox."""
+        replies = self.submit(1, 0.1)
         self.assertEqual(1, len(self.handler.job_registry.jobs))
         self.handler.handle_disconnect(replies, ConnectionEnd.CLOSED, 0.2)
         self.assertEqual({}, self.handler.job_registry.jobs)
         self.assertEqual({}, self.handler._pending_requests)
+        self.assertEqual(0, self.handler.memory.held_bytes)
+
+    def test_only_jobs_that_are_not_open_are_refused_for_want_of_memory(self):
+        """A second submission of an open job would be told that it does not run."""
+        self.submit(1, 0.1)
+        self.handler.memory.max_bytes = self.handler.memory.held_bytes
+        again, other = self.submit(1, 0.2), self.submit(2, 0.2)
+        self.assertEqual(0, len(again))
+        refusal = other.get()
+        self.assertEqual(503, refusal.status)
+        self.assertEqual("1", refusal.headers["Retry-After"])
+        self.assertEqual(1, len(self.handler.job_registry.jobs))
 
 
 if __name__ == "__main__":
