--- a/gentianhub/capacity/answer_times.py
+++ b/gentianhub/capacity/answer_times.py
@@ -6,9 +6,7 @@
 (RFC 6298): a fixed one is either too long for short tasks or too short for a slow host.
 """
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Limits of the time-out, s. A usual answer takes 2 to 10 ms; the lower limit allows for
 # a pause of the owner's process.
--- a/gentianhub/capacity/backlog.py
+++ b/gentianhub/capacity/backlog.py
@@ -3,10 +3,8 @@
 from bisect import bisect_right
 from collections.abc import Iterable
 
-from attrs import field
-
 from gentianhub.capacity.targets import Run, TargetState
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # An overdue run is expected to take this fraction of its expected time more.
 OVERDUE_FRACTION = 0.5
--- a/gentianhub/capacity/cancelled_jobs.py
+++ b/gentianhub/capacity/cancelled_jobs.py
@@ -8,10 +8,8 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.capacity.events import CancelledJob
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # A request arrives again several seconds after its answer, and may then wait for the
 # end of a freeze. Final answers are kept for as long.
--- a/gentianhub/capacity/confirmations.py
+++ b/gentianhub/capacity/confirmations.py
@@ -11,8 +11,6 @@
 import math
 from collections.abc import Callable, Iterator
 
-from attrs import evolve, field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import Cell
@@ -22,7 +20,7 @@
 )
 from gentianhub.capacity.tasks import CellJob, CellTask
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 
 # A job is due for a confirmation when the last one is this old, so that it is confirmed
 # again before `START_CONFIRMATION_S`. Most jobs end earlier and need none.
--- a/gentianhub/capacity/estimates.py
+++ b/gentianhub/capacity/estimates.py
@@ -7,9 +7,7 @@
 
 import math
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Slope of the logarithm of run times over that of estimates. If estimates are off by
 # 40%, and run times differ by as much from the mean of their route, an estimate has a
--- a/gentianhub/capacity/evacuations.py
+++ b/gentianhub/capacity/evacuations.py
@@ -5,9 +5,7 @@
 centre is missing from it because its row was removed.
 """
 
-from attrs import field
-
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # An owner that knows no state starts nothing for this long after the start of its
 # process, s. Two attempts to read it may time out meanwhile. Mostly it is known much
--- a/gentianhub/capacity/front.py
+++ b/gentianhub/capacity/front.py
@@ -10,8 +10,6 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from attrs import field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.evacuations import KnownEvacuations
@@ -34,7 +32,7 @@
     SubmitCapacityJob,
 )
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Number of times that a task is sent to cells that may decline it.
 MAX_OFFERS = 2
--- a/gentianhub/capacity/front_requests.py
+++ b/gentianhub/capacity/front_requests.py
@@ -6,8 +6,6 @@
 
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.confirmations import (
@@ -26,7 +24,7 @@
 from gentianhub.capacity.tasks import LATE_FACTOR, CellJob, CellTask
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # Ends of tasks are kept for this long, for a front host that repeats its request.
 END_RETENTION_S = 3.0
--- a/gentianhub/capacity/health.py
+++ b/gentianhub/capacity/health.py
@@ -1,8 +1,6 @@
 """Ejection of targets whose runs fail or stall, and their return to use."""
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Number of different jobs that have to fail on a target, without a success in between,
 # to eject it. The failures of a single job may be the fault of that job.
--- a/gentianhub/capacity/jobs.py
+++ b/gentianhub/capacity/jobs.py
@@ -5,10 +5,8 @@
 from collections.abc import Iterable
 from itertools import islice
 
-from attrs import Factory, field
-
 from gentianhub.capacity.resources import Resources
-from gentianhub.core.records import frozen
+from gentianhub.core.records import Factory, field, frozen
 from gentianhub.core.request_limits import RequestLimits
 
 # The owner of a cell of 59 targets used at most 0.38 of a core at the load peak of the
--- a/gentianhub/capacity/kept_answers.py
+++ b/gentianhub/capacity/kept_answers.py
@@ -2,11 +2,9 @@
 
 from collections import OrderedDict
 
-from attrs import field
-
 from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.capacity.effects import JobVerdict
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # A submission that is repeated within this time of its answer gets the same answer.
 ANSWER_RETENTION_S = 10.0
--- a/gentianhub/capacity/load.py
+++ b/gentianhub/capacity/load.py
@@ -2,13 +2,11 @@
 
 from collections.abc import Iterable
 
-from attrs import field
-
 from gentianhub.capacity.events import CellClaim
 from gentianhub.capacity.jobs import Cell, JobStep
 from gentianhub.capacity.targets import TargetState
 from gentianhub.capacity.tasks import CellTask
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Weight of a new request in the exponential moving average of a task's demand.
 DEMAND_GAIN = 0.1
--- a/gentianhub/capacity/losses.py
+++ b/gentianhub/capacity/losses.py
@@ -11,11 +11,9 @@
 from collections import OrderedDict
 from collections.abc import Container, Iterable, Iterator, Set
 
-from attrs import evolve, field
-
 from gentianhub.capacity.events import LossOutcome, TargetLoss
 from gentianhub.capacity.jobs import Cell, ListedTarget, TaskKey
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 
 # Losses are remembered for this long. A caller waits up to 30 s for a job and may then
 # submit it again under the same id.
--- a/gentianhub/capacity/overload.py
+++ b/gentianhub/capacity/overload.py
@@ -6,8 +6,6 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from attrs import evolve, field
-
 from gentianhub.capacity.backlog import CapacityCurve, Occupancy, build_curve
 from gentianhub.capacity.effects import ShedJob
 from gentianhub.capacity.events import RunTasks
@@ -24,7 +22,7 @@
     SlackOrder,
 )
 from gentianhub.capacity.worth import WorthEstimates
-from gentianhub.core.records import define
+from gentianhub.core.records import define, evolve, field
 
 # The order of starts stays that of an overload for this long after the last refusal, s.
 # Each refusal lets the remaining work fit, so that the order would alternate.
--- a/gentianhub/capacity/ownership.py
+++ b/gentianhub/capacity/ownership.py
@@ -10,8 +10,6 @@
 import time
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.capacity.events import CellClaim, HostHeartbeat
 from gentianhub.capacity.jobs import Cell
 from gentianhub.capacity.leases import (
@@ -19,7 +17,7 @@
     IDLE_HOST_SILENCE_TIMEOUT_S,
 )
 from gentianhub.core import Incarnation, ProcessName
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # A host that starts without the host register waits this long for claims of others. One
 # that has the register waits up to the maximum for all hosts of its data centre.
--- a/gentianhub/capacity/placement.py
+++ b/gentianhub/capacity/placement.py
@@ -7,12 +7,10 @@
 
 from collections.abc import Iterable
 
-from attrs import field
-
 from gentianhub.capacity.jobs import JobStep
 from gentianhub.capacity.resources import Resources
 from gentianhub.capacity.targets import TargetState
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Width of the buckets within which targets count as equally fast.
 PACE_BUCKET = 0.25
--- a/gentianhub/capacity/refusals.py
+++ b/gentianhub/capacity/refusals.py
@@ -12,13 +12,11 @@
 from collections.abc import Iterable, Iterator
 from itertools import groupby
 
-from attrs import field
-
 from gentianhub.capacity.backlog import CapacityCurve
 from gentianhub.capacity.shares import ServedShares
 from gentianhub.capacity.tasks import CellJob
 from gentianhub.capacity.worth import JobWorth
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 
 class RefusalReason(enum.Enum):
--- a/gentianhub/capacity/routing.py
+++ b/gentianhub/capacity/routing.py
@@ -8,12 +8,10 @@
 import math
 from collections.abc import Iterator, Mapping, Set
 
-from attrs import field
-
 from gentianhub.capacity.evacuations import KnownEvacuations
 from gentianhub.capacity.events import CellClaim
 from gentianhub.capacity.jobs import Cell, JobStep
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # Added to the estimated wait in cells of other data centres, so that tasks go there to
 # queue only if the wait is shorter by more than this.
--- a/gentianhub/capacity/scheduler.py
+++ b/gentianhub/capacity/scheduler.py
@@ -6,8 +6,6 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.confirmations import (
@@ -38,7 +36,7 @@
 from gentianhub.capacity.tasks import CellJob, CellTask, hand_back_tasks
 from gentianhub.capacity.turnover import SlotTurnover
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/capacity/shares.py
+++ b/gentianhub/capacity/shares.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.capacity.worth import JobWorth, SizeClass
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Time after which an earlier arrival or loss counts half, s.
 HALF_LIFE_S = 5.0
--- a/gentianhub/capacity/starts.py
+++ b/gentianhub/capacity/starts.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.confirmations import (
@@ -19,7 +17,7 @@
 from gentianhub.capacity.tasks import CellTask
 from gentianhub.capacity.trials import RouteTrials
 from gentianhub.capacity.waiting import WaitingTasks
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # Number of tasks that fit on no target now and may be skipped in favour of later ones.
 MAX_SKIPPED_TASKS = 12
--- a/gentianhub/capacity/submissions.py
+++ b/gentianhub/capacity/submissions.py
@@ -4,13 +4,11 @@
 from collections.abc import Mapping
 from typing import Any
 
-from attrs import field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import CapacityJob, Cell, Route, TaskKey
 from gentianhub.capacity.ownership import CellOwner
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/succession.py
+++ b/gentianhub/capacity/succession.py
@@ -9,11 +9,9 @@
 import enum
 from collections.abc import Iterable
 
-from attrs import evolve, field
-
 from gentianhub.capacity.events import CellTargets
 from gentianhub.capacity.jobs import Cell, ListedTarget
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 
 
 class HandoverKind(enum.Enum):
--- a/gentianhub/capacity/suspects.py
+++ b/gentianhub/capacity/suspects.py
@@ -2,14 +2,12 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import tracker_events as te
 from gentianhub.capacity.jobs import Cell, TaskKey, format_task_key
 from gentianhub.capacity.losses import LossLedger, Suspicion
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/capacity/target_tracker.py
+++ b/gentianhub/capacity/target_tracker.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import evolve, field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import MIN_TIMEOUT_S
@@ -44,7 +42,7 @@
     TargetUsable,
     TrackerEvent,
 )
-from gentianhub.core.records import define
+from gentianhub.core.records import define, evolve, field
 
 # A new owner keeps runs of an earlier one that no front host has claimed for this long.
 # Their targets are granted no lease meanwhile, so that a longer time would also end the
--- a/gentianhub/capacity/targets.py
+++ b/gentianhub/capacity/targets.py
@@ -2,8 +2,6 @@
 
 import enum
 
-from attrs import evolve, field
-
 from gentianhub.capacity.effects import StopReason
 from gentianhub.capacity.estimates import TargetPace
 from gentianhub.capacity.events import EndReport
@@ -18,7 +16,7 @@
 )
 from gentianhub.capacity.resources import Resources
 from gentianhub.capacity.tasks import CellJob
-from gentianhub.core.records import define
+from gentianhub.core.records import define, evolve, field
 
 # After a longer gap between two answers of a target, s, it is not known when the runs
 # that it lists have started or ended. An owner that handles everything 0.3 s late hears
--- a/gentianhub/capacity/tasks.py
+++ b/gentianhub/capacity/tasks.py
@@ -2,13 +2,11 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity.events import RunTasks, TaskEnd
 from gentianhub.capacity.jobs import JobStep, TaskKey
 from gentianhub.capacity.worth import JobWorth
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # An answer later than this multiple of its objective is of no use to the caller, so a
 # task that would end later is dropped. 1.5 left more jobs of a load peak without an
--- a/gentianhub/capacity/trials.py
+++ b/gentianhub/capacity/trials.py
@@ -4,10 +4,8 @@
 much would refuse all jobs of a route, start none and expect the same forever.
 """
 
-from attrs import field
-
 from gentianhub.capacity.tasks import CellJob, CellTask
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # A trial begins only if no task of the route was started for this long. Otherwise the
 # ends of other runs are about to correct the expectation.
--- a/gentianhub/capacity/turnover.py
+++ b/gentianhub/capacity/turnover.py
@@ -1,8 +1,6 @@
 """Rate at which the runs of a cell end and free their slots."""
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Weight of a new interval in the exponential moving average.
 INTERVAL_GAIN = 0.05
--- a/gentianhub/capacity/waiting.py
+++ b/gentianhub/capacity/waiting.py
@@ -20,9 +20,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import field
-
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/capacity/worth.py
+++ b/gentianhub/capacity/worth.py
@@ -4,10 +4,8 @@
 from bisect import bisect_left, insort
 from collections import deque
 
-from attrs import field
-
 from gentianhub.capacity.events import RunTasks
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # Worth of a job: a fixed part, and one that grows with its work relative to the mean
 # work of its route. These are the weights that the platform's users have stated.
--- a/gentianhub/cli/table_edits.py
+++ b/gentianhub/cli/table_edits.py
@@ -1,7 +1,6 @@
 """Execution of table edits and reports of their results."""
 
 import typer
-from attrs import evolve
 
 from gentianhub.cli.table_options import DeploymentAddresses
 from gentianhub.cli.table_output import (
@@ -13,7 +12,7 @@
     report_result,
 )
 from gentianhub.core import Table
-from gentianhub.core.records import frozen
+from gentianhub.core.records import evolve, frozen
 from gentianhub.decisions.versions import compare_tables
 from gentianhub.operators.changes import (
     Edit,
--- a/gentianhub/client/client.py
+++ b/gentianhub/client/client.py
@@ -5,7 +5,6 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import evolve, field
 
 from gentianhub.client.codec import decode_accepted, decode_state, encode_task
 from gentianhub.client.transport import EntryAddress, FailoverTransport, open_transport
@@ -22,7 +21,7 @@
     parse_job_id,
     read_monotonic_s,
 )
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 
 ID_BLOCK_SIZE = 100
 # An unused id expires 300 s after it was issued.
--- a/gentianhub/client/transport.py
+++ b/gentianhub/client/transport.py
@@ -4,11 +4,9 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
-from attrs import field
-
 from gentianhub.client.codec import decode_refusal
 from gentianhub.core import Refusal, RefusalKind, RunState, Step
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.web import HTTP_ERRORS, HttpConnection, open_connection
 
 CONNECT_TIMEOUT_S = 2.0
--- a/gentianhub/core/ids.py
+++ b/gentianhub/core/ids.py
@@ -7,10 +7,10 @@
 import re
 import secrets
 
-from attrs import field, validators
+from attrs import validators
 
 from gentianhub.core.errors import Refusal, RefusalKind, Step
-from gentianhub.core.records import frozen
+from gentianhub.core.records import field, frozen
 
 INCARNATION_BYTES = 8
 MAX_JOB_SEQUENCE = 2**53
--- a/gentianhub/core/mailbox.py
+++ b/gentianhub/core/mailbox.py
@@ -4,10 +4,9 @@
 from typing import Generic, TypeVar
 
 import gevent
-from attrs import field
 from gevent.queue import Empty, Full, Queue
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 T = TypeVar("T")
 
--- a/gentianhub/core/records.py
+++ b/gentianhub/core/records.py
@@ -10,6 +10,9 @@
 from typing import Any, TypeVar
 
 import attrs
+from attrs import Factory, evolve, field
+
+__all__ = ["Factory", "define", "evolve", "field", "frozen"]
 
 T = TypeVar("T")
 
@@ -18,14 +21,14 @@
 def _describe_record(record: Any) -> str:
     """Return the name of the class and the fields, as attrs does."""
     name = type(record).__qualname__.rpartition(">.")[2]
-    shown = (field for field in attrs.fields(type(record)) if field.repr)
-    values = (f"{field.name}={_describe_value(record, field)}" for field in shown)
+    shown = (item for item in attrs.fields(type(record)) if item.repr)
+    values = (f"{item.name}={_describe_value(record, item)}" for item in shown)
     return f"{name}({', '.join(values)})"
 
 
-def _describe_value(record: Any, field: attrs.Attribute) -> str:
-    describe = field.repr if callable(field.repr) else repr
-    return describe(getattr(record, field.name, attrs.NOTHING))
+def _describe_value(record: Any, item: attrs.Attribute) -> str:
+    describe = item.repr if callable(item.repr) else repr
+    return describe(getattr(record, item.name, attrs.NOTHING))
 
 
 def define(**options) -> Callable[[type[T]], type[T]]:
--- a/gentianhub/core/table.py
+++ b/gentianhub/core/table.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Mapping
 
-from attrs import Factory, field, validators
+from attrs import Factory, validators
 
 from gentianhub.core.ids import ProcessName
-from gentianhub.core.records import frozen
+from gentianhub.core.records import field, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/decisions/admission.py
+++ b/gentianhub/decisions/admission.py
@@ -6,8 +6,6 @@
 import random
 from typing import Protocol
 
-from attrs import field
-
 from gentianhub.core import (
     MAX_TASKS_PER_JOB,
     Incarnation,
@@ -17,7 +15,7 @@
     Step,
     Table,
 )
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.fairness import Backlog, FairOrder
 from gentianhub.decisions.order import TaskOrder
 from gentianhub.decisions.runtimes import RunTimeEstimates
--- a/gentianhub/decisions/borrowing.py
+++ b/gentianhub/decisions/borrowing.py
@@ -10,12 +10,10 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.core import Incarnation
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.slots import SlotHoldings
 
 RENEWAL_PERIOD_S = 1.0
--- a/gentianhub/decisions/concurrency.py
+++ b/gentianhub/decisions/concurrency.py
@@ -11,9 +11,7 @@
 import random
 from collections.abc import Iterator
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 DECREASE_FACTOR = 0.75
 MAX_REPLIES_PER_STEP = 500
--- a/gentianhub/decisions/delays.py
+++ b/gentianhub/decisions/delays.py
@@ -3,9 +3,7 @@
 import heapq
 from collections.abc import Iterator
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.order import QueuedTask
 
 
--- a/gentianhub/decisions/departures.py
+++ b/gentianhub/decisions/departures.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Iterable
 
-from attrs import field
-
 from gentianhub.core import TargetAddress
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Other entry processes repeat the notice that a target is leaving for 10 s. A target
 # that returned in this time must not count as leaving again because of a repeat.
--- a/gentianhub/decisions/dispatch.py
+++ b/gentianhub/decisions/dispatch.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import Factory, evolve, field
-
 from gentianhub.core import (
     Complete,
     Failed,
@@ -21,7 +19,7 @@
 )
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
-from gentianhub.core.records import define
+from gentianhub.core.records import Factory, define, evolve, field
 from gentianhub.decisions.admission import (
     Admission,
     build_admission,
--- a/gentianhub/decisions/ejection.py
+++ b/gentianhub/decisions/ejection.py
@@ -6,10 +6,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from attrs import field
-
 from gentianhub.core import TaskId
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 WINDOW_REPLIES = 20
 # A healthy target is ejected by chance once in this many replies.
--- a/gentianhub/decisions/fairness.py
+++ b/gentianhub/decisions/fairness.py
@@ -2,10 +2,8 @@
 
 import math
 
-from attrs import evolve, field
-
 from gentianhub.core import ServiceRow, Table, TaskId, TeamRow
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 from gentianhub.decisions.heaps import LazyHeap
 from gentianhub.decisions.nodes import AGEING_FACTOR, ServiceNode, TeamNode, WaitingJob
 from gentianhub.decisions.order import QueuedTask
--- a/gentianhub/decisions/heaps.py
+++ b/gentianhub/decisions/heaps.py
@@ -3,9 +3,7 @@
 import heapq
 from typing import Any, Generic, TypeVar
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 T = TypeVar("T")
 MIN_COMPACTION_SIZE = 64
--- a/gentianhub/decisions/homes.py
+++ b/gentianhub/decisions/homes.py
@@ -4,11 +4,10 @@
 that joins or leaves.
 """
 
-from attrs import field
 from xxhash import xxh3_64_intdigest
 
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/decisions/ledger.py
+++ b/gentianhub/decisions/ledger.py
@@ -9,8 +9,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-from attrs import Factory, field
-
 from gentianhub.core import (
     Complete,
     Incarnation,
@@ -31,7 +29,7 @@
     TaskOutcome,
     Unknown,
 )
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import Factory, define, field, frozen
 from gentianhub.decisions.order import QueuedTask
 
 ID_LIFETIME_S = 300.0
--- a/gentianhub/decisions/lending.py
+++ b/gentianhub/decisions/lending.py
@@ -10,12 +10,10 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.core import Incarnation
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 LEASE_S = 2.0
 # Borrowers report every second; one that is silent for longer counts as lost.
--- a/gentianhub/decisions/membership.py
+++ b/gentianhub/decisions/membership.py
@@ -9,11 +9,10 @@
 from collections.abc import Container, Iterable, Iterator
 
 import xxhash
-from attrs import field
 
 from gentianhub.core import EntryProcessAddress, Incarnation, ProcessName, TargetAddress
 from gentianhub.core.events import LiveProcessesChanged, Tick
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 HEARTBEAT_PERIOD_S = 0.25
 # Four heartbeats; a busy process may be late with one or two.
--- a/gentianhub/decisions/nodes.py
+++ b/gentianhub/decisions/nodes.py
@@ -2,10 +2,8 @@
 
 import heapq
 
-from attrs import field
-
 from gentianhub.core import ServiceRow, TeamRow
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.heaps import LazyHeap
 from gentianhub.decisions.order import QueuedTask
 from gentianhub.decisions.runtimes import RunClass
--- a/gentianhub/decisions/order.py
+++ b/gentianhub/decisions/order.py
@@ -3,10 +3,8 @@
 from collections import deque
 from typing import Protocol
 
-from attrs import Factory
-
 from gentianhub.core import Table, TaskId
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import Factory, define, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/decisions/placement.py
+++ b/gentianhub/decisions/placement.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from attrs import field
-
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 # A heap entry is updated when the speed of its target has changed by more than this
 # fraction.
--- a/gentianhub/decisions/propagation.py
+++ b/gentianhub/decisions/propagation.py
@@ -3,10 +3,8 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.core import Table
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.decisions.versions import TableChange, apply_change, select_following
 
 # A process that is further behind gets the complete table instead.
--- a/gentianhub/decisions/retries.py
+++ b/gentianhub/decisions/retries.py
@@ -2,9 +2,7 @@
 
 import random
 
-from attrs import field
-
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 MAX_ATTEMPTS = 8
 BASE_DELAY_S = 0.02
--- a/gentianhub/decisions/runtimes.py
+++ b/gentianhub/decisions/runtimes.py
@@ -7,10 +7,9 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 
-from attrs import field
 from hdrh.histogram import HdrHistogram
 
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 SHORT_LIMIT_S = 2.0
 # Estimate for a kind without observations in a service without any.
--- a/gentianhub/decisions/sharing.py
+++ b/gentianhub/decisions/sharing.py
@@ -9,12 +9,10 @@
 from collections import Counter
 from collections.abc import Iterator, Mapping
 
-from attrs import field
-
 from gentianhub.core import Incarnation
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.borrowing import Borrower
 from gentianhub.decisions.homes import Homes
 from gentianhub.decisions.lending import LEASE_S, SlotLender
--- a/gentianhub/decisions/slots.py
+++ b/gentianhub/decisions/slots.py
@@ -4,10 +4,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.heaps import LazyHeap
 
 
--- a/gentianhub/decisions/speeds.py
+++ b/gentianhub/decisions/speeds.py
@@ -9,9 +9,7 @@
 import math
 from collections import OrderedDict
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 HALF_LIFE_S = 30.0
 # Weight of the prior of a target's estimate, in replies at the mean speed; it does not
--- a/gentianhub/decisions/targets.py
+++ b/gentianhub/decisions/targets.py
@@ -3,8 +3,6 @@
 import random
 from collections.abc import Iterable
 
-from attrs import field
-
 from gentianhub.core import (
     Complete,
     Failed,
@@ -15,7 +13,7 @@
     Unknown,
 )
 from gentianhub.core.events import AttemptEnded
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.decisions.concurrency import ConcurrencyLimits
 from gentianhub.decisions.departures import Departures
 from gentianhub.decisions.ejection import Ejections
--- a/gentianhub/decisions/versions.py
+++ b/gentianhub/decisions/versions.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from attrs import evolve
-
 from gentianhub.core import ServiceRow, Table, TargetRow, TeamRow
-from gentianhub.core.records import frozen
+from gentianhub.core.records import evolve, frozen
 
 # A new reader reads a snapshot and at most this many changes after it.
 CHANGES_PER_SNAPSHOT = 1000
--- a/gentianhub/decisions/warm_up.py
+++ b/gentianhub/decisions/warm_up.py
@@ -3,9 +3,7 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Limits the warm-up of targets whose first tasks are long.
 WARM_UP_S = 1.0
--- a/gentianhub/entry/dispatcher.py
+++ b/gentianhub/entry/dispatcher.py
@@ -3,12 +3,11 @@
 import logging
 
 import gevent
-from attrs import field
 
 from gentianhub.core import Mailbox, read_monotonic_s
 from gentianhub.core import effects as fx
 from gentianhub.core import events as ev
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions import Dispatcher
 from gentianhub.observability import RenderMetrics
 from gentianhub.observability.metrics import EntryMetrics
--- a/gentianhub/entry/process.py
+++ b/gentianhub/entry/process.py
@@ -6,7 +6,6 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import field
 from gevent.event import Event
 
 from gentianhub.callers import CallerHandler, serve_callers
@@ -30,7 +29,7 @@
     WatchOperation,
     perform_operation,
 )
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions import Dispatcher
 from gentianhub.entry.dispatcher import DispatcherTask, run_timer
 from gentianhub.operators import OperatorHandler, serve_operators
--- a/gentianhub/fault_run/audit.py
+++ b/gentianhub/fault_run/audit.py
@@ -5,11 +5,9 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-from attrs import field
-
 from gentianhub.client import JobComplete, JobFailed, Refusal
 from gentianhub.core import JobAnswer, NotRun, RunState, Unknown
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 
 @frozen(kw_only=True)
--- a/gentianhub/fault_run/faults.py
+++ b/gentianhub/fault_run/faults.py
@@ -5,10 +5,9 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import field
 
 from gentianhub.core import read_monotonic_s, spawn_greenlet
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.fault_run import plan as faults
 from gentianhub.fault_run.audit import Violation
 from gentianhub.fault_run.testbed import Testbed
--- a/gentianhub/fault_run/load.py
+++ b/gentianhub/fault_run/load.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import gevent
-from attrs import field
 
 from gentianhub.client import (
     Client,
@@ -16,7 +15,7 @@
     open_client,
 )
 from gentianhub.core import read_monotonic_s
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.fault_run.audit import JobTrace
 
 MAX_RUN_MS = 300
--- a/gentianhub/fault_run/run.py
+++ b/gentianhub/fault_run/run.py
@@ -6,11 +6,10 @@
 
 import gevent
 import typer
-from attrs import field
 
 from gentianhub.client import EntryAddress
 from gentianhub.core import read_monotonic_s, spawn_greenlet
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.fault_run.audit import (
     JobTrace,
     Violation,
--- a/gentianhub/fault_run/testbed.py
+++ b/gentianhub/fault_run/testbed.py
@@ -6,9 +6,7 @@
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
-from attrs import field
-
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.stand_ins.platform import PlatformStandIn
 from gentianhub.stand_ins.platform_proxies import PlatformProxy
 from gentianhub.stand_ins.processes import (
--- a/gentianhub/fault_run/watch.py
+++ b/gentianhub/fault_run/watch.py
@@ -3,11 +3,10 @@
 import json
 
 import gevent
-from attrs import field
 from hdrh.histogram import HdrHistogram
 
 from gentianhub.core import read_monotonic_s
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.fault_run.audit import Violation
 from gentianhub.fault_run.faults import FaultInjector
 from gentianhub.fault_run.testbed import Testbed
--- a/gentianhub/host/callers.py
+++ b/gentianhub/host/callers.py
@@ -5,10 +5,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import evolve, field
-
 from gentianhub.core import Mailbox, read_monotonic_s
-from gentianhub.core.records import frozen
+from gentianhub.core.records import evolve, field, frozen
 from gentianhub.host import messages as ms
 from gentianhub.host.client_limits import CALLERS
 from gentianhub.host.decision_log import log_decision
--- a/gentianhub/host/cancel_relays.py
+++ b/gentianhub/host/cancel_relays.py
@@ -6,11 +6,9 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import evolve, field
-
 from gentianhub.capacity import events as ev
 from gentianhub.core import Incarnation, ProcessName
-from gentianhub.core.records import define
+from gentianhub.core.records import define, evolve, field
 from gentianhub.host.outbox import Outbox
 
 # Replies that arrive later than this after the question are dropped, s. The host that
--- a/gentianhub/host/cancellations.py
+++ b/gentianhub/host/cancellations.py
@@ -9,12 +9,10 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
-from attrs import evolve, field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.cancelled_jobs import CancelledJobs
 from gentianhub.core import Incarnation, ProcessName
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 from gentianhub.host.cancel_relays import CancelRelays
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.outbox import Outbox
--- a/gentianhub/host/cells.py
+++ b/gentianhub/host/cells.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.cancelled_jobs import CancelledJobs
@@ -20,7 +18,7 @@
 from gentianhub.capacity.scheduler import CellScheduler
 from gentianhub.capacity.succession import Handover, HandoverKind
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host.decision_log import log_decision, record_shed_job
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.host.outbox import Outbox
--- a/gentianhub/host/configuration.py
+++ b/gentianhub/host/configuration.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.capacity.events import ConfigurationOffer
 from gentianhub.capacity.jobs import Configuration, Route
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.host.decision_log import log_decision
 from gentianhub.platform.content import ConfigurationDecoder
--- a/gentianhub/host/coordinator.py
+++ b/gentianhub/host/coordinator.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from attrs import field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.cancelled_jobs import CancelledJobs
@@ -29,7 +27,7 @@
     read_monotonic_s,
     read_suspended_s,
 )
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host import messages as ms
 from gentianhub.host.cancellations import Cancellations
 from gentianhub.host.cells import OwnedCells
--- a/gentianhub/host/delays.py
+++ b/gentianhub/host/delays.py
@@ -1,9 +1,7 @@
 """Log lines and metrics of a host that runs late."""
 
-from attrs import field
-
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.messages import TimerTick
 from gentianhub.host.metrics import HostMetrics
--- a/gentianhub/host/evacuations.py
+++ b/gentianhub/host/evacuations.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from attrs import field
-
 from gentianhub.capacity.evacuations import Evacuations, KnownEvacuations
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import ProcessName
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.metrics import HostMetrics
 from gentianhub.platform.settings import normalize_name
--- a/gentianhub/host/followers.py
+++ b/gentianhub/host/followers.py
@@ -6,11 +6,10 @@
 from random import Random
 
 import gevent
-from attrs import field
 
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Mailbox, PlatformError, read_monotonic_s
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host import messages as ms
 from gentianhub.host.evacuations import EvacuationDecoder
 from gentianhub.host.registry import (
--- a/gentianhub/host/job_memory.py
+++ b/gentianhub/host/job_memory.py
@@ -2,10 +2,8 @@
 
 import sys
 
-from attrs import field
-
 from gentianhub.capacity.jobs import CapacityJob
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Memory of a job apart from its tasks, of a step and of a task, with the orders and
 # reports about them.
--- a/gentianhub/host/links.py
+++ b/gentianhub/host/links.py
@@ -3,11 +3,10 @@
 import logging
 from collections.abc import Callable
 
-from attrs import field
 from gevent.pool import Group
 
 from gentianhub.core import Incarnation, Mailbox, ProcessName
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host.encoding import encode_message
 from gentianhub.host.registry import HostEntry
 from gentianhub.linking.dialling import DialBackoff
--- a/gentianhub/host/membership.py
+++ b/gentianhub/host/membership.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity import ownership as ow
 from gentianhub.capacity.confirmations import SentHeartbeats
@@ -19,7 +17,7 @@
     list_cells,
 )
 from gentianhub.core import Incarnation, Mailbox, ProcessName
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.host import messages as ms
 from gentianhub.host.decision_log import log_decision
 from gentianhub.host.encoding import encode_message
--- a/gentianhub/host/metrics.py
+++ b/gentianhub/host/metrics.py
@@ -3,12 +3,11 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 
-from attrs import field
 from hdrh.histogram import HdrHistogram
 
 from gentianhub.capacity.effects import JobVerdict
 from gentianhub.capacity.events import TaskEnd
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.observability.histograms import create_response_histogram
 
 
--- a/gentianhub/host/open_jobs.py
+++ b/gentianhub/host/open_jobs.py
@@ -6,14 +6,12 @@
 
 from collections.abc import Iterable
 
-from attrs import field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.confirmations import SentHeartbeats
 from gentianhub.capacity.front import FrontJobRegistry
 from gentianhub.capacity.jobs import Cell
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host import messages as ms
 from gentianhub.host.outbox import Outbox
 from gentianhub.host.progress import DepartureProgress
--- a/gentianhub/host/outbox.py
+++ b/gentianhub/host/outbox.py
@@ -3,10 +3,8 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host.links import HostLinks
 
 
--- a/gentianhub/host/process.py
+++ b/gentianhub/host/process.py
@@ -6,7 +6,6 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import evolve, field
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -19,7 +18,7 @@
     read_monotonic_s,
     spawn_greenlet,
 )
-from gentianhub.core.records import define
+from gentianhub.core.records import define, evolve, field
 from gentianhub.host import followers
 from gentianhub.host import messages as ms
 from gentianhub.host.callers import (
--- a/gentianhub/host/progress.py
+++ b/gentianhub/host/progress.py
@@ -9,10 +9,8 @@
 
 from collections.abc import Callable
 
-from attrs import field
-
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Names no heartbeat: the owner takes the message as one of unknown age.
 NO_HEARTBEAT = 2**64 - 1
--- a/gentianhub/host/request_handler.py
+++ b/gentianhub/host/request_handler.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import evolve, field
-
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.cancelled_jobs import Recording
@@ -18,7 +16,7 @@
     SubmitCapacityJob,
 )
 from gentianhub.core import Incarnation, Mailbox
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, evolve, field, frozen
 from gentianhub.host import messages as ms
 from gentianhub.host.cancellations import (
     Cancellations,
@@ -181,10 +179,10 @@
             log_decision("job malformed", job_id, reason=str(error))
             self._reply(request.reply_to, callers.encode_error(400, str(error)))
             return
-        # A job that is open or answered already takes no more memory, and a refusal
-        # would say that it has not run.
-        is_known = self._is_known(job_id, now_s)
-        held_bytes = 0 if is_known else self.memory.reserve(job)
+        held_bytes = self.memory.reserve(job)
+        if held_bytes is None and self._is_known(job_id, now_s):
+            # It takes little more, and a refusal would say that it has not run.
+            held_bytes = 0
         if held_bytes is None:
             log_decision("job refused", job_id, reason=OVER_JOB_MEMORY)
             refusal = callers.encode_error(503, OVER_JOB_MEMORY, MEMORY_RETRY_AFTER_S)
--- a/gentianhub/host/target_list.py
+++ b/gentianhub/host/target_list.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import field
-
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Incarnation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.host.followers import decode_targets
 from gentianhub.platform.store import TARGETS_TABLE
 
--- a/gentianhub/host/target_ports.py
+++ b/gentianhub/host/target_ports.py
@@ -3,14 +3,13 @@
 import logging
 
 import gevent
-from attrs import field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
 from gentianhub.capacity.answer_times import AnswerTimes
 from gentianhub.capacity.jobs import ListedTarget
 from gentianhub.core import Mailbox, spawn_greenlet
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.platform.targets import TargetClient, TargetClock
 
 # Most commands that wait for a connection; a target runs only a few tasks at a time.
--- a/gentianhub/linking/dialling.py
+++ b/gentianhub/linking/dialling.py
@@ -2,9 +2,7 @@
 
 from random import Random
 
-from attrs import field
-
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.linking.link_events import DialAddress
 
 FIRST_DELAY_S = 0.1
--- a/gentianhub/linking/frame_memory.py
+++ b/gentianhub/linking/frame_memory.py
@@ -4,9 +4,7 @@
 import sys
 from typing import Any
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 OVER_FRAME_MEMORY = "over the memory for frames"
 
--- a/gentianhub/linking/frames.py
+++ b/gentianhub/linking/frames.py
@@ -10,9 +10,8 @@
 from typing import Any
 
 import xxhash
-from attrs import field
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.linking.frame_memory import OVER_FRAME_MEMORY, FrameMemory
 
 # Enough for a caller's largest job (16 MiB) and for an answer with 170 results.
--- a/gentianhub/linking/handshake_limits.py
+++ b/gentianhub/linking/handshake_limits.py
@@ -6,9 +6,7 @@
 from contextlib import contextmanager
 from typing import Any
 
-from attrs import field
-
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 
 @define(kw_only=True, eq=False)
--- a/gentianhub/linking/links.py
+++ b/gentianhub/linking/links.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import gevent
-from attrs import field
 from gevent import socket as gsocket
 
 from gentianhub.core import (
@@ -17,7 +16,7 @@
     send_message,
     spawn_greenlet,
 )
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.linking.frame_memory import FrameMemory
 from gentianhub.linking.frames import (
     ANY_RECEIVER_TOKEN,
--- a/gentianhub/observability/metrics.py
+++ b/gentianhub/observability/metrics.py
@@ -2,14 +2,13 @@
 
 from collections import Counter, defaultdict
 
-from attrs import field
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from gentianhub.core import Complete, Failed, JobComplete, NotRun, TaskOutcome, Unknown
 from gentianhub.core.effects import JobEnded
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.observability.histograms import PERCENTILES, create_response_histogram
 
 
--- a/gentianhub/observability/stream.py
+++ b/gentianhub/observability/stream.py
@@ -9,11 +9,10 @@
 import sys
 
 import gevent
-from attrs import field
 from gevent.os import make_nonblocking, nb_write
 
 from gentianhub.core import Mailbox, spawn_greenlet
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 
 # Bounds the memory of the queue to a few MB.
 MAX_QUEUED_LINES = 4000
--- a/gentianhub/platform/content.py
+++ b/gentianhub/platform/content.py
@@ -5,11 +5,9 @@
 import re
 from collections.abc import Container, Iterator
 
-from attrs import field
-
 from gentianhub.capacity.jobs import Configuration, ListedTarget, Route
 from gentianhub.capacity.resources import Resources
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.platform.fields import (
     FieldError,
--- a/gentianhub/platform/targets.py
+++ b/gentianhub/platform/targets.py
@@ -5,7 +5,6 @@
 import re
 
 import gevent
-from attrs import evolve, field
 
 from gentianhub.capacity import effects as fx
 from gentianhub.capacity import events as ev
@@ -13,7 +12,7 @@
 from gentianhub.capacity.jobs import ListedTarget, TaskKey
 from gentianhub.capacity.leases import CLOCK_DRIFT, START_WAIT_LIMIT_S
 from gentianhub.core import read_monotonic_s
-from gentianhub.core.records import define
+from gentianhub.core.records import define, evolve, field
 from gentianhub.platform.content import decode_json
 from gentianhub.platform.fields import FieldError, describe_value, read_field
 from gentianhub.web import HTTP_ERRORS, HttpConnection
--- a/gentianhub/settings/model.py
+++ b/gentianhub/settings/model.py
@@ -2,10 +2,10 @@
 
 import math
 
-from attrs import field, validators
+from attrs import validators
 
 from gentianhub.core.ids import PROCESS_NAME_PATTERN
-from gentianhub.core.records import frozen
+from gentianhub.core.records import field, frozen
 
 _name_validator = validators.matches_re(PROCESS_NAME_PATTERN)
 _port_validator = validators.and_(validators.ge(1), validators.le(65535))
--- a/gentianhub/siblings/forwarding.py
+++ b/gentianhub/siblings/forwarding.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.core import (
     Incarnation,
     JobId,
@@ -22,7 +20,7 @@
     WatchOperation,
     perform_operation,
 )
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.siblings.manager_messages import Forward
 from gentianhub.siblings.messages import ForwardReply, ForwardRequest
 from gentianhub.siblings.wire import MAX_FRAME_BYTES, encode_message
--- a/gentianhub/siblings/manager.py
+++ b/gentianhub/siblings/manager.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Iterable
 
-from attrs import field
 from gevent.pool import Group, Pool
 
 from gentianhub.core import (
@@ -20,7 +19,7 @@
     Tick,
 )
 from gentianhub.core.operations import WatchOperation
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions import membership as mb
 from gentianhub.decisions.propagation import ChangesRead, PollerRole
 from gentianhub.linking.dialling import DialBackoff
--- a/gentianhub/siblings/propagation.py
+++ b/gentianhub/siblings/propagation.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Iterator
 
-from attrs import field
-
 from gentianhub.core.events import TableAdopted, TargetsLeaving
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.propagation import TableHistory
 from gentianhub.linking.links import Link
 from gentianhub.siblings.messages import TableDeltas, TableRequest
--- a/gentianhub/soak/callers.py
+++ b/gentianhub/soak/callers.py
@@ -6,10 +6,9 @@
 from random import Random
 
 import gevent
-from attrs import field
 from geventhttpclient import HTTPClient
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.soak.plan import RESEND_DELAY_S, find_data_centre
 from gentianhub.soak.testbed import QUEUE_HOST, QUEUE_PREFIX, SoakTestbed
 from gentianhub.stand_ins.processes import LOOPBACK
--- a/gentianhub/soak/faults.py
+++ b/gentianhub/soak/faults.py
@@ -6,10 +6,9 @@
 from contextlib import contextmanager
 
 import gevent
-from attrs import field
 from gevent import subprocess
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.soak import plan as faults
 from gentianhub.soak.callers import Attempt
 from gentianhub.soak.testbed import SoakTestbed
--- a/gentianhub/soak/run.py
+++ b/gentianhub/soak/run.py
@@ -12,11 +12,10 @@
 
 import gevent
 import typer
-from attrs import field
 from gevent.event import Event
 from geventhttpclient import HTTPClient
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.soak.audit import (
     Violation,
     audit_jobs,
--- a/gentianhub/soak/testbed.py
+++ b/gentianhub/soak/testbed.py
@@ -10,10 +10,9 @@
 from pathlib import Path
 
 import gevent
-from attrs import field
 from gevent import socket, subprocess
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.host.registry import HOSTS_TABLE
 from gentianhub.stand_ins.hosts import HostPorts, start_host, write_settings
 from gentianhub.stand_ins.processes import LOOPBACK, find_free_ports
--- a/gentianhub/stand_ins/load.py
+++ b/gentianhub/stand_ins/load.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator
 
 import gevent
-from attrs import field
 from gevent.pool import Pool
 from hdrh.histogram import HdrHistogram
 
@@ -20,7 +19,7 @@
     open_client,
 )
 from gentianhub.core import RunState, read_monotonic_s
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 RATIO_SCALE = 100
 MAX_RATIO = 10_000
--- a/gentianhub/stand_ins/platform.py
+++ b/gentianhub/stand_ins/platform.py
@@ -4,9 +4,8 @@
 
 import gevent
 import xxhash
-from attrs import field
 
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.web import (
     BodyError,
     Request,
--- a/gentianhub/stand_ins/platform_proxies.py
+++ b/gentianhub/stand_ins/platform_proxies.py
@@ -1,9 +1,8 @@
 """Proxies from each data centre to the stand-in platform, with injected faults."""
 
 import gevent
-from attrs import field
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.stand_ins.platform import PlatformStandIn, answer_hosts
 from gentianhub.web import Request, Response
 
--- a/gentianhub/stand_ins/processes.py
+++ b/gentianhub/stand_ins/processes.py
@@ -15,11 +15,10 @@
 from pathlib import Path
 
 import gevent
-from attrs import Factory
 from gevent import socket, subprocess
 from geventhttpclient import HTTPClient
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import Factory, define, frozen
 from gentianhub.stand_ins.relay import Relay, open_relay
 
 LOOPBACK = "127.0.0.1"
--- a/gentianhub/stand_ins/relay.py
+++ b/gentianhub/stand_ins/relay.py
@@ -5,12 +5,11 @@
 from random import Random
 
 import gevent
-from attrs import field
 from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 
 CHUNK_BYTES = 65536
 LOOPBACK = "127.0.0.1"
--- a/gentianhub/stand_ins/target.py
+++ b/gentianhub/stand_ins/target.py
@@ -5,9 +5,8 @@
 from pathlib import Path
 
 import gevent
-from attrs import field
 
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.web import (
     BodyError,
     Request,
--- a/gentianhub/stand_ins/users_platform.py
+++ b/gentianhub/stand_ins/users_platform.py
@@ -14,10 +14,9 @@
 from random import Random
 
 import gevent
-from attrs import field
 from gevent.event import Event
 
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.web import (
     BodyError,
     Request,
--- a/gentianhub/storage/claims.py
+++ b/gentianhub/storage/claims.py
@@ -8,8 +8,6 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from attrs import field
-
 from gentianhub.core import (
     JobId,
     JobRequest,
@@ -24,7 +22,7 @@
     read_monotonic_s,
 )
 from gentianhub.core.operations import Operation, ReserveIdsOperation, SubmitOperation
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.decisions import IdBlock
 from gentianhub.storage.changes import TableStore
 from gentianhub.storage.client import Conflict, VersionedRow, open_platform
--- a/gentianhub/storage/client.py
+++ b/gentianhub/storage/client.py
@@ -6,10 +6,9 @@
 from urllib.parse import quote
 
 import gevent
-from attrs import field
 
 from gentianhub.core import PlatformError, Step
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.web import HTTP_ERRORS, HttpConnection, open_connection
 
 REQUEST_TIMEOUT_S = 1.0
--- a/gentianhub/storage/journal.py
+++ b/gentianhub/storage/journal.py
@@ -8,8 +8,6 @@
 import logging
 from typing import Protocol
 
-from attrs import field
-
 from gentianhub.core import (
     Incarnation,
     JobAnswer,
@@ -22,7 +20,7 @@
     Step,
     read_monotonic_s,
 )
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.storage.changes import TableStore
 from gentianhub.storage.client import open_platform
 from gentianhub.storage.objects import (
--- a/gentianhub/storage/lookups.py
+++ b/gentianhub/storage/lookups.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 
 import gevent
-from attrs import field
 
 from gentianhub.core import (
     Incarnation,
@@ -23,7 +22,7 @@
     Step,
     read_monotonic_s,
 )
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.storage.client import open_platform
 from gentianhub.storage.journal import JournalStore
 from gentianhub.storage.objects import (
--- a/gentianhub/storage/watcher.py
+++ b/gentianhub/storage/watcher.py
@@ -2,11 +2,9 @@
 
 import logging
 
-from attrs import field
-
 from gentianhub.core import Mailbox, MailboxTimeout, PlatformError, Table
 from gentianhub.core.events import TableAdopted, TargetsListed
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.decisions.membership import HostList
 from gentianhub.decisions.propagation import ChangesRead, PollerRole
 from gentianhub.storage.changes import read_latest
--- a/gentianhub/targets/pool.py
+++ b/gentianhub/targets/pool.py
@@ -4,7 +4,6 @@
 from collections import defaultdict
 
 import gevent
-from attrs import field
 
 from gentianhub.core import (
     Mailbox,
@@ -16,7 +15,7 @@
 from gentianhub.core.effects import StartTask
 from gentianhub.core.errors import Step
 from gentianhub.core.events import AttemptEnded
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.targets.exchange import AttemptResult, TargetClient, open_target_client
 
 # Common HTTP servers close idle connections after 5 s or more. A shorter timeout on
--- a/gentianhub/web/bodies.py
+++ b/gentianhub/web/bodies.py
@@ -6,9 +6,8 @@
 from typing import Any
 
 import gevent
-from attrs import field
 
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import define, field, frozen
 from gentianhub.web.connections import ClientConnection, Phase, RequestRefused
 from gentianhub.web.request_reader import LimitedLines
 
--- a/gentianhub/web/connection.py
+++ b/gentianhub/web/connection.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 
-from attrs import field
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import (
     HTTPConnectionClosed,
@@ -13,7 +12,7 @@
 )
 
 from gentianhub.core import send_message
-from gentianhub.core.records import define
+from gentianhub.core.records import define, field
 from gentianhub.web.sockets import SendTrackingPool
 
 # Exceptions of a failed HTTP exchange; the connection must be reset after any of them.
--- a/gentianhub/web/connections.py
+++ b/gentianhub/web/connections.py
@@ -9,11 +9,10 @@
 from contextlib import contextmanager
 from typing import Any
 
-from attrs import Factory, field
 from gevent import get_hub
 
 from gentianhub.core import read_monotonic_s
-from gentianhub.core.records import define
+from gentianhub.core.records import Factory, define, field
 from gentianhub.core.request_limits import RequestLimits
 
 # Memory of a connection apart from what it sends: greenlet, socket, handler and buffer.
--- a/gentianhub/web/server.py
+++ b/gentianhub/web/server.py
@@ -13,13 +13,12 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from attrs import Factory, field
 from gevent import get_hub
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer, format_date_time
 
 from gentianhub.core import send_message
-from gentianhub.core.records import define, frozen
+from gentianhub.core.records import Factory, define, field, frozen
 from gentianhub.core.request_limits import RequestLimits
 from gentianhub.web.bodies import BodyError
 from gentianhub.web.bounded_requests import BoundedRequests, encode_refusal
